--- /dev/null
+++ b/cmd/dandelionspoke/main.go
@@ -0,0 +1,4 @@
+// Command dandelionspoke runs a node and the tools around it.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/bundle/bundle.go
@@ -0,0 +1,198 @@
+// Package bundle defines the versioned description of the intended behaviour: services, routes and policy.
+package bundle
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bundle is one version of the configuration. A Bundle that is in force is never modified.
+type Bundle struct {
+	// Version rises strictly with each rollout. Zero means that no bundle has been accepted yet.
+	Version  uint64             `toml:"version"`
+	Policy   Policy             `toml:"policy"`
+	Services map[string]Service `toml:"services"`
+	Routes   []Route            `toml:"routes"`
+}
+
+// Service holds the limits of each endpoint of one service. Zero fields take the defaults of SetDefaults.
+type Service struct {
+	// Slots is the number of requests that an endpoint runs at once.
+	Slots int `toml:"slots"`
+	// LongSlots caps the slots that long requests hold at once; it is below Slots.
+	LongSlots int `toml:"long_slots"`
+	// Connections caps the connections from a gate to its backend server.
+	Connections int `toml:"connections"`
+	// QueueShort and QueueLong cap the requests that wait in a gate's lanes.
+	QueueShort int `toml:"queue_short"`
+	QueueLong  int `toml:"queue_long"`
+	// SlowStart is the time over which a new or re-admitted endpoint rises to its full share.
+	SlowStart Duration `toml:"slow_start"`
+}
+
+// Class separates short from long work.
+type Class string
+
+// Classes of work.
+const (
+	Short Class = "short"
+	Long  Class = "long"
+)
+
+// Route maps requests to a service. The longest matching path prefix wins; a route with a host precedes one without.
+type Route struct {
+	Name       string   `toml:"name"`
+	Service    string   `toml:"service"`
+	Host       string   `toml:"host"`        // empty: any host
+	PathPrefix string   `toml:"path_prefix"` // empty: any path
+	Methods    []string `toml:"methods"`     // empty: any method
+	Class      Class    `toml:"class"`       // empty: short
+	// Idempotent permits another attempt after may-have-run, and hedges. When nil, it follows
+	// from the method: GET, HEAD, OPTIONS, PUT, DELETE and TRACE are idempotent.
+	Idempotent *bool `toml:"idempotent"`
+	// Priority from 0 (highest) to MaxPriority.
+	Priority     int      `toml:"priority"`
+	Timeout      Duration `toml:"timeout"`
+	Hedge        bool     `toml:"hedge"`
+	MaxBodyBytes int64    `toml:"max_body_bytes"`
+}
+
+// MaxPriority is the lowest priority of a route.
+const MaxPriority = 7
+
+// Policy holds the budgets and limits that apply to every node. Zero fields take the defaults of SetDefaults.
+type Policy struct {
+	ProbesPerSecond          float64  `toml:"probes_per_second"`           // per node
+	ProbeBytesPerSecond      float64  `toml:"probe_bytes_per_second"`      // per node
+	LinkProbesPerSecond      float64  `toml:"link_probes_per_second"`      // per node, to other regions
+	LinkProbeBytesPerSecond  float64  `toml:"link_probe_bytes_per_second"` // per node, to other regions
+	LinkBitsPerSecond        float64  `toml:"link_bits_per_second"`        // share of the paid link that one node may use
+	LinkBulkShare            float64  `toml:"link_bulk_share"`             // part of it that long work may use, 0 to 1
+	RetryShare               float64  `toml:"retry_share"`                 // retries and hedges per first attempt
+	RetryMinPerSecond        float64  `toml:"retry_min_per_second"`        // allowed whatever the share says
+	MaxAttempts              int      `toml:"max_attempts"`                // including the first
+	HedgeAfterQuantile       float64  `toml:"hedge_after_quantile"`        // of recent latency
+	EjectConsecutiveFailures int      `toml:"eject_consecutive_failures"`
+	EjectShare               float64  `toml:"eject_share"`       // of a service's endpoints, 0 to 1
+	EjectFor                 Duration `toml:"eject_for"`         // first time out; doubles with each repeat
+	QuarantineDeaths         int      `toml:"quarantine_deaths"` // backend servers that died running a request
+	QuarantineFor            Duration `toml:"quarantine_for"`
+	ClaimRetention           Duration `toml:"claim_retention"`         // how long a keyed outcome is kept
+	MaxDepth                 int      `toml:"max_depth"`               // length of a call chain
+	SubsetSize               int      `toml:"subset_size"`             // endpoints of a service that one node uses
+	MaxResponseKeepBytes     int      `toml:"max_response_keep_bytes"` // answer size that a gate keeps for a repeat
+	AttemptMemory            Duration `toml:"attempt_memory"`          // how long a gate remembers an attempt
+}
+
+// Duration is a time.Duration written as text, such as "250ms".
+type Duration time.Duration
+
+// D returns d as a time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// SetDefaults replaces zero fields by their defaults.
+func (b *Bundle) SetDefaults() {
+	p := &b.Policy
+	setDefault(&p.ProbesPerSecond, 50)
+	setDefault(&p.ProbeBytesPerSecond, 6000)
+	setDefault(&p.LinkProbesPerSecond, 4)
+	setDefault(&p.LinkProbeBytesPerSecond, 600)
+	setDefault(&p.LinkBitsPerSecond, 4e6)
+	setDefault(&p.LinkBulkShare, 0.5)
+	setDefault(&p.RetryShare, 0.1)
+	setDefault(&p.RetryMinPerSecond, 3)
+	setDefault(&p.MaxAttempts, 3)
+	setDefault(&p.HedgeAfterQuantile, 0.95)
+	setDefault(&p.EjectConsecutiveFailures, 5)
+	setDefault(&p.EjectShare, 0.34)
+	setDefault(&p.EjectFor, Duration(2*time.Second))
+	setDefault(&p.QuarantineDeaths, 2)
+	setDefault(&p.QuarantineFor, Duration(10*time.Minute))
+	setDefault(&p.ClaimRetention, Duration(24*time.Hour))
+	setDefault(&p.MaxDepth, 9)
+	setDefault(&p.SubsetSize, 24)
+	setDefault(&p.MaxResponseKeepBytes, 16<<10)
+	setDefault(&p.AttemptMemory, Duration(time.Minute))
+	for name, s := range b.Services {
+		setDefault(&s.Slots, 12)
+		setDefault(&s.LongSlots, max(1, s.Slots/3))
+		setDefault(&s.Connections, 200)
+		setDefault(&s.QueueShort, 8*s.Slots)
+		setDefault(&s.QueueLong, 4*s.Slots)
+		setDefault(&s.SlowStart, Duration(2*time.Second))
+		b.Services[name] = s
+	}
+	for i := range b.Routes {
+		r := &b.Routes[i]
+		setDefault(&r.Class, Short)
+		setDefault(&r.Timeout, Duration(10*time.Second))
+		setDefault(&r.MaxBodyBytes, 8<<20)
+	}
+}
+
+// IsIdempotent reports whether a request with this method on the route may run more than once.
+func (r *Route) IsIdempotent(method string) bool {
+	if r.Idempotent != nil {
+		return *r.Idempotent
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+func (r *Route) matches(method, host, path string) bool {
+	if r.Host != "" && !strings.EqualFold(r.Host, host) {
+		return false
+	}
+	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
+		return false
+	}
+	if !strings.HasPrefix(path, r.PathPrefix) {
+		return false
+	}
+	rest := path[len(r.PathPrefix):]
+	return rest == "" || r.PathPrefix == "" || strings.HasSuffix(r.PathPrefix, "/") || rest[0] == '/'
+}
+
+// Match returns the route of a request, or nil. host carries no port.
+func (b *Bundle) Match(method, host, path string) *Route {
+	var best *Route
+	for i := range b.Routes {
+		r := &b.Routes[i]
+		if r.matches(method, host, path) && (best == nil || r.precedes(best)) {
+			best = r
+		}
+	}
+	return best
+}
+
+func (r *Route) precedes(other *Route) bool {
+	if (r.Host != "") != (other.Host != "") {
+		return r.Host != ""
+	}
+	if len(r.PathPrefix) != len(other.PathPrefix) {
+		return len(r.PathPrefix) > len(other.PathPrefix)
+	}
+	return len(r.Methods) > 0 && len(other.Methods) == 0
+}
