Add sessions between nodes, the gate and the first part of the ingress

Cause: the request path needs its transport and its admission point. Change: yamux pool and server with a hello that names the process, gate with attempt memory, request parsing.

--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,236 @@
+// Package gate is the only way from the system to the backend server beside a node. It admits requests to
+// the server's slots, queues or refuses the rest, and remembers the fate of each attempt for a bounded time.
+package gate
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionspoke/internal/admission"
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/verdict"
+	"dandelionspoke/internal/wire"
+)
+
+const (
+	backendDialTimeout = 500 * time.Millisecond
+	// backendIdleTimeout is short because a reused connection that the server closes at the same moment
+	// turns a non-idempotent request into may-have-run.
+	backendIdleTimeout = 5 * time.Second
+	expireInterval     = 5 * time.Millisecond
+)
+
+// Backend is the backend server that has announced itself.
+type Backend struct {
+	ID      string
+	Service string
+	Address string // IP address and port
+}
+
+// Counters are totals since start. All are safe for concurrent use.
+type Counters struct {
+	Admitted, Queued, Refused, Ran, Broken, Canceled, Queries, Crashes, DuplicateAttempts atomic.Int64
+}
+
+// Gate is safe for concurrent use.
+type Gate struct {
+	instance uint64
+	logger   *slog.Logger
+	Counters Counters
+
+	attempts  *attemptMemory
+	transport *http.Transport
+	// OnCrash is called with the fingerprint of a request whose backend server stopped listening
+	// while running it. Set it before the first request; nil means no report.
+	OnCrash func(endpoint string, fingerprint []byte)
+	// IsQuarantined reports whether a fingerprint is refused. Nil means that none is.
+	IsQuarantined func(fingerprint []byte) bool
+
+	mu        sync.Mutex
+	queue     *admission.Queue
+	waiters   map[admission.Ticket]chan admission.Grant
+	backend   *Backend
+	draining  bool
+	keepBytes int
+	inFlight  sync.WaitGroup
+}
+
+// New returns a gate without a backend server. instance is the node's process identifier.
+func New(instance uint64, logger *slog.Logger) *Gate {
+	g := &Gate{
+		instance: instance, logger: logger,
+		attempts: newAttemptMemory(time.Now(), time.Minute),
+		waiters:  make(map[admission.Ticket]chan admission.Grant),
+	}
+	dialer := &net.Dialer{Timeout: backendDialTimeout}
+	g.transport = &http.Transport{
+		DialContext:           dialer.DialContext,
+		DisableCompression:    true,
+		IdleConnTimeout:       backendIdleTimeout,
+		MaxIdleConnsPerHost:   64,
+		ResponseHeaderTimeout: 0,
+	}
+	return g
+}
+
+// SetBackend names the backend server. A nil backend refuses all requests.
+func (g *Gate) SetBackend(b *Backend) {
+	g.mu.Lock()
+	g.backend = b
+	g.mu.Unlock()
+}
+
+// Backend returns the announced backend server, or nil.
+func (g *Gate) Backend() *Backend {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.backend
+}
+
+// SetLimits applies a service's limits and the policy's memory bounds.
+func (g *Gate) SetLimits(s bundle.Service, p bundle.Policy) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	limits := admission.LimitsOf(s)
+	if g.queue == nil {
+		g.queue = admission.New(limits)
+	} else {
+		g.deliver(g.queue.SetLimits(time.Now(), limits))
+	}
+	g.keepBytes = p.MaxResponseKeepBytes
+	g.attempts.mu.Lock()
+	g.attempts.keep = p.AttemptMemory.D()
+	g.attempts.mu.Unlock()
+	g.transport.MaxConnsPerHost = s.Connections
+}
+
+// Load returns the gate's state at this moment.
+func (g *Gate) Load() *wire.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.load()
+}
+
+func (g *Gate) load() *wire.Load {
+	l := &wire.Load{}
+	if g.queue != nil {
+		l = g.queue.Load()
+	}
+	l.Draining = l.Draining || g.draining
+	l.Generation = g.attempts.currentGeneration()
+	return l
+}
+
+// SetDraining refuses new work while true; work that has been admitted or queued goes on.
+func (g *Gate) SetDraining(draining bool) {
+	g.mu.Lock()
+	g.draining = draining
+	g.mu.Unlock()
+}
+
+// Wait blocks until no request is queued or in flight.
+func (g *Gate) Wait() { g.inFlight.Wait() }
+
+// Close drops idle connections to the backend server.
+func (g *Gate) Close() { g.transport.CloseIdleConnections() }
+
+// Generation returns the generation of the attempt memory.
+func (g *Gate) Generation() uint64 { return g.attempts.currentGeneration() }
+
+// Attempts returns the number of remembered attempts.
+func (g *Gate) Attempts() int { return g.attempts.len() }
+
+// admit returns a held slot, or an error with verdict NotRun.
+func (g *Gate) admit(done <-chan struct{}, r admission.Request) (admission.Ticket, *Backend, error) {
+	g.mu.Lock()
+	backend := g.backend
+	if err := g.checkOpen(backend); err != nil {
+		g.mu.Unlock()
+		return 0, nil, err
+	}
+	ticket, outcome := g.queue.Offer(time.Now(), r)
+	g.deliver(outcome.Others)
+	if outcome.State != admission.Queued {
+		g.mu.Unlock()
+		return g.decided(ticket, backend, outcome.State == admission.Admitted, outcome.Reason)
+	}
+	granted := make(chan admission.Grant, 1)
+	g.waiters[ticket] = granted
+	g.mu.Unlock()
+	g.Counters.Queued.Add(1)
+	return g.await(done, ticket, backend, granted)
+}
+
+func (g *Gate) checkOpen(backend *Backend) error {
+	switch {
+	case g.draining:
+		return verdict.New(verdict.NotRun, verdict.Draining, "the node is leaving")
+	case backend == nil:
+		return verdict.New(verdict.NotRun, verdict.BackendDown, "no backend server has announced itself")
+	case g.queue == nil:
+		return verdict.New(verdict.NotRun, verdict.NoBundle, "no bundle is in force")
+	}
+	return nil
+}
+
+func (g *Gate) decided(t admission.Ticket, b *Backend, admitted bool, reason verdict.Reason) (admission.Ticket, *Backend, error) {
+	if admitted {
+		g.Counters.Admitted.Add(1)
+		return t, b, nil
+	}
+	g.Counters.Refused.Add(1)
+	return 0, nil, verdict.New(verdict.NotRun, reason, "refused by the gate")
+}
+
+func (g *Gate) await(done <-chan struct{}, t admission.Ticket, b *Backend, granted chan admission.Grant) (admission.Ticket, *Backend, error) {
+	select {
+	case grant := <-granted:
+		return g.decided(t, b, grant.Admitted, grant.Reason)
+	case <-done:
+	}
+	g.mu.Lock()
+	_, waiting := g.waiters[t]
+	if waiting {
+		delete(g.waiters, t)
+		g.deliver(g.queue.Cancel(time.Now(), t))
+	}
+	g.mu.Unlock()
+	if !waiting {
+		// The grant was decided at the same moment; an admitted slot must be given back.
+		if grant := <-granted; grant.Admitted {
+			g.release(t, 0)
+		}
+	}
+	g.Counters.Canceled.Add(1)
+	return 0, nil, verdict.New(verdict.NotRun, verdict.QueueTimeout, "ended while waiting for a slot")
+}
+
+// deliver hands decisions to the waiting requests. It is called with mu held.
+func (g *Gate) deliver(grants []admission.Grant) {
+	for _, grant := range grants {
+		if waiter, ok := g.waiters[grant.Ticket]; ok {
+			delete(g.waiters, grant.Ticket)
+			waiter <- grant
+		}
+	}
+}
+
+// release gives a slot back after ran, the time that the backend server spent on the request.
+func (g *Gate) release(t admission.Ticket, ran time.Duration) {
+	g.mu.Lock()
+	g.deliver(g.queue.Release(time.Now(), t, ran))
+	g.mu.Unlock()
+}
+
+// Tick expires requests whose deadline has passed in the queue. Call it every few milliseconds.
+func (g *Gate) Tick(now time.Time) {
+	g.mu.Lock()
+	if g.queue != nil && len(g.waiters) > 0 {
+		g.deliver(g.queue.Expire(now))
+	}
+	g.mu.Unlock()
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,245 @@
+// Package ingress accepts HTTP requests from callers, chooses an endpoint for each and relays the answer.
+package ingress
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionspoke/internal/gate"
+	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/table"
+	"dandelionspoke/internal/verdict"
+	"dandelionspoke/internal/wire"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Opener opens a stream to the gate of an endpoint. Nothing has been sent when it returns.
+type Opener interface {
+	Open(ctx context.Context, ep *table.Endpoint, lane peer.Lane) (*peer.Conn, error)
+}
+
+// Config holds an ingress's collaborators.
+type Config struct {
+	Snapshots *table.Publisher
+	Opener    Opener
+	Chooser   *Chooser
+	Claims    Claims // nil: keyed requests are refused
+	Logger    *slog.Logger
+	// IsQuarantined reports whether a fingerprint is refused; nil means that none is.
+	IsQuarantined func(fingerprint []byte) bool
+	// OnSuccess is told of requests that ran to the end; nil means no report.
+	OnSuccess func(fingerprint []byte)
+}
+
+// Counters are totals since start. All are safe for concurrent use.
+type Counters struct {
+	Requests, Answered, Failed, Aborted, Attempts, Retries, Hedges, Queries, Replays atomic.Int64
+}
+
+// Ingress is an http.Handler. It is safe for concurrent use.
+type Ingress struct {
+	Config
+	Counters Counters
+	draining atomic.Bool
+	inFlight sync.WaitGroup
+}
+
+// New returns an ingress.
+func New(cfg Config) *Ingress { return &Ingress{Config: cfg} }
+
+// SetDraining refuses new requests while true.
+func (in *Ingress) SetDraining(draining bool) { in.draining.Store(draining) }
+
+// Wait blocks until no request is in flight.
+func (in *Ingress) Wait() { in.inFlight.Wait() }
+
+// ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler when an answer broke
+// after its status line was sent, so that the caller never takes it for complete.
+func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	in.inFlight.Add(1)
+	defer in.inFlight.Done()
+	in.Counters.Requests.Add(1)
+	if err := in.serve(w, r); err != nil {
+		in.fail(w, r, err)
+	}
+}
+
+func (in *Ingress) serve(w http.ResponseWriter, r *http.Request) error {
+	if in.draining.Load() {
+		w.Header().Set("Connection", "close")
+		return verdict.New(verdict.NotRun, verdict.Draining, "the node is leaving")
+	}
+	q, err := in.parse(r, in.Snapshots.Load())
+	if err != nil {
+		return err
+	}
+	if q.service == nil {
+		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "service %s has no endpoint", q.route.Service)
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	if err := q.readPrefix(ctx, w); err != nil {
+		return err
+	}
+	if in.IsQuarantined != nil && in.IsQuarantined(q.fingerprint) {
+		return verdict.New(verdict.NotRun, verdict.Quarantined, "the request has crashed backend servers")
+	}
+	if q.key != "" && !q.idempotent {
+		return in.serveKeyed(ctx, w, q)
+	}
+	a, err := in.run(ctx, q)
+	if err != nil {
+		return err
+	}
+	return in.relay(ctx, w, q, a)
+}
+
+// fail writes a failed answer with its verdict.
+func (in *Ingress) fail(w http.ResponseWriter, r *http.Request, err error) {
+	if errors.Is(err, http.ErrAbortHandler) {
+		in.Counters.Aborted.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	in.Counters.Failed.Add(1)
+	e := verdict.As(err)
+	in.Logger.Debug("request failed", "event", "request_failed", "method", r.Method, "path", r.URL.Path,
+		"reason", e.Reason, "verdict", e.Verdict, "detail", e.Detail)
+	h := w.Header()
+	h.Set(verdict.Header, e.Verdict.String())
+	h.Set(verdict.ReasonHeader, string(e.Reason))
+	if e.Verdict == verdict.NotRun && e.Reason.Status() == http.StatusServiceUnavailable {
+		h.Set("Retry-After", "1")
+	}
+	http.Error(w, e.Error(), e.Reason.Status())
+}
+
+// answer is a response whose head has arrived.
+type answer struct {
+	endpoint *table.Endpoint
+	head     *wire.ResponseHead
+	conn     *peer.Conn
+	body     *peer.Body
+	stop     func() bool // detaches the request's context from conn
+	started  time.Time
+	kept     *wire.AttemptFate // set instead of conn when the gate had kept the whole answer
+}
+
+func (a *answer) close() {
+	if a.conn != nil {
+		a.stop()
+		_ = a.conn.Close()
+	}
+}
+
+// relay writes the answer to the caller.
+func (in *Ingress) relay(ctx context.Context, w http.ResponseWriter, q *request, a *answer) error {
+	defer a.close()
+	writeHead(w, a.head)
+	if a.kept != nil {
+		_, _ = w.Write(a.kept.Body)
+		writeTrailers(w, a.kept.Trailers)
+		in.Counters.Answered.Add(1)
+		return nil
+	}
+	err := copyBody(w, a)
+	in.Chooser.finished(q, a, err)
+	if err != nil {
+		return http.ErrAbortHandler
+	}
+	writeTrailers(w, a.body.End().Trailers)
+	in.Counters.Answered.Add(1)
+	if in.OnSuccess != nil {
+		in.OnSuccess(q.fingerprint)
+	}
+	return nil
+}
+
+func writeHead(w http.ResponseWriter, head *wire.ResponseHead) {
+	h := w.Header()
+	for _, header := range head.Headers {
+		h[header.Name] = header.Values
+	}
+	if head.ContentLength >= 0 && h.Get("Content-Length") == "" {
+		h.Set("Content-Length", strconv.FormatInt(head.ContentLength, 10))
+	}
+	w.WriteHeader(int(head.Status))
+}
+
+func writeTrailers(w http.ResponseWriter, trailers []*wire.Header) {
+	for _, t := range trailers {
+		w.Header()[http.TrailerPrefix+t.Name] = t.Values
+	}
+}
+
+func copyBody(w http.ResponseWriter, a *answer) error {
+	flush := a.head.ContentLength < 0
+	buf := make([]byte, wire.MaxChunkBytes)
+	for {
+		n, err := a.body.Read(buf)
+		if n > 0 {
+			if _, writeErr := w.Write(buf[:n]); writeErr != nil {
+				return writeErr
+			}
+			if flush {
+				_ = http.NewResponseController(w).Flush()
+			}
+		}
+		if a.body.End() != nil && err != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func newAttemptID() []byte {
+	id := make([]byte, 16)
+	_, _ = rand.Read(id)
+	return id
+}
+
+// fateOf asks the gate what became of an attempt whose connection broke.
+func (in *Ingress) fateOf(ctx context.Context, ep *table.Endpoint, query *wire.AttemptQuery) *wire.AttemptFate {
+	unknown := &wire.AttemptFate{Verdict: wire.Verdict_MAY_HAVE_RUN}
+	for ctx.Err() == nil {
+		in.Counters.Queries.Add(1)
+		conn, err := in.Opener.Open(ctx, ep, peer.LaneControl)
+		if err != nil {
+			return unknown
+		}
+		fate, err := exchangeQuery(ctx, conn, query)
+		if err != nil {
+			return unknown
+		}
+		if !fate.InProgress {
+			return fate
+		}
+	}
+	return unknown
+}
+
+func exchangeQuery(ctx context.Context, conn *peer.Conn, query *wire.AttemptQuery) (*wire.AttemptFate, error) {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	f, err := conn.Exchange(&wire.Frame{Kind: &wire.Frame_AttemptQuery{AttemptQuery: query}})
+	if err != nil {
+		return nil, err
+	}
+	if f.GetAttemptFate() == nil {
+		return nil, errors.New("unexpected answer to an attempt query")
+	}
+	return f.GetAttemptFate(), nil
+}
+
+func errorOf(fate *wire.AttemptFate, reason verdict.Reason) error {
+	return verdict.New(gate.FromWire(fate.Verdict), reason, "the connection to the gate broke")
+}
