Add the gate's admission queue

A gate needs an exact count of running requests, and short work must not wait for long work. The queue keeps two lanes: long work holds at most LongSlots slots, leaves a reserve when it starts, and yields to waiting short work, except that one long request starts after a bounded wait. Requests that would miss their deadline, and requests that lengthen a standing queue, are refused at once, lowest priority first.

--- /dev/null
+++ b/internal/admission/classifier_test.go
@@ -0,0 +1,84 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func recordMany(c *Classifier, route string, n int, ran time.Duration) {
+	for range n {
+		c.Record(route, false, ran)
+	}
+}
+
+// Guards against archive pulls on a route declared short that hold the slots of short work.
+func TestClassifierCorrectsDeclaredClass(t *testing.T) {
+	var c Classifier
+	recordMany(&c, "browse", 32, 5*time.Millisecond)
+	recordMany(&c, "report", 7, 250*time.Millisecond)
+	if c.Long("report", false) {
+		t.Fatal("class changed on too few samples")
+	}
+	recordMany(&c, "report", 1, 250*time.Millisecond)
+	if !c.Long("report", false) || c.Long("browse", false) || !c.Long("browse", true) {
+		t.Fatal("wrong class after correction")
+	}
+	recordMany(&c, "report", 32, 30*time.Millisecond)
+	if !c.Long("report", false) {
+		t.Fatal("class changed back above the lower ratio")
+	}
+	recordMany(&c, "report", 32, 10*time.Millisecond)
+	if c.Long("report", false) {
+		t.Fatal("class did not change back")
+	}
+}
+
+// Guards against a slow backend server that turns all its short work into long work.
+func TestClassifierComparesRoutesWithEachOther(t *testing.T) {
+	var c Classifier
+	recordMany(&c, "only", 32, 5*time.Millisecond)
+	recordMany(&c, "only", 32, 5*time.Second)
+	if c.Long("only", false) {
+		t.Fatal("a single route was compared with its own past")
+	}
+	recordMany(&c, "rare", 32, 5*time.Second)
+	if c.Long("rare", false) || c.Long("only", false) {
+		t.Fatal("equally slow routes changed class")
+	}
+}
+
+// Guards against unbounded memory when route names come from many bundle versions.
+func TestClassifierIsBounded(t *testing.T) {
+	var c Classifier
+	for i := range 2 * maxClassifiedRoutes {
+		recordMany(&c, fmt.Sprint("route-", i), 1, time.Millisecond)
+	}
+	if len(c.routes) != maxClassifiedRoutes {
+		t.Fatalf("%d routes kept, limit %d", len(c.routes), maxClassifiedRoutes)
+	}
+	c.Retain(func(route string) bool { return route == "route-1" })
+	if len(c.routes) != 1 {
+		t.Fatalf("%d routes kept after Retain", len(c.routes))
+	}
+}
+
+// Guards against a queue that ignores the corrected class.
+func TestQueueUsesCorrectedClass(t *testing.T) {
+	q := New(Limits{Slots: 4, LongSlots: 1, QueueShort: 9, QueueLong: 9})
+	run := func(route string, ran time.Duration) {
+		ticket, _ := q.Offer(start, Request{Route: route, Deadline: at(9000)})
+		q.Release(start, ticket, ran)
+	}
+	for range minRouteSamples {
+		run("browse", 5*time.Millisecond)
+	}
+	for range minRouteSamples {
+		run("report", 250*time.Millisecond)
+	}
+	_, first := q.Offer(start, Request{Route: "report", Deadline: at(9000)})
+	_, second := q.Offer(start, Request{Route: "report", Deadline: at(9000)})
+	if !first.Long || first.State != Admitted || second.State != Queued {
+		t.Fatalf("outcomes %+v, %+v", first, second)
+	}
+}
--- /dev/null
+++ b/internal/admission/dispatch.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"dandelionspoke/internal/verdict"
+)
+
+// settle refuses expired waiters, then starts waiters while slots are free.
+func (q *Queue) settle(now time.Time) []Grant {
+	var grants []Grant
+	for _, l := range []*lane{&q.short, &q.long} {
+		for _, e := range l.takeExpired(now) {
+			grants = append(grants, q.refuse(now, e, verdict.QueueTimeout))
+		}
+	}
+	for q.free() > 0 {
+		next := q.takeNext(now)
+		if next == nil {
+			break
+		}
+		grants = append(grants, q.startOrRefuse(now, next))
+	}
+	return grants
+}
+
+// takeNext removes the waiter that the next free slot belongs to, or returns nil.
+func (q *Queue) takeNext(now time.Time) *entry {
+	if head := q.long.head(); head != nil && q.longMayStart(now, head) {
+		return q.long.pop()
+	}
+	if q.short.len() > 0 {
+		return q.short.pop()
+	}
+	return nil
+}
+
+// longMayStart reports whether a long request may take a free slot now. It yields to waiting short work
+// and leaves a reserve of free slots, except that one long request may run once e has waited too long.
+func (q *Queue) longMayStart(now time.Time, e *entry) bool {
+	if q.inUseLong >= q.limits.LongSlots || q.free() <= 0 {
+		return false
+	}
+	if q.short.len() == 0 && q.free() > q.shortReserve() {
+		return true
+	}
+	return q.inUseLong == 0 && now.Sub(e.offered) >= q.longPatience()
+}
+
+func (q *Queue) shortReserve() int {
+	if q.limits.Slots == 1 {
+		return 0
+	}
+	return max(1, q.limits.Slots/shortReserveDivisor)
+}
+
+func (q *Queue) longPatience() time.Duration {
+	return max(longPatience, longPatienceServiceTimes*q.shortTime.duration())
+}
+
+// startOrRefuse refuses a short waiter that can no longer be answered in time while others wait, so
+// that the slot does work that counts.
+func (q *Queue) startOrRefuse(now time.Time, e *entry) Grant {
+	remaining := e.request.Deadline.Sub(now)
+	if !e.long && q.short.len() > 0 && remaining < q.shortTime.duration() {
+		return q.refuse(now, e, verdict.DeadlineTooShort)
+	}
+	q.start(e)
+	return Grant{Ticket: e.ticket, ID: e.request.ID, Admitted: true, Waited: now.Sub(e.offered)}
+}
+
+func (q *Queue) refuse(now time.Time, e *entry, reason verdict.Reason) Grant {
+	delete(q.entries, e.ticket)
+	return Grant{Ticket: e.ticket, ID: e.request.ID, Reason: reason, Waited: now.Sub(e.offered)}
+}
+
+func (q *Queue) free() int { return q.limits.Slots - q.inUse }
+
+func (q *Queue) start(e *entry) {
+	e.running = true
+	q.inUse++
+	if e.long {
+		q.inUseLong++
+	}
+	q.assertSlots(e)
+}
+
+// assertSlots stops the program when a start exceeded the limits: the backend server would run more
+// requests than it was built for, and every figure reported to callers would be wrong.
+func (q *Queue) assertSlots(e *entry) {
+	if q.inUse > q.limits.Slots {
+		panic(fmt.Sprintf("admission: %d slots in use, limit %d", q.inUse, q.limits.Slots))
+	}
+	if e.long && q.inUseLong > q.limits.LongSlots {
+		panic(fmt.Sprintf("admission: %d slots in use by long requests, limit %d", q.inUseLong, q.limits.LongSlots))
+	}
+}
--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,273 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"dandelionspoke/internal/verdict"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func short(id string, priority, deadlineMS int) Request {
+	return Request{ID: id, Route: "browse", Priority: priority, Deadline: at(deadlineMS)}
+}
+
+func long(id string, deadlineMS int) Request {
+	return Request{ID: id, Route: "archive", Long: true, Deadline: at(deadlineMS)}
+}
+
+// measured returns a queue whose short and long service times are known.
+func measured(limits Limits, shortMS, longMS int) *Queue {
+	q := New(limits)
+	q.shortTime.record(time.Duration(shortMS) * time.Millisecond)
+	q.longTime.record(time.Duration(longMS) * time.Millisecond)
+	return q
+}
+
+func offer(t *testing.T, q *Queue, now time.Time, r Request, want State, reason verdict.Reason) Ticket {
+	t.Helper()
+	ticket, got := q.Offer(now, r)
+	if got.State != want || got.Reason != reason {
+		t.Fatalf("offer of %s: %s %q, want %s %q", r.ID, got.State, got.Reason, want, reason)
+	}
+	return ticket
+}
+
+// decisions lists grants as "ID admitted" or "ID REASON".
+func decisions(grants []Grant) []string {
+	var list []string
+	for _, g := range grants {
+		if g.Admitted {
+			list = append(list, g.ID+" admitted")
+		} else {
+			list = append(list, g.ID+" "+string(g.Reason))
+		}
+	}
+	return list
+}
+
+func expectDecisions(t *testing.T, grants []Grant, want ...string) {
+	t.Helper()
+	if diff := cmp.Diff(want, decisions(grants)); diff != "" {
+		t.Fatalf("decisions differ (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a lane that ignores priority or serves a late deadline before an early one.
+func TestShortLaneOrder(t *testing.T) {
+	q := New(Limits{Slots: 1, QueueShort: 10})
+	running := offer(t, q, at(0), short("first", 0, 1000), Admitted, "")
+	offer(t, q, at(0), short("low", 5, 500), Queued, "")
+	offer(t, q, at(0), short("late", 1, 900), Queued, "")
+	offer(t, q, at(0), short("early", 1, 800), Queued, "")
+	offer(t, q, at(0), short("early-second", 1, 800), Queued, "")
+	for _, want := range []string{"early", "early-second", "late", "low"} {
+		grants := q.Release(at(1), running, 0)
+		expectDecisions(t, grants, want+" admitted")
+		running = grants[0].Ticket
+	}
+}
+
+// Guards against long work that takes every slot, the fault behind head-of-line blocking.
+func TestLongWorkLeavesSlotsToShort(t *testing.T) {
+	q := New(Limits{Slots: 12, LongSlots: 4, QueueShort: 10, QueueLong: 20})
+	for range 4 {
+		offer(t, q, at(0), long("run", 9000), Admitted, "")
+	}
+	offer(t, q, at(0), long("wait", 9000), Queued, "")
+	for range 8 {
+		offer(t, q, at(0), short("run", 0, 9000), Admitted, "")
+	}
+	offer(t, q, at(0), short("wait", 0, 9000), Queued, "")
+	if got := q.Load(); got.InFlight != 12 || got.InFlightLong != 4 || got.QueuedLong != 1 || got.QueuedShort != 1 {
+		t.Fatalf("load %v", got)
+	}
+}
+
+// Guards against a long request that takes the reserve while short work could arrive, and against
+// one that waits for ever under a steady stream of short work.
+func TestLongWorkWaitsForReserveButNotForEver(t *testing.T) {
+	q := New(Limits{Slots: 12, LongSlots: 4, QueueLong: 4})
+	for range 10 {
+		offer(t, q, at(0), short("run", 0, 9000), Admitted, "")
+	}
+	offer(t, q, at(0), long("wait", 9000), Queued, "")
+	expectDecisions(t, q.Expire(at(40)))
+	next, ok := q.NextDecision()
+	if !ok || !next.Equal(at(50)) {
+		t.Fatalf("next decision at %v, %v; want 50 ms", next, ok)
+	}
+	expectDecisions(t, q.Expire(at(50)), "wait admitted")
+}
+
+// Guards against a starving long lane when short work always waits.
+func TestLongWorkStartsBesideStandingShortQueue(t *testing.T) {
+	q := New(Limits{Slots: 2, LongSlots: 1, QueueShort: 10, QueueLong: 4})
+	a := offer(t, q, at(0), short("a", 0, 9000), Admitted, "")
+	b := offer(t, q, at(0), short("b", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("c", 0, 9000), Queued, "")
+	offer(t, q, at(0), short("d", 0, 9000), Queued, "")
+	offer(t, q, at(0), long("long", 9000), Queued, "")
+	expectDecisions(t, q.Release(at(10), a, 0), "c admitted")
+	expectDecisions(t, q.Release(at(60), b, 0), "long admitted")
+}
+
+// Guards against a full lane that refuses high priority work and keeps low priority work.
+func TestFullLaneRefusesLowestPriorityNewestFirst(t *testing.T) {
+	q := New(Limits{Slots: 1, QueueShort: 3})
+	offer(t, q, at(0), short("run", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("low-old", 4, 9000), Queued, "")
+	offer(t, q, at(0), short("low-new", 4, 8000), Queued, "")
+	offer(t, q, at(0), short("mid", 2, 9000), Queued, "")
+	offer(t, q, at(0), short("low-third", 4, 9000), Refused, verdict.QueueFull)
+	_, outcome := q.Offer(at(0), short("high", 0, 9000))
+	if outcome.State != Queued {
+		t.Fatalf("high priority offer: %+v", outcome)
+	}
+	expectDecisions(t, outcome.Others, "low-new queue-full")
+	offer(t, q, at(0), short("mid-second", 2, 9000), Queued, "")
+	offer(t, q, at(0), short("mid-third", 2, 9000), Refused, verdict.QueueFull)
+}
+
+func TestEarlyRefusal(t *testing.T) {
+	tests := []struct {
+		name    string
+		running int
+		waiting int
+		request Request
+		state   State
+		reason  verdict.Reason
+	}{
+		{"free slot, short deadline", 1, 0, short("x", 4, 2), Admitted, ""},
+		{"deadline passed", 0, 0, short("x", 0, 0), Refused, verdict.DeadlineExceeded},
+		// 10 ms service time on 2 slots: two ahead need 15 ms, the request itself 10 ms.
+		{"deadline can be met", 2, 2, short("x", 4, 26), Queued, ""},
+		{"deadline cannot be met", 2, 2, short("x", 4, 24), Refused, verdict.DeadlineTooShort},
+		{"high priority passes the waiters", 2, 2, short("x", 0, 16), Queued, ""},
+		{"long work that cannot finish", 2, 0, long("x", 300), Refused, verdict.DeadlineTooShort},
+		{"no deadline", 2, 2, Request{Priority: 4}, Queued, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			q := measured(Limits{Slots: 2, LongSlots: 1, QueueShort: 9, QueueLong: 9}, 10, 200)
+			for range test.running {
+				offer(t, q, at(0), short("run", 3, 9000), Admitted, "")
+			}
+			for range test.waiting {
+				offer(t, q, at(0), short("wait", 3, 9000), Queued, "")
+			}
+			offer(t, q, at(0), test.request, test.state, test.reason)
+		})
+	}
+}
+
+// Guards against a queue that stays long for the whole of an overload: callers would then wait for
+// nearly their whole deadline although the backend server gains nothing from the longer queue.
+func TestStandingQueueRefuses(t *testing.T) {
+	q := measured(Limits{Slots: 1, QueueShort: 50}, 10, 100)
+	running := offer(t, q, at(0), short("run", 0, 90000), Admitted, "")
+	for range 5 {
+		offer(t, q, at(0), short("burst", 0, 90000), Queued, "")
+	}
+	for ms := 10; ms < 100; ms += 10 {
+		running = q.Release(at(ms), running, 10*time.Millisecond)[0].Ticket
+		offer(t, q, at(ms), short("burst", 0, 90000), Queued, "")
+	}
+	offer(t, q, at(100), short("standing", 0, 90000), Refused, verdict.Overloaded)
+	offer(t, q, at(100), Request{ID: "urgent", Deadline: at(5000)}, Queued, "")
+}
+
+// Guards against waiters that occupy the lane, or start, after their callers have given up.
+func TestExpiredWaitersAreRefused(t *testing.T) {
+	q := New(Limits{Slots: 1, LongSlots: 1, QueueShort: 9, QueueLong: 9})
+	running := offer(t, q, at(0), short("run", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("expires", 0, 20), Queued, "")
+	offer(t, q, at(0), long("expires-long", 30), Queued, "")
+	offer(t, q, at(0), short("stays", 0, 9000), Queued, "")
+	expectDecisions(t, q.Expire(at(20)), "expires queue-timeout")
+	expectDecisions(t, q.Release(at(31), running, 0), "expires-long queue-timeout", "stays admitted")
+}
+
+// Guards against a slot spent on a request that can no longer be answered while another waits.
+func TestHopelessWaiterYieldsItsSlot(t *testing.T) {
+	q := measured(Limits{Slots: 1, QueueShort: 9}, 10, 100)
+	running := offer(t, q, at(0), short("run", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("hopeless", 0, 25), Queued, "")
+	offer(t, q, at(0), short("other", 0, 9000), Queued, "")
+	expectDecisions(t, q.Release(at(20), running, 0), "hopeless deadline-too-short", "other admitted")
+}
+
+func TestCancel(t *testing.T) {
+	q := New(Limits{Slots: 1, QueueShort: 9})
+	running := offer(t, q, at(0), short("run", 0, 9000), Admitted, "")
+	waiting := offer(t, q, at(0), short("wait", 0, 9000), Queued, "")
+	expectDecisions(t, q.Cancel(at(1), waiting))
+	expectDecisions(t, q.Cancel(at(1), waiting))
+	expectDecisions(t, q.Cancel(at(1), running))
+	if got := q.Load(); got.InFlight != 1 || got.QueuedShort != 0 {
+		t.Fatalf("load %v", got)
+	}
+	expectDecisions(t, q.Release(at(2), running, 0))
+	if !q.Idle() {
+		t.Fatal("queue is not idle")
+	}
+}
+
+// Guards against a drain that cuts off accepted work or accepts new work.
+func TestDrain(t *testing.T) {
+	q := New(Limits{Slots: 1, QueueShort: 9})
+	running := offer(t, q, at(0), short("run", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("wait", 0, 9000), Queued, "")
+	q.Drain()
+	offer(t, q, at(1), short("new", 0, 9000), Refused, verdict.Draining)
+	expectDecisions(t, q.Release(at(2), running, 0), "wait admitted")
+	if !q.Load().Draining {
+		t.Fatal("load does not report the drain")
+	}
+	q.Undrain()
+	offer(t, q, at(3), short("after", 0, 9000), Queued, "")
+}
+
+func TestSetLimits(t *testing.T) {
+	q := New(Limits{Slots: 2, QueueShort: 9})
+	a := offer(t, q, at(0), short("a", 0, 9000), Admitted, "")
+	b := offer(t, q, at(0), short("b", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("c", 0, 9000), Queued, "")
+	expectDecisions(t, q.SetLimits(at(1), Limits{Slots: 1, QueueShort: 9}))
+	expectDecisions(t, q.Release(at(2), a, 0))
+	expectDecisions(t, q.Release(at(3), b, 0), "c admitted")
+	offer(t, q, at(4), short("d", 0, 9000), Queued, "")
+	expectDecisions(t, q.SetLimits(at(5), Limits{Slots: 4, QueueShort: 9}), "d admitted")
+}
+
+func TestLimitsAreNormalized(t *testing.T) {
+	tests := []struct{ in, want Limits }{
+		{Limits{}, Limits{Slots: 1, LongSlots: 1}},
+		{Limits{Slots: 12, LongSlots: 12}, Limits{Slots: 12, LongSlots: 11}},
+		{Limits{Slots: 12, LongSlots: 9, Connections: 8}, Limits{Slots: 8, LongSlots: 7, Connections: 8}},
+		{Limits{Slots: 4, LongSlots: 2, QueueShort: -1}, Limits{Slots: 4, LongSlots: 2}},
+	}
+	for _, test := range tests {
+		if diff := cmp.Diff(test.want, New(test.in).Limits()); diff != "" {
+			t.Errorf("%+v: %s", test.in, diff)
+		}
+	}
+}
+
+// Guards against a slot count that drifts when the caller releases a ticket twice.
+func TestSecondReleasePanics(t *testing.T) {
+	q := New(Limits{Slots: 1})
+	ticket := offer(t, q, at(0), short("run", 0, 9000), Admitted, "")
+	q.Release(at(1), ticket, 0)
+	defer func() {
+		if recover() == nil {
+			t.Fatal("second release did not panic")
+		}
+	}()
+	q.Release(at(2), ticket, 0)
+}
