--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -68,6 +68,22 @@
 	Draining      atomic.Bool
 	// Suspect is set by membership while the node beside the endpoint misses its pings.
 	Suspect atomic.Bool
+	// OwnLong is the part of OwnInFlight that is long work.
+	OwnLong atomic.Int32
+	// StartSum is the sum of the start times of this node's short requests in flight, modulo 2^64.
+	// Their mean age is now - StartSum/count; it shows a stall before any request finishes.
+	StartSum atomic.Int64
+	// ReportedLong and ReportedLongQueue are the part of the newest report that is long work;
+	// OwnLongAtReport is OwnLong at that moment.
+	ReportedLong      atomic.Int32
+	ReportedLongQueue atomic.Int32
+	OwnLongAtReport   atomic.Int32
+	// ReportedServiceNanos is the gate's recent short service time; zero when it stated none.
+	ReportedServiceNanos atomic.Int64
+	// FailedAt is when the last failure was observed.
+	FailedAt atomic.Int64
+	// ProbedAt is when this node last sent a probe to the endpoint.
+	ProbedAt atomic.Int64
 }
 
 // Service is the view of one service in a snapshot.
