settings: read node settings from strict TOML

Each node learns its addresses and failure domain from a TOML file. The file is checked key by key, so that all faults are reported at once, each with file, line, key and the allowed values. go-toml's own strict decoding stops at the first wrong type, so the values are decoded into a tree first.

--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,274 @@
+package settings
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// Key describes one key of a settings file.
+type Key struct {
+	// Name is the dotted path of the key.
+	Name string
+	// Allowed says which values the key takes.
+	Allowed string
+	// Default describes the value when the key is absent.
+	Default string
+	// Required keys have no default.
+	Required bool
+
+	// set stores the decoded TOML value and reports whether the value is allowed.
+	set func(s *Settings, value any) bool
+}
+
+// Descriptions of allowed values that several keys share.
+const (
+	addressAllowed = "ip:port, such as \"10.0.0.7:7070\" (an IP address, not a name; port 0 to 65535)"
+	nameAllowed    = "1 to 64 letters, digits, '.', '-', '_', ':', '[' or ']'"
+	keysAllowed    = "a list of at least one ed25519 public key (32 bytes in base64)"
+)
+
+const maxKeyedNameLength = 64
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9._:\[\]-]+$`)
+
+// Keys lists every key that a settings file may hold.
+func Keys() []Key {
+	return []Key{
+		{Name: "node_id", Allowed: nameAllowed, Default: "advertised peer address", set: name(func(s *Settings) *string { return &s.NodeID })},
+		{Name: "region", Allowed: nameAllowed, Required: true, set: name(func(s *Settings) *string { return &s.Region })},
+		{Name: "failure_domain", Allowed: nameAllowed, Required: true, set: name(func(s *Settings) *string { return &s.FailureDomain })},
+		{Name: "seeds", Allowed: "a list of peer addresses, each " + addressAllowed, Default: "empty", set: setSeeds},
+		{Name: "drain_timeout", Allowed: "a duration from \"1s\" to \"1h\"", Default: "30s", set: duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.DrainTimeout })},
+
+		{Name: "ingress.listen", Allowed: addressAllowed, Default: DefaultIngressListen, set: address(func(s *Settings) *string { return &s.Ingress.Listen })},
+		{Name: "ingress.header_timeout", Allowed: "a duration from \"100ms\" to \"1m\"", Default: "5s", set: duration(100*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Ingress.HeaderTimeout })},
+		{Name: "ingress.max_header_bytes", Allowed: "a whole number from 1024 to 1048576", Default: "65536", set: integer(1<<10, 1<<20, func(s *Settings, v int64) { s.Ingress.MaxHeaderBytes = int(v) })},
+		{Name: "ingress.max_body_bytes", Allowed: "a whole number from 1 to 1073741824", Default: "67108864", set: integer(1, 1<<30, func(s *Settings, v int64) { s.Ingress.MaxBodyBytes = v })},
+
+		{Name: "peer.listen", Allowed: addressAllowed, Required: true, set: address(func(s *Settings) *string { return &s.Peer.Listen })},
+		{Name: "peer.advertise", Allowed: advertiseAllowed, Default: "peer.listen", set: specificAddress(func(s *Settings) *string { return &s.Peer.Advertise })},
+		{Name: "gossip.listen", Allowed: addressAllowed, Default: "peer.listen", set: address(func(s *Settings) *string { return &s.Gossip.Listen })},
+		{Name: "gossip.advertise", Allowed: advertiseAllowed, Default: "gossip.listen", set: specificAddress(func(s *Settings) *string { return &s.Gossip.Advertise })},
+		{Name: "admin.listen", Allowed: addressAllowed, Default: DefaultAdminListen, set: address(func(s *Settings) *string { return &s.Admin.Listen })},
+		{Name: "admin.token", Allowed: tokenAllowed, Default: "none", set: token(func(s *Settings) *string { return &s.Admin.Token })},
+		{Name: "announce.listen", Allowed: announceAllowed, Default: DefaultAnnounceListen, set: loopbackAddress(func(s *Settings) *string { return &s.Announce.Listen })},
+
+		{Name: "store.url", Allowed: "an http or https URL with a host", Default: "no direct store access", set: setStoreURL},
+		{Name: "store.token", Allowed: "printable ASCII text without spaces", Default: "none", set: token(func(s *Settings) *string { return &s.Store.Token })},
+		{Name: "store.timeout", Allowed: "a duration from \"10ms\" to \"1m\"", Default: "2s", set: duration(10*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Store.Timeout })},
+		{Name: "store.calls_per_second", Allowed: "a number from 0.1 to 2000", Default: "20", set: setCallsPerSecond},
+
+		{Name: "bundle.trusted_keys", Allowed: keysAllowed, Required: true, set: publicKeys(func(s *Settings) *[]ed25519.PublicKey { return &s.Bundle.TrustedKeys })},
+		{Name: "bundle.approver_keys", Allowed: keysAllowed, Required: true, set: publicKeys(func(s *Settings) *[]ed25519.PublicKey { return &s.Bundle.ApproverKeys })},
+
+		{Name: "log.level", Allowed: "\"debug\", \"info\", \"warn\" or \"error\"", Default: "info", set: setLogLevel},
+	}
+}
+
+const (
+	advertiseAllowed = "ip:port that other nodes reach: a specific IP address and a port from 1; required when the listen address is 0.0.0.0 or [::]"
+	announceAllowed  = "ip:port with a loopback IP address"
+	tokenAllowed     = "printable ASCII text without spaces; required when admin.listen is not a loopback address"
+)
+
+func text(value any) (string, bool) {
+	s, ok := value.(string)
+	return s, ok
+}
+
+func name(field func(*Settings) *string) func(*Settings, any) bool {
+	return func(s *Settings, value any) bool {
+		v, ok := text(value)
+		if !ok || len(v) > maxKeyedNameLength || !namePattern.MatchString(v) {
+			return false
+		}
+		*field(s) = v
+		return true
+	}
+}
+
+// parseAddress accepts an IP address without zone and a port.
+func parseAddress(value any) (netip.AddrPort, bool) {
+	v, ok := text(value)
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	addr, err := netip.ParseAddrPort(v)
+	return addr, err == nil && addr.Addr().Zone() == ""
+}
+
+func addressWhere(allowed func(netip.AddrPort) bool, field func(*Settings) *string) func(*Settings, any) bool {
+	return func(s *Settings, value any) bool {
+		addr, ok := parseAddress(value)
+		if !ok || !allowed(addr) {
+			return false
+		}
+		*field(s) = addr.String()
+		return true
+	}
+}
+
+func address(field func(*Settings) *string) func(*Settings, any) bool {
+	return addressWhere(func(netip.AddrPort) bool { return true }, field)
+}
+
+func isSpecific(a netip.AddrPort) bool { return !a.Addr().IsUnspecified() && a.Port() != 0 }
+
+func specificAddress(field func(*Settings) *string) func(*Settings, any) bool {
+	return addressWhere(isSpecific, field)
+}
+
+func loopbackAddress(field func(*Settings) *string) func(*Settings, any) bool {
+	return addressWhere(func(a netip.AddrPort) bool { return a.Addr().IsLoopback() }, field)
+}
+
+func setSeeds(s *Settings, value any) bool {
+	list, ok := value.([]any)
+	if !ok {
+		return false
+	}
+	seeds := make([]string, 0, len(list))
+	for _, item := range list {
+		addr, ok := parseAddress(item)
+		if !ok || !isSpecific(addr) {
+			return false
+		}
+		seeds = append(seeds, addr.String())
+	}
+	s.Seeds = seeds
+	return true
+}
+
+func duration(low, high time.Duration, field func(*Settings) *time.Duration) func(*Settings, any) bool {
+	return func(s *Settings, value any) bool {
+		v, ok := text(value)
+		if !ok {
+			return false
+		}
+		d, err := time.ParseDuration(v)
+		if err != nil || d < low || d > high {
+			return false
+		}
+		*field(s) = d
+		return true
+	}
+}
+
+func integer(low, high int64, store func(*Settings, int64)) func(*Settings, any) bool {
+	return func(s *Settings, value any) bool {
+		v, ok := value.(int64)
+		if !ok || v < low || v > high {
+			return false
+		}
+		store(s, v)
+		return true
+	}
+}
+
+func token(field func(*Settings) *string) func(*Settings, any) bool {
+	return func(s *Settings, value any) bool {
+		v, ok := text(value)
+		if !ok || v == "" || strings.ContainsFunc(v, func(r rune) bool { return r <= ' ' || r > '~' }) {
+			return false
+		}
+		*field(s) = v
+		return true
+	}
+}
+
+func setStoreURL(s *Settings, value any) bool {
+	v, ok := text(value)
+	if !ok {
+		return false
+	}
+	u, err := url.Parse(v)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return false
+	}
+	s.Store.URL = v
+	return true
+}
+
+// Limits of store.calls_per_second.
+const (
+	minCallsPerSecond = 0.1
+	maxCallsPerSecond = 2000
+)
+
+func setCallsPerSecond(s *Settings, value any) bool {
+	var rate float64
+	switch v := value.(type) {
+	case int64:
+		rate = float64(v)
+	case float64:
+		rate = v
+	default:
+		return false
+	}
+	if !(rate >= minCallsPerSecond && rate <= maxCallsPerSecond) { // false for NaN as well
+		return false
+	}
+	s.Store.CallsPerSecond = rate
+	return true
+}
+
+func publicKeys(field func(*Settings) *[]ed25519.PublicKey) func(*Settings, any) bool {
+	return func(s *Settings, value any) bool {
+		list, ok := value.([]any)
+		if !ok || len(list) == 0 {
+			return false
+		}
+		keys := make([]ed25519.PublicKey, 0, len(list))
+		for _, item := range list {
+			key, err := parsePublicKey(item)
+			if err != nil {
+				return false
+			}
+			keys = append(keys, key)
+		}
+		*field(s) = keys
+		return true
+	}
+}
+
+func parsePublicKey(value any) (ed25519.PublicKey, error) {
+	v, ok := text(value)
+	if !ok {
+		return nil, fmt.Errorf("key is not text")
+	}
+	raw, err := base64.StdEncoding.DecodeString(v)
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) != ed25519.PublicKeySize {
+		return nil, fmt.Errorf("key has %d bytes", len(raw))
+	}
+	return raw, nil
+}
+
+func setLogLevel(s *Settings, value any) bool {
+	v, ok := text(value)
+	if !ok {
+		return false
+	}
+	switch v {
+	case "debug":
+		s.Log.Level = slog.LevelDebug
+	case "info":
+		s.Log.Level = slog.LevelInfo
+	case "warn":
+		s.Log.Level = slog.LevelWarn
+	case "error":
+		s.Log.Level = slog.LevelError
+	default:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/settings/parse_test.go
@@ -0,0 +1,180 @@
+package settings
+
+import (
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const testKey = "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8="
+
+const minimal = `region = "ostlandet"
+failure_domain = "oslo-a"
+[peer]
+listen = "127.0.0.1:7070"
+[bundle]
+trusted_keys = ["` + testKey + `"]
+approver_keys = ["` + testKey + `"]
+`
+
+// Guards against defaults that differ from the documented ones.
+func TestParseMinimal(t *testing.T) {
+	got, faults := Parse("n.toml", []byte(minimal))
+	if len(faults) != 0 {
+		t.Fatalf("faults: %v", faults)
+	}
+	key := make([]byte, 32)
+	for i := range key {
+		key[i] = byte(i)
+	}
+	want := defaults()
+	want.NodeID = "127.0.0.1:7070"
+	want.Region, want.FailureDomain = "ostlandet", "oslo-a"
+	want.Peer = Peer{Listen: "127.0.0.1:7070", Advertise: "127.0.0.1:7070"}
+	want.Gossip = Gossip(want.Peer)
+	want.Bundle.TrustedKeys = append(want.Bundle.TrustedKeys, key)
+	want.Bundle.ApproverKeys = append(want.Bundle.ApproverKeys, key)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a key that is accepted but stored nowhere or in the wrong field.
+func TestParseEveryKey(t *testing.T) {
+	text := `node_id = "oslo-a-1"
+region = "ostlandet"
+failure_domain = "oslo-a"
+seeds = ["10.0.0.1:7070", "[fd00::1]:7070"]
+drain_timeout = "45s"
+ingress = { listen = "10.0.0.7:80", header_timeout = "2s", max_header_bytes = 2048, max_body_bytes = 4096 }
+[peer]
+listen = "0.0.0.0:7070"
+advertise = "10.0.0.7:7070"
+[gossip]
+listen = "0.0.0.0:7071"
+advertise = "10.0.0.7:7071"
+[admin]
+listen = "10.0.0.7:9090"
+token = "secret"
+[announce]
+listen = "[::1]:9191"
+[store]
+url = "https://10.0.0.2:6443/objects"
+token = "other"
+timeout = "500ms"
+calls_per_second = 2.5
+[bundle]
+trusted_keys = ["` + testKey + `"]
+approver_keys = ["` + testKey + `"]
+[log]
+level = "debug"
+`
+	got, faults := Parse("n.toml", []byte(text))
+	if len(faults) != 0 {
+		t.Fatalf("faults: %v", faults)
+	}
+	want := Settings{
+		NodeID: "oslo-a-1", Region: "ostlandet", FailureDomain: "oslo-a",
+		Ingress:      Ingress{Listen: "10.0.0.7:80", HeaderTimeout: 2 * time.Second, MaxHeaderBytes: 2048, MaxBodyBytes: 4096},
+		Peer:         Peer{Listen: "0.0.0.0:7070", Advertise: "10.0.0.7:7070"},
+		Gossip:       Gossip{Listen: "0.0.0.0:7071", Advertise: "10.0.0.7:7071"},
+		Admin:        Admin{Listen: "10.0.0.7:9090", Token: "secret"},
+		Announce:     Announce{Listen: "[::1]:9191"},
+		Seeds:        []string{"10.0.0.1:7070", "[fd00::1]:7070"},
+		Store:        Store{URL: "https://10.0.0.2:6443/objects", Token: "other", Timeout: 500 * time.Millisecond, CallsPerSecond: 2.5},
+		Bundle:       got.Bundle,
+		Log:          Log{Level: slog.LevelDebug},
+		DrainTimeout: 45 * time.Second,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against mistakes that pass silently, or that are reported at the wrong place or without the allowed values.
+func TestParseFaults(t *testing.T) {
+	tests := []struct {
+		name, text string
+		line       int
+		key        string
+	}{
+		{"unknown key", "colour = 1\n" + minimal, 1, "colour"},
+		{"unknown table", minimal + "[cache]\nsize = 1\n", 8, "cache"},
+		{"unknown key in table", minimal + "[ingress]\nlisten = \"127.0.0.1:1\"\ncolour = 1\n", 10, "ingress.colour"},
+		{"unknown key in inline table", "ingress = { colour = 1 }\n" + minimal, 1, "ingress.colour"},
+		{"table given as value", "ingress = 3\n" + minimal, 1, "ingress"},
+		{"host name", minimal + "[ingress]\nlisten = \"localhost:80\"\n", 9, "ingress.listen"},
+		{"no port", minimal + "[ingress]\nlisten = \"10.0.0.1\"\n", 9, "ingress.listen"},
+		{"address of wrong type", minimal + "[ingress]\nlisten = 80\n", 9, "ingress.listen"},
+		{"duration without unit", "drain_timeout = \"30\"\n" + minimal, 1, "drain_timeout"},
+		{"duration as number", "drain_timeout = 30\n" + minimal, 1, "drain_timeout"},
+		{"duration too long", "drain_timeout = \"2h\"\n" + minimal, 1, "drain_timeout"},
+		{"number out of range", minimal + "[ingress]\nmax_header_bytes = 12\n", 9, "ingress.max_header_bytes"},
+		{"negative body limit", minimal + "[ingress]\nmax_body_bytes = -1\n", 9, "ingress.max_body_bytes"},
+		{"rate is not a number", minimal + "[store]\ncalls_per_second = nan\n", 9, "store.calls_per_second"},
+		{"store URL without scheme", minimal + "[store]\nurl = \"10.0.0.1:80\"\n", 9, "store.url"},
+		{"admin token missing", minimal + "[admin]\nlisten = \"10.0.0.1:80\"\n", 8, "admin.token"},
+		{"announce not on loopback", minimal + "[announce]\nlisten = \"0.0.0.0:80\"\n", 9, "announce.listen"},
+		{"advertise missing", strings.Replace(minimal, "127.0.0.1:7070", "0.0.0.0:7070", 1) + "[gossip]\nlisten = \"127.0.0.1:1\"\n", 3, "peer.advertise"},
+		{"advertise unspecified", minimal + "[gossip]\nadvertise = \"0.0.0.0:80\"\n", 9, "gossip.advertise"},
+		{"seed with name", "seeds = [\"10.0.0.1:1\", \"seed:1\"]\n" + minimal, 1, "seeds"},
+		{"short key", strings.Replace(minimal, testKey, "AAEC", 1), 6, "bundle.trusted_keys"},
+		{"no approver", strings.Replace(minimal, "approver_keys = [\""+testKey+"\"]", "approver_keys = []", 1), 7, "bundle.approver_keys"},
+		{"log level", minimal + "[log]\nlevel = \"loud\"\n", 9, "log.level"},
+		{"region missing", strings.Replace(minimal, "region = \"ostlandet\"\n", "", 1), 1, "region"},
+		{"syntax", minimal + "[log\n", 8, ""},
+		{"duplicate key", "region = \"x\"\n" + minimal, 2, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, faults := Parse("n.toml", []byte(tt.text))
+			if len(faults) != 1 {
+				t.Fatalf("got %d faults, want 1: %v", len(faults), faults)
+			}
+			f := faults[0]
+			if f.File != "n.toml" || f.Line != tt.line || f.Key != tt.key || f.Allowed == "" {
+				t.Errorf("got %+v, want line %d key %q and the allowed values", f, tt.line, tt.key)
+			}
+		})
+	}
+}
+
+// Guards against reporting only the first mistake.
+func TestParseReportsAllFaults(t *testing.T) {
+	_, faults := Parse("n.toml", []byte("colour = 1\nregion = 5\n[log]\nlevel = \"loud\"\n"))
+	var keys []string
+	for _, f := range faults {
+		keys = append(keys, f.Key)
+	}
+	for _, want := range []string{"colour", "region", "failure_domain", "peer.listen", "bundle.trusted_keys", "bundle.approver_keys", "log.level"} {
+		if !strings.Contains(" "+strings.Join(keys, " ")+" ", " "+want+" ") {
+			t.Errorf("no fault for %s in %v", want, keys)
+		}
+	}
+}
+
+// Guards against a secret that a fault copies into logs.
+func TestFaultsHideTokens(t *testing.T) {
+	_, faults := Parse("n.toml", []byte(minimal+"[admin]\ntoken = \"se cret\"\n"))
+	if len(faults) != 1 || strings.Contains(faults[0].Error(), "cret") {
+		t.Errorf("got %v, want one fault without the token", faults)
+	}
+}
+
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "n.toml")
+	if _, _, err := Load(path); err == nil {
+		t.Error("no error for a missing file")
+	}
+	if err := os.WriteFile(path, []byte(minimal), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, faults, err := Load(path); err != nil || len(faults) != 0 {
+		t.Errorf("got %v, %v", faults, err)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,128 @@
+// Package settings reads the settings of one node from TOML and reports every fault with its file, line and key.
+package settings
+
+import (
+	"crypto/ed25519"
+	"log/slog"
+	"time"
+)
+
+// Settings configure one node. Addresses are "ip:port" text.
+type Settings struct {
+	// NodeID is unique in the fleet. When empty, the node uses its advertised peer address.
+	NodeID        string
+	Region        string
+	FailureDomain string
+	Ingress       Ingress
+	Peer          Peer
+	Gossip        Gossip
+	Admin         Admin
+	Announce      Announce
+	// Seeds are peer addresses of nodes through which this node joins the fleet.
+	Seeds  []string
+	Store  Store
+	Bundle Bundle
+	Log    Log
+	// DrainTimeout bounds a graceful shutdown; requests that are still running then are cut off.
+	DrainTimeout time.Duration
+}
+
+// Ingress configures the HTTP listener for callers.
+type Ingress struct {
+	Listen string
+	// HeaderTimeout bounds the time in which a caller sends the whole request header.
+	HeaderTimeout  time.Duration
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+}
+
+// Peer configures the TCP listener for sessions with other nodes.
+type Peer struct {
+	Listen string
+	// Advertise is the address that other nodes connect to. When empty, it is the bound listen address.
+	Advertise string
+}
+
+// Gossip configures the UDP socket for probes and membership.
+type Gossip struct {
+	Listen string
+	// Advertise is the address that other nodes send to. When empty, it is the bound listen address.
+	Advertise string
+}
+
+// Admin configures the listener for operators.
+type Admin struct {
+	Listen string
+	// Token is the bearer token that requests must carry. It is set whenever Listen is not a loopback address.
+	Token string
+}
+
+// Announce configures the loopback listener on which backend servers announce themselves.
+type Announce struct {
+	Listen string
+}
+
+// Store configures the client of the platform's object API.
+type Store struct {
+	// URL is empty when the node has no direct access; bundles then come from peers and keyed requests are refused.
+	URL            string
+	Token          string
+	Timeout        time.Duration
+	CallsPerSecond float64
+}
+
+// Bundle holds the keys that a bundle must be signed with.
+type Bundle struct {
+	// TrustedKeys are the public keys of authors.
+	TrustedKeys []ed25519.PublicKey
+	// ApproverKeys are the public keys of approvers.
+	ApproverKeys []ed25519.PublicKey
+}
+
+// Log configures the log on stderr.
+type Log struct {
+	Level slog.Level
+}
+
+// Defaults of the keys that a settings file may omit.
+const (
+	DefaultIngressListen  = "0.0.0.0:8080"
+	DefaultAdminListen    = "127.0.0.1:9090"
+	DefaultAnnounceListen = "127.0.0.1:9091"
+	DefaultHeaderTimeout  = 5 * time.Second
+	DefaultMaxHeaderBytes = 64 << 10
+	DefaultMaxBodyBytes   = 64 << 20
+	DefaultStoreTimeout   = 2 * time.Second
+	DefaultCallsPerSecond = 20
+	DefaultDrainTimeout   = 30 * time.Second
+)
+
+// Default returns settings for tests: every listener on loopback with a port that the system picks, no store and no keys.
+func Default() Settings {
+	s := defaults()
+	s.Region = "local"
+	s.FailureDomain = "local-a"
+	s.Ingress.Listen = "127.0.0.1:0"
+	s.Peer.Listen = "127.0.0.1:0"
+	s.Gossip.Listen = "127.0.0.1:0"
+	s.Admin.Listen = "127.0.0.1:0"
+	s.Announce.Listen = "127.0.0.1:0"
+	return s
+}
+
+// defaults returns the values of a settings file that sets nothing.
+func defaults() Settings {
+	return Settings{
+		Ingress: Ingress{
+			Listen:         DefaultIngressListen,
+			HeaderTimeout:  DefaultHeaderTimeout,
+			MaxHeaderBytes: DefaultMaxHeaderBytes,
+			MaxBodyBytes:   DefaultMaxBodyBytes,
+		},
+		Admin:        Admin{Listen: DefaultAdminListen},
+		Announce:     Announce{Listen: DefaultAnnounceListen},
+		Store:        Store{Timeout: DefaultStoreTimeout, CallsPerSecond: DefaultCallsPerSecond},
+		Log:          Log{Level: slog.LevelInfo},
+		DrainTimeout: DefaultDrainTimeout,
+	}
+}
