Add attempts, answers and the first end-to-end tests of the request path

Cause: a request must reach the backend server through both nodes and be answered whole. Change: attempt exchange, resolution of broken connections by asking the gate, relay of answers. Measured: the test of the path hangs; the cause is being looked for.

--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -126,14 +126,37 @@
 	report(backend.ID, c.head.Fingerprint)
 }
 
-// relay streams the answer. A body that ends early leaves the stream without an End frame.
+// relay sends the answer. A body that ends early leaves the stream without an End frame.
 func (c *call) relay(resp *http.Response) error {
 	head := &wire.ResponseHead{
 		Status: uint32(resp.StatusCode), Headers: HeadersToWire(resp.Header),
 		ContentLength: resp.ContentLength, Load: c.gate.Load(),
 	}
-	c.keep.headSent = true
 	c.keep.kept.Response = head
+	if resp.ContentLength >= 0 && resp.ContentLength <= wire.MaxChunkBytes {
+		return c.relayWhole(resp, head)
+	}
+	return c.relayStream(resp, head)
+}
+
+// relayWhole sends a small answer with one write, once it has been read to the end.
+func (c *call) relayWhole(resp *http.Response, head *wire.ResponseHead) error {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return verdict.New(verdict.Ran, verdict.BackendBroken, "the answer ended early: %v", err)
+	}
+	c.keep.headSent = true
+	c.keep.add(body)
+	frames := []*wire.Frame{{Kind: &wire.Frame_Response{Response: head}}}
+	if len(body) > 0 {
+		frames = append(frames, &wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: body}}})
+	}
+	_ = c.conn.WriteAll(append(frames, c.end(resp))...)
+	return nil
+}
+
+func (c *call) relayStream(resp *http.Response, head *wire.ResponseHead) error {
+	c.keep.headSent = true
 	// After a write error the answer is still read and kept: the ingress may ask for it.
 	sendErr := c.conn.Write(&wire.Frame{Kind: &wire.Frame_Response{Response: head}})
 	buf := make([]byte, wire.MaxChunkBytes)
@@ -155,12 +178,15 @@
 			return verdict.New(verdict.Ran, verdict.PeerBroken, "%v", sendErr)
 		}
 	}
-	c.keep.kept.Trailers = HeadersToWire(resp.Trailer)
-	end := &wire.End{Trailers: c.keep.kept.Trailers, Load: c.gate.Load()}
-	_ = c.conn.Write(&wire.Frame{Kind: &wire.Frame_End{End: end}})
+	_ = c.conn.Write(c.end(resp))
 	return nil
 }
 
+func (c *call) end(resp *http.Response) *wire.Frame {
+	c.keep.kept.Trailers = HeadersToWire(resp.Trailer)
+	return &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Trailers: c.keep.kept.Trailers, Load: c.gate.Load()}}}
+}
+
 // HeadersToWire converts HTTP headers; hop-by-hop headers are left out.
 func HeadersToWire(h http.Header) []*wire.Header {
 	out := make([]*wire.Header, 0, len(h))
--- /dev/null
+++ b/internal/ingress/attempt.go
@@ -0,0 +1,237 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"dandelionspoke/internal/balance"
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/gate"
+	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/table"
+	"dandelionspoke/internal/verdict"
+	"dandelionspoke/internal/wire"
+
+	"github.com/cockroachdb/errors"
+)
+
+// verdictGrace is the time after the deadline in which a gate's verdict is still awaited: a request
+// that expires in the gate's queue is then reported as not-run instead of may-have-run.
+const verdictGrace = 150 * time.Millisecond
+
+// attempt sends the request to one endpoint and returns the answer once its head has arrived.
+// Errors carry a verdict.
+func (in *Ingress) attempt(ctx context.Context, q *request, ep *table.Endpoint) (*answer, error) {
+	in.Counters.Attempts.Add(1)
+	seen := observe(ep, q.route)
+	conn, err := in.Opener.Open(ctx, ep, laneOf(q.route))
+	if err != nil {
+		seen.end(openOutcome(ctx), nil)
+		return nil, verdict.New(verdict.NotRun, verdict.PeerUnreachable, "%v", err)
+	}
+	a := &answer{endpoint: ep, conn: conn, body: peer.NewBody(conn), seen: seen}
+	// The context ends shortly after the deadline; closing the stream cancels the work at the gate.
+	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	head := q.head(ep, conn.Remote())
+	if err := in.exchange(ctx, q, a, head); err != nil {
+		a.close()
+		return in.resolve(ctx, a, head, err)
+	}
+	return a, nil
+}
+
+func openOutcome(ctx context.Context) balance.Outcome {
+	if ctx.Err() != nil {
+		return balance.Canceled
+	}
+	return balance.Failed
+}
+
+func laneOf(r *bundle.Route) peer.Lane {
+	if r.Class == bundle.Long {
+		return peer.LaneLong
+	}
+	return peer.LaneShort
+}
+
+// head returns the first frame of an attempt at ep.
+func (q *request) head(ep *table.Endpoint, remote *peer.Remote) *wire.RequestHead {
+	return &wire.RequestHead{
+		AttemptId: newAttemptID(), Service: q.route.Service, Route: q.route.Name, Endpoint: ep.ID,
+		Method: q.http.Method, Target: q.http.URL.RequestURI(), Host: q.http.Host, Headers: q.headers,
+		ContentLength: q.contentLength(), Streamed: q.rest != nil,
+		DeadlineMs: uint32(max(time.Until(q.deadline).Milliseconds(), 0)), Priority: uint32(q.priority),
+		Long: q.route.Class == bundle.Long, Depth: uint32(q.depth), Idempotent: q.idempotent,
+		Fingerprint: q.fingerprint, IdempotencyKey: q.key, Generation: remote.Generation.Load(),
+	}
+}
+
+// exchange sends the request and reads up to the head of the answer.
+func (in *Ingress) exchange(ctx context.Context, q *request, a *answer, head *wire.RequestHead) error {
+	if err := sendRequest(q, a.conn, head); err != nil {
+		return err
+	}
+	f, err := a.conn.Read()
+	if err != nil {
+		return err
+	}
+	if f.GetContinue() != nil {
+		q.restUsed = true
+		go sendRest(q, a.conn)
+		if f, err = a.conn.Read(); err != nil {
+			return err
+		}
+	}
+	switch k := f.Kind.(type) {
+	case *wire.Frame_Response:
+		a.head = k.Response
+		a.conn.Remote().Note(k.Response.GetLoad().GetGeneration())
+		return nil
+	case *wire.Frame_Refusal:
+		return in.refused(ctx, a, k.Refusal)
+	}
+	return errors.Newf("unexpected frame %T instead of an answer", f.Kind)
+}
+
+// refused returns the gate's verdict as an error.
+func (in *Ingress) refused(ctx context.Context, a *answer, r *wire.Refusal) error {
+	a.conn.Remote().Note(r.GetLoad().GetGeneration())
+	v := gate.FromWire(r.Verdict)
+	outcome := balance.Failed
+	switch {
+	case ctx.Err() != nil:
+		outcome = balance.Canceled
+	case v == verdict.NotRun:
+		outcome = balance.Refused
+	}
+	if r.Reason == string(verdict.BackendDown) {
+		outcome = balance.Failed
+	}
+	a.seen.end(outcome, r.Load)
+	return &verdict.Error{Verdict: v, Reason: verdict.Reason(r.Reason), Detail: r.Detail}
+}
+
+// sendRequest writes the head and, unless the body is streamed, the whole body.
+func sendRequest(q *request, conn *peer.Conn, head *wire.RequestHead) error {
+	frames := []*wire.Frame{{Kind: &wire.Frame_Request{Request: head}}}
+	if q.rest != nil {
+		return conn.WriteAll(frames...)
+	}
+	for rest := q.prefix; len(rest) > 0; {
+		n := min(len(rest), wire.MaxChunkBytes)
+		frames = append(frames, &wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: rest[:n]}}})
+		rest = rest[n:]
+	}
+	return conn.WriteAll(append(frames, &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}})...)
+}
+
+// sendRest streams a large body. On a read error it closes the stream, which cancels the request.
+func sendRest(q *request, conn *peer.Conn) {
+	body := io.MultiReader(newPrefixReader(q.prefix), q.rest)
+	buf := make([]byte, wire.MaxChunkBytes)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if conn.Write(&wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: buf[:n]}}}) != nil {
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_ = conn.Write(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Trailers: gate.HeadersToWire(q.http.Trailer)}}})
+			return
+		}
+		if err != nil {
+			_ = conn.Close()
+			return
+		}
+	}
+}
+
+// resolve turns a failed exchange into a verdict. When the connection broke, it asks the gate.
+func (in *Ingress) resolve(ctx context.Context, a *answer, head *wire.RequestHead, err error) (*answer, error) {
+	var refusal *verdict.Error
+	if errors.As(err, &refusal) {
+		return nil, refusal
+	}
+	if ctx.Err() != nil {
+		a.seen.end(balance.Canceled, nil)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return nil, verdict.New(verdict.MayHaveRun, verdict.DeadlineExceeded, "no answer within the deadline")
+		}
+		return nil, verdict.New(verdict.MayHaveRun, verdict.Canceled, "the caller went away")
+	}
+	a.seen.end(balance.Failed, nil)
+	query := &wire.AttemptQuery{
+		AttemptId: head.AttemptId, Instance: a.conn.Remote().Instance, Generation: head.Generation,
+	}
+	fate := in.fateOf(ctx, a.endpoint, query)
+	in.Logger.Info("attempt resolved", "event", "attempt_resolved", "endpoint", a.endpoint.ID,
+		"verdict", gate.FromWire(fate.Verdict), "has_answer", fate.HasAnswer, "cause", err)
+	if fate.HasAnswer {
+		return &answer{endpoint: a.endpoint, head: fate.Response, kept: fate}, nil
+	}
+	return nil, errorOf(fate, verdict.PeerBroken)
+}
+
+// run sends the request to endpoints until one answers or no further attempt is permitted.
+func (in *Ingress) run(ctx context.Context, q *request) (*answer, error) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline.Add(verdictGrace))
+	stop := context.AfterFunc(q.http.Context(), cancel)
+	a, err := in.tryEndpoints(ctx, q)
+	if err != nil {
+		stop()
+		cancel()
+		return nil, err
+	}
+	a.release = func() { stop(); cancel() }
+	return a, nil
+}
+
+func (in *Ingress) tryEndpoints(ctx context.Context, q *request) (*answer, error) {
+	var exclude uint64
+	var last error
+	for number := 1; ; number++ {
+		i, ep := in.Chooser.pick(q.service, exclude, q.route.Class == bundle.Long)
+		if ep == nil {
+			if last != nil {
+				return nil, last
+			}
+			return nil, verdict.New(verdict.NotRun, verdict.NoEndpoint, "no endpoint of service %s can be used", q.route.Service)
+		}
+		a, err := in.attempt(ctx, q, ep)
+		if err == nil {
+			return a, nil
+		}
+		last = err
+		if !in.mayRetry(ctx, q, number, err) {
+			return nil, err
+		}
+		in.Counters.Retries.Add(1)
+		if i < 64 {
+			exclude |= 1 << i
+		}
+	}
+}
+
+// mayRetry decides on another attempt after err.
+func (in *Ingress) mayRetry(ctx context.Context, q *request, number int, err error) bool {
+	if ctx.Err() != nil || q.restUsed || time.Until(q.deadline) <= 0 {
+		return false
+	}
+	if number >= q.snapshot.Bundle.Policy.MaxAttempts {
+		return false
+	}
+	return verdict.Of(err) == verdict.NotRun || q.idempotent && q.depth == 0
+}
+
+func outcomeOf(ctx context.Context, status uint32, err error) balance.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return balance.Canceled
+	case err != nil, status >= http.StatusInternalServerError:
+		return balance.Failed
+	}
+	return balance.Success
+}
--- /dev/null
+++ b/internal/ingress/chooser.go
@@ -0,0 +1,61 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dandelionspoke/internal/balance"
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/table"
+	"dandelionspoke/internal/wire"
+)
+
+// Chooser picks endpoints and records what becomes of the attempts. It is safe for concurrent use.
+type Chooser struct {
+	picker balance.Picker
+	rngs   sync.Pool
+}
+
+// NewChooser returns a chooser that uses picker.
+func NewChooser(picker balance.Picker) *Chooser {
+	c := &Chooser{picker: picker}
+	c.rngs.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	return c
+}
+
+// pick returns the position of an endpoint and the endpoint, or balance.None and nil.
+func (c *Chooser) pick(svc *table.Service, exclude uint64, long bool) (int, *table.Endpoint) {
+	rng := c.rngs.Get().(*rand.Rand)
+	i := c.picker.Pick(Now(), rng, svc, exclude, long)
+	c.rngs.Put(rng)
+	if i == balance.None {
+		return i, nil
+	}
+	return i, svc.Endpoints[i]
+}
+
+// Now returns the clock of table.Stats in nanoseconds.
+func Now() int64 { return time.Now().UnixNano() }
+
+// observation is one attempt as the balance package sees it. Its end is recorded once.
+type observation struct {
+	endpoint *table.Endpoint
+	started  int64
+	long     bool
+	once     sync.Once
+}
+
+func observe(ep *table.Endpoint, route *bundle.Route) *observation {
+	o := &observation{endpoint: ep, started: Now(), long: route.Class == bundle.Long}
+	balance.ObserveStart(ep.Stats, o.started, o.long)
+	return o
+}
+
+func (o *observation) end(outcome balance.Outcome, load *wire.Load) {
+	o.once.Do(func() {
+		now := Now()
+		balance.ObserveResult(o.endpoint.Stats, now, time.Duration(now-o.started), outcome, o.long)
+		balance.ObserveReport(o.endpoint.Stats, now, load)
+	})
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -2,14 +2,15 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
+	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
@@ -98,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	return in.relay(ctx, w, q, a)
+	return in.relay(w, q, a)
 }
 
 // fail writes a failed answer with its verdict.
@@ -127,7 +128,8 @@
 	conn     *peer.Conn
 	body     *peer.Body
 	stop     func() bool // detaches the request's context from conn
-	started  time.Time
+	release  func()      // ends the context of the attempts; nil for none
+	seen     *observation
 	kept     *wire.AttemptFate // set instead of conn when the gate had kept the whole answer
 }
 
@@ -136,10 +138,13 @@
 		a.stop()
 		_ = a.conn.Close()
 	}
+	if a.release != nil {
+		a.release()
+	}
 }
 
 // relay writes the answer to the caller.
-func (in *Ingress) relay(ctx context.Context, w http.ResponseWriter, q *request, a *answer) error {
+func (in *Ingress) relay(w http.ResponseWriter, q *request, a *answer) error {
 	defer a.close()
 	writeHead(w, a.head)
 	if a.kept != nil {
@@ -149,7 +154,7 @@
 		return nil
 	}
 	err := copyBody(w, a)
-	in.Chooser.finished(q, a, err)
+	a.seen.end(outcomeOf(q.http.Context(), a.head.Status, err), a.body.End().GetLoad())
 	if err != nil {
 		return http.ErrAbortHandler
 	}
@@ -200,6 +205,8 @@
 	}
 }
 
+func newPrefixReader(prefix []byte) io.Reader { return bytes.NewReader(prefix) }
+
 func newAttemptID() []byte {
 	id := make([]byte, 16)
 	_, _ = rand.Read(id)
--- /dev/null
+++ b/internal/ingress/path_test.go
@@ -0,0 +1,281 @@
+package ingress_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dandelionspoke/internal/balance"
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/gate"
+	"dandelionspoke/internal/ingress"
+	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/table"
+	"dandelionspoke/internal/verdict"
+	"dandelionspoke/internal/wire"
+)
+
+// path is one ingress and one gate that talk over a real session.
+type path struct {
+	caller  *httptest.Server
+	gate    *gate.Gate
+	relay   *net.TCPListener
+	pool    *peer.Pool
+	ingress *ingress.Ingress
+}
+
+type handler struct{ gate *gate.Gate }
+
+func (h handler) Generation() uint64 { return h.gate.Generation() }
+
+func (h handler) ServePeer(ctx context.Context, conn *peer.Conn, first *wire.Frame) {
+	switch k := first.Kind.(type) {
+	case *wire.Frame_Request:
+		h.gate.Serve(ctx, conn, k.Request)
+	case *wire.Frame_AttemptQuery:
+		h.gate.ServeQuery(ctx, conn, k.AttemptQuery)
+	}
+}
+
+type opener struct{ pool *peer.Pool }
+
+func (o opener) Open(ctx context.Context, ep *table.Endpoint, lane peer.Lane) (*peer.Conn, error) {
+	return o.pool.Open(ctx, ep.PeerAddr, lane)
+}
+
+func testBundle() *bundle.Bundle {
+	no := false
+	b := &bundle.Bundle{
+		Version:  1,
+		Services: map[string]bundle.Service{"katalog": {Slots: 2, LongSlots: 1, QueueShort: 4}},
+		Routes: []bundle.Route{
+			{Name: "read", Service: "katalog", PathPrefix: "/", MaxBodyBytes: 1 << 20, Timeout: bundle.Duration(2 * time.Second)},
+			{Name: "order", Service: "katalog", PathPrefix: "/order", Methods: []string{"POST"}, Idempotent: &no, Timeout: bundle.Duration(3 * time.Second)},
+		},
+	}
+	b.SetDefaults()
+	return b
+}
+
+// newPath starts the path. dialVia, if set, replaces the gate's address in the snapshot.
+func newPath(t *testing.T, backend http.Handler, dialVia func(gateAddr string) string) *path {
+	t.Helper()
+	server := httptest.NewServer(backend)
+	logger := slog.New(slog.DiscardHandler)
+	g := gate.New(7, logger)
+	b := testBundle()
+	g.SetLimits(b.Services["katalog"], b.Policy)
+	g.SetBackend(&gate.Backend{ID: "katalog-1", Service: "katalog", Address: strings.TrimPrefix(server.URL, "http://")})
+	peers := peer.NewServer("gate-node", 7, handler{g}, logger)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peers.Serve(listener)
+	addr := listener.Addr().String()
+	if dialVia != nil {
+		addr = dialVia(addr)
+	}
+	snapshots := &table.Publisher{}
+	ep := &table.Endpoint{ID: "katalog-1", Service: "katalog", PeerAddr: addr, Slots: 2, Stats: &table.Stats{}}
+	snapshots.Store(&table.Snapshot{Version: 1, Bundle: b, Services: map[string]*table.Service{
+		"katalog": {Name: "katalog", Config: b.Services["katalog"], Endpoints: []*table.Endpoint{ep}, LocalityEnd: [table.Localities]int{1, 1, 1}},
+	}})
+	picker, err := balance.New(balance.P2C)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := peer.NewPool("ingress-node", 8)
+	in := ingress.New(ingress.Config{Snapshots: snapshots, Opener: opener{pool}, Chooser: ingress.NewChooser(picker), Logger: logger})
+	caller := httptest.NewServer(in)
+	t.Cleanup(func() {
+		caller.Close()
+		pool.Close()
+		peers.Close()
+		g.Close()
+		server.Close()
+	})
+	return &path{caller: caller, gate: g, pool: pool, ingress: in}
+}
+
+// Guards against lost or altered parts of a request or an answer: body, headers, status, trailers.
+func TestRequestAndAnswerAreWhole(t *testing.T) {
+	p := newPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Seen", r.Header.Get("X-Sent"))
+		w.Header().Set("Trailer", "X-Sum")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = w.Write(body)
+		w.Header().Set("X-Sum", fmt.Sprint(len(body)))
+	}), nil)
+	for _, size := range []int{0, 1, 30_000, 64 << 10, 900_000} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			req, _ := http.NewRequest("PUT", p.caller.URL+"/echo?x=1", strings.NewReader(strings.Repeat("a", size)))
+			req.Header.Set("X-Sent", "value")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			if err != nil || len(body) != size {
+				t.Fatalf("read %d bytes, error %v; want %d", len(body), err, size)
+			}
+			if resp.StatusCode != http.StatusCreated || resp.Header.Get("X-Seen") != "value" || resp.Trailer.Get("X-Sum") != fmt.Sprint(size) {
+				t.Errorf("status %d, headers %v, trailers %v", resp.StatusCode, resp.Header, resp.Trailer)
+			}
+		})
+	}
+}
+
+// Guards against an answer that broke in the middle being taken for a complete one.
+func TestBrokenAnswerIsNotComplete(t *testing.T) {
+	p := newPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/chunked" {
+			_, _ = w.Write(make([]byte, 100_000))
+			_ = http.NewResponseController(w).Flush()
+		} else {
+			w.Header().Set("Content-Length", "200000")
+			_, _ = w.Write(make([]byte, 100_000))
+		}
+		panic(http.ErrAbortHandler)
+	}), nil)
+	for _, path := range []string{"/chunked", "/sized"} {
+		resp, err := http.Get(p.caller.URL + path)
+		if err != nil {
+			continue // broken before the head is a correct outcome too
+		}
+		if _, err = io.ReadAll(resp.Body); err == nil {
+			t.Errorf("%s: a broken answer was read as complete", path)
+		}
+		resp.Body.Close()
+	}
+}
+
+// Guards against a wrong verdict on each kind of failure.
+func TestVerdicts(t *testing.T) {
+	var runs atomic.Int64
+	p := newPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if r.URL.Path == "/order/crash" {
+			panic(http.ErrAbortHandler)
+		}
+		<-r.Context().Done()
+	}), nil)
+	tests := []struct {
+		name, method, path, body string
+		wantVerdict, wantReason  string
+		wantRuns                 int64
+	}{
+		{"broken connection to the backend server", "POST", "/order/crash", "x", "may-have-run", "backend-connection-broken", 1},
+		{"deadline exceeded while running", "POST", "/order/slow", "x", "may-have-run", "deadline-exceeded", 1},
+		{"body over the limit", "POST", "/big", strings.Repeat("a", 2<<20), "not-run", "body-too-large", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			before := runs.Load()
+			resp, err := http.Post(p.caller.URL+tt.path, "text/plain", strings.NewReader(tt.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if v, r := resp.Header.Get(verdict.Header), resp.Header.Get(verdict.ReasonHeader); v != tt.wantVerdict || r != tt.wantReason {
+				t.Errorf("verdict %q, reason %q; want %q, %q", v, r, tt.wantVerdict, tt.wantReason)
+			}
+			if got := runs.Load() - before; got != tt.wantRuns {
+				t.Errorf("ran %d times, want %d", got, tt.wantRuns)
+			}
+		})
+	}
+}
+
+// Guards against running a request again, or losing its answer, when the connection between the
+// nodes breaks while the backend server runs it.
+func TestBrokenSessionIsResolvedByTheGate(t *testing.T) {
+	var runs atomic.Int64
+	started := make(chan struct{}, 1)
+	release := make(chan struct{})
+	var proxy *breakableProxy
+	p := newPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		started <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, "ordered")
+	}), func(gateAddr string) string {
+		proxy = newBreakableProxy(t, gateAddr)
+		return proxy.listener.Addr().String()
+	})
+	go func() {
+		<-started
+		proxy.breakAll()
+		time.Sleep(50 * time.Millisecond)
+		close(release)
+	}()
+	resp, err := http.Post(p.caller.URL+"/order", "text/plain", strings.NewReader("one licence"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK || string(body) != "ordered" || runs.Load() != 1 {
+		t.Errorf("status %d, body %q, %d runs; want the kept answer of the only run", resp.StatusCode, body, runs.Load())
+	}
+}
+
+// breakableProxy forwards TCP connections and can break all of them.
+type breakableProxy struct {
+	listener net.Listener
+	broken   chan struct{}
+}
+
+func newBreakableProxy(t *testing.T, target string) *breakableProxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &breakableProxy{listener: listener, broken: make(chan struct{})}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for first := true; ; first = false {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				in.Close()
+				continue
+			}
+			go pipe(in, out)
+			go pipe(out, in)
+			if first {
+				go func() {
+					<-p.broken
+					in.Close()
+					out.Close()
+				}()
+			}
+		}
+	}()
+	return p
+}
+
+func (p *breakableProxy) breakAll() { close(p.broken) }
+
+func pipe(dst, src net.Conn) {
+	_, err := io.Copy(dst, src)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		_ = err
+	}
+	dst.Close()
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -50,6 +50,7 @@
 	// prefix holds the start of the body; rest holds what follows, or nil when prefix is the whole body.
 	prefix      []byte
 	rest        io.Reader
+	restUsed    bool // the rest of the body has been handed to an attempt
 	fingerprint []byte
 	headers     []*wire.Header
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"sync/atomic"
@@ -85,6 +86,18 @@
 // Write sends one frame. It blocks while the remote side's window is full.
 func (c *Conn) Write(f *wire.Frame) error { return wire.WriteFrame(c.raw, f, c.limit) }
 
+// WriteAll sends several frames with one write to the session.
+func (c *Conn) WriteAll(frames ...*wire.Frame) error {
+	var buf bytes.Buffer
+	for _, f := range frames {
+		if err := wire.WriteFrame(&buf, f, c.limit); err != nil {
+			return err
+		}
+	}
+	_, err := c.raw.Write(buf.Bytes())
+	return err
+}
+
 // Broken reports whether the session below the stream has ended, as opposed to the stream alone.
 func (c *Conn) Broken() bool { return c.session != nil && c.session.IsClosed() }
 
