Add probe planning and deterministic subsets

Cause: load reports must be bought within a budget, and a node in a large fleet must use only part of a service's endpoints. Change: ProbePlanner with token buckets per node and per paid link, which assert that the budget holds; Subset by rendezvous hash with places outside the own failure domain; a sample of 4 instead of 6 endpoints per locality, and cost computed only for endpoints with free capacity.

--- /dev/null
+++ b/internal/balance/control_test.go
@@ -0,0 +1,240 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/table"
+	"dandelionspoke/internal/wire"
+)
+
+func countOut(endpoints []*table.Endpoint) int {
+	out, _ := countEjected(endpoints)
+	return len(out)
+}
+
+// Guards against more ejected endpoints than the bundle's share, whatever the endpoints report, when
+// the share or the list shrinks, and when trials succeed or fail meanwhile.
+func TestEjectedShareIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		svc := newService(rapid.IntRange(1, 12).Draw(t, "n"))
+		now := testNow
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += int64(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			for _, e := range svc.Endpoints {
+				for range rapid.IntRange(0, 6).Draw(t, "results") {
+					latency := time.Duration(rapid.SampledFrom([]int{1, 2, 300}).Draw(t, "latency")) * time.Millisecond
+					outcome := rapid.SampledFrom([]Outcome{Success, Failed, Failed, Refused, Canceled}).Draw(t, "outcome")
+					ObserveStart(e.Stats, now, false)
+					ObserveResult(e.Stats, now+int64(latency), latency, outcome, false)
+				}
+				e.Stats.Suspect.Store(rapid.IntRange(0, 4).Draw(t, "suspect") == 0)
+			}
+			share := rapid.SampledFrom([]float64{0, 0.1, 0.34, 0.5, 1}).Draw(t, "share")
+			count := rapid.IntRange(1, len(svc.Endpoints)).Draw(t, "count")
+			listed := svc.Endpoints[:count]
+			Eject(now, listed, bundle.Policy{EjectConsecutiveFailures: 5, EjectShare: share, EjectFor: bundle.Duration(2 * time.Second)})
+			if n, limit := countOut(listed), MaxEjected(count, share); n > limit {
+				t.Fatalf("%d of %d endpoints ejected, limit %d", n, count, limit)
+			}
+		}
+	})
+}
+
+// Guards against missing one kind of evidence, and against ejecting on none.
+func TestEjectEvidence(t *testing.T) {
+	policy := bundle.Policy{EjectConsecutiveFailures: 3, EjectShare: 0.34, EjectFor: bundle.Duration(2 * time.Second)}
+	result := func(s *table.Stats, n int, latency time.Duration, outcome Outcome) {
+		for range n {
+			ObserveStart(s, testNow-int64(latency), false)
+			ObserveResult(s, testNow, latency, outcome, false)
+		}
+	}
+	tests := []struct {
+		name   string
+		first  func(*table.Stats)
+		reason EjectReason
+	}{
+		{"healthy", func(s *table.Stats) { result(s, 5, 5*time.Millisecond, Success) }, ""},
+		{"two failures", func(s *table.Stats) { result(s, 2, time.Millisecond, Failed) }, ""},
+		{"three failures", func(s *table.Stats) { result(s, 3, time.Millisecond, Failed) }, EjectFailures},
+		{"refusals", func(s *table.Stats) { result(s, 9, time.Millisecond, Refused) }, ""},
+		{"mixed failures", func(s *table.Stats) {
+			for range 12 {
+				result(s, 1, time.Millisecond, Success)
+				result(s, 2, time.Millisecond, Failed)
+			}
+		}, EjectFailureRate},
+		{"slow answers", func(s *table.Stats) { result(s, 3, 90*time.Millisecond, Success) }, EjectLatency},
+		{"no answer", func(s *table.Stats) {
+			result(s, 3, 5*time.Millisecond, Success)
+			ObserveStart(s, testNow-int64(90*time.Millisecond), false)
+		}, EjectLatency},
+		{"long work without an answer", func(s *table.Stats) {
+			result(s, 3, 5*time.Millisecond, Success)
+			ObserveStart(s, testNow-int64(90*time.Millisecond), true)
+		}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			svc := newService(4)
+			for _, e := range svc.Endpoints[1:] {
+				result(e.Stats, 3, 5*time.Millisecond, Success)
+			}
+			test.first(svc.Endpoints[0].Stats)
+			var reason EjectReason
+			for _, event := range Eject(testNow, svc.Endpoints, policy) {
+				if event.Endpoint != svc.Endpoints[0] {
+					t.Errorf("ejected %s", event.Endpoint.ID)
+				}
+				reason = event.Reason
+			}
+			if reason != test.reason {
+				t.Errorf("reason %q, want %q", reason, test.reason)
+			}
+		})
+	}
+}
+
+// Guards against an ejection that does not double, or doubles without bound.
+func TestEjectionDoublesUpToTheBound(t *testing.T) {
+	last := time.Duration(0)
+	for n := range int32(40) {
+		d := ejectionTime(2*time.Second, n)
+		if want := min(2*last, maxEjection); n > 0 && d != want {
+			t.Errorf("repeat %d: %v, want %v", n, d, want)
+		}
+		last = d
+	}
+	if last != maxEjection {
+		t.Errorf("last duration %v", last)
+	}
+}
+
+// Guards against more probe messages or bytes than the budgets, over any window from the start, and
+// against probes of endpoints with a fresh report.
+func TestProbeBudgetIsNeverExceeded(t *testing.T) {
+	const exchange = 120
+	rapid.Check(t, func(t *rapid.T) {
+		p := bundle.Policy{
+			ProbesPerSecond:         rapid.Float64Range(0, 200).Draw(t, "messages"),
+			ProbeBytesPerSecond:     rapid.Float64Range(0, 20000).Draw(t, "bytes"),
+			LinkProbesPerSecond:     rapid.Float64Range(0, 20).Draw(t, "link messages"),
+			LinkProbeBytesPerSecond: rapid.Float64Range(0, 2000).Draw(t, "link bytes"),
+		}
+		svc := newService(2, 4, 10)
+		rng := newRNG(rapid.Uint64().Draw(t, "seed"))
+		now, requests := testNow, 0
+		pp := NewProbePlanner(now, p, exchange)
+		for range rapid.IntRange(1, 200).Draw(t, "ticks") {
+			now += int64(time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * time.Millisecond)
+			n := rapid.IntRange(0, 100).Draw(t, "requests")
+			requests += n
+			pp.ObserveRequests(n)
+			fresh := svc.Endpoints[rng.IntN(len(svc.Endpoints))]
+			ObserveReport(fresh.Stats, now, &wire.Load{})
+			for _, e := range pp.Plan(now, rng, svc, nil) {
+				if e == fresh {
+					t.Fatal("an endpoint with a fresh report was probed")
+				}
+			}
+			seconds := time.Duration(now - testNow).Seconds()
+			within := func(name string, got uint64, rate, item float64) {
+				if limit := rate*seconds + max(rate*probeBurst.Seconds(), item); float64(got) > limit+1e-6 || (rate == 0 && got > 0) {
+					t.Fatalf("%s: %d sent, limit %v", name, got, limit)
+				}
+			}
+			c := pp.Counts()
+			within("messages", c.Messages, p.ProbesPerSecond, messagesPerExchange)
+			within("bytes", c.Bytes, p.ProbeBytesPerSecond, exchange)
+			within("link messages", c.LinkMessages, p.LinkProbesPerSecond, messagesPerExchange)
+			within("link bytes", c.LinkBytes, p.LinkProbeBytesPerSecond, exchange)
+			if float64(c.Messages) > 0.2*float64(requests) {
+				t.Fatalf("%d messages for %d requests", c.Messages, requests)
+			}
+		}
+	})
+}
+
+// Guards against a planner that never probes although budget and traffic permit it.
+func TestProbesAreSent(t *testing.T) {
+	var b bundle.Bundle
+	b.SetDefaults()
+	svc := newService(4, 0, 4)
+	pp := NewProbePlanner(testNow, b.Policy, 100)
+	pp.ObserveRequests(1000)
+	if n := len(pp.Plan(testNow, newRNG(1), svc, nil)); n < 2 {
+		t.Errorf("%d probes", n)
+	}
+}
+
+func fleet(nodes, perDomain int) []*table.Endpoint {
+	var all []*table.Endpoint
+	for i := range nodes {
+		l := table.Locality(min(i/perDomain, int(table.OtherRegion)))
+		all = append(all, &table.Endpoint{ID: fmt.Sprintf("endpoint-%d", i), Locality: l, Stats: &table.Stats{}})
+	}
+	return all
+}
+
+// Guards against a subset above its size, without another failure domain, unbalanced over the fleet,
+// or reshuffled by the loss of one endpoint.
+func TestSubset(t *testing.T) {
+	const nodes, size = 600, 24
+	all := fleet(300, 100)
+	uses := map[string]int{}
+	moved := 0
+	for node := range nodes {
+		id := fmt.Sprintf("node-%d", node)
+		subset := Subset(id, all, size)
+		ends := LocalityEnds(subset)
+		if len(subset) != size || ends[table.SameDomain] < size/2 || ends[table.SameDomain] > size*2/3 || ends[table.SameRegion] == size {
+			t.Fatalf("%s: %d endpoints, ends %v", id, len(subset), ends)
+		}
+		kept := map[string]bool{}
+		for _, e := range subset {
+			uses[e.ID]++
+			kept[e.ID] = true
+		}
+		for _, e := range Subset(id, all[1:], size) {
+			if !kept[e.ID] {
+				moved++
+			}
+		}
+	}
+	for i := range 100 {
+		if n := uses[fmt.Sprintf("endpoint-%d", i)]; n < 60 || n > 140 {
+			t.Errorf("endpoint %d is in %d subsets, mean 96", i, n)
+		}
+	}
+	if moved > uses["endpoint-0"] {
+		t.Errorf("the loss of one endpoint of %d subsets added %d others", uses["endpoint-0"], moved)
+	}
+}
+
+// Guards against places left empty while endpoints exist, in any mix of localities.
+func TestSubsetFillsItsPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []*table.Endpoint
+		foreign := 0
+		for i := range rapid.IntRange(0, 40).Draw(t, "n") {
+			l := table.Locality(rapid.IntRange(0, 2).Draw(t, "locality"))
+			if l != table.SameDomain {
+				foreign++
+			}
+			all = append(all, &table.Endpoint{ID: fmt.Sprint(i), Locality: l})
+		}
+		size := rapid.IntRange(1, 50).Draw(t, "size")
+		subset := Subset("node", all, size)
+		if len(subset) != min(size, len(all)) {
+			t.Fatalf("%d endpoints, want %d", len(subset), min(size, len(all)))
+		}
+		if ends := LocalityEnds(subset); size > 1 && foreign > 0 && ends[0] == len(subset) {
+			t.Fatalf("no endpoint outside the own failure domain, ends %v", ends)
+		}
+	})
+}
--- a/internal/balance/dandelionspoke.go
+++ b/internal/balance/dandelionspoke.go
@@ -9,7 +9,8 @@
 // Tuning of the choice.
 const (
 	// sampleSize is the number of endpoints of a locality that one choice compares.
-	sampleSize = 6
+	// More than 4 take over 1 us in the case that all three localities are compared.
+	sampleSize = 4
 	// hotQuantile of the sampled loads separates hot from cold endpoints (Prequal, NSDI 2024).
 	hotQuantile = 0.75
 	// freeLoad is the estimated load per slot up to which an endpoint has free capacity.
@@ -57,7 +58,7 @@
 		if i := s.trial(rng, exclude); i != None {
 			return i
 		}
-		if i := s.best(); i != None {
+		if i := s.best(rng); i != None {
 			return i
 		}
 		if table.Locality(l) == table.OtherRegion && fallback != None {
@@ -154,8 +155,6 @@
 		others := prior + (c.others-prior)*c.weight
 		c.load = (c.own + others + 1) / c.slots
 		c.latency = latencyOf(svc.Endpoints[c.index].Stats, now, peer)
-		noise := 1 + jitter*rng.Float64()
-		c.cost = max(c.latency, 1) * (1 + loadCost*c.load) * c.penalty * noise
 	}
 	s.markUnfit()
 }
@@ -234,17 +233,20 @@
 // best returns the position with the lowest cost among the cold endpoints with free capacity, or
 // None when no endpoint has free capacity. Endpoints in slow start that were passed over count only
 // when there is no other.
-func (s *sample) best() int {
+func (s *sample) best(rng *rand.Rand) int {
+	if !s.hasFree() {
+		return None
+	}
 	for _, late := range [2]bool{false, true} {
 		threshold := s.loadQuantile(late)
-		best := None
+		best, least := None, 0.0
 		for k := range s.n {
 			c := &s.c[k]
 			if c.late != late || c.load > freeLoad || c.load > threshold {
 				continue
 			}
-			if best == None || c.cost < s.c[best].cost {
-				best = k
+			if cost := c.cost(rng); best == None || cost < least {
+				best, least = k, cost
 			}
 		}
 		if best != None {
@@ -254,6 +256,21 @@
 	return None
 }
 
+func (s *sample) hasFree() bool {
+	for k := range s.n {
+		if s.c[k].load <= freeLoad {
+			return true
+		}
+	}
+	return false
+}
+
+// cost is the expected latency of one more request, raised by recent failures and spread at random.
+func (c *candidate) cost(rng *rand.Rand) float64 {
+	noise := 1 + jitter*rng.Float64()
+	return max(c.latency, 1) * (1 + loadCost*c.load) * c.penalty * noise
+}
+
 // loadQuantile is the hotQuantile of the loads among candidates with the given value of late.
 func (s *sample) loadQuantile(late bool) float64 {
 	var loads [sampleSize]float64
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -37,7 +37,6 @@
 	weight  float64 // trust in others, 0 to 1
 	load    float64 // estimated requests in flight or queued per slot, counting the new one
 	latency float64 // nanoseconds; 0 when unknown
-	cost    float64
 	penalty float64 // at least 1; grows with the failure share
 	failing bool    // the last results were failures
 	trial   bool    // its ejection has ended and no trial runs
