--- /dev/null
+++ b/internal/retry/policy.go
@@ -0,0 +1,191 @@
+package retry
+
+import (
+	"math"
+	"net/http"
+	"time"
+
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/verdict"
+)
+
+// Times of the attempt policy.
+const (
+	// minRemaining is the least time to the deadline that an attempt is worth.
+	minRemaining = 2 * time.Millisecond
+	// firstBackoff is the mean wait before the second attempt at a busy endpoint's peers; it
+	// doubles with each attempt up to maxBackoff.
+	firstBackoff = time.Millisecond
+	maxBackoff   = 50 * time.Millisecond
+	// minHedgeDelay keeps hedges of fast services from following noise.
+	minHedgeDelay = time.Millisecond
+)
+
+// Attempt describes a failed attempt.
+type Attempt struct {
+	// Idempotent says that the request may run more than once.
+	Idempotent bool
+	// Keyed says that a claim on the request's idempotency key is held. The claim lets at most one
+	// run happen; it does not permit another run after one that may have happened.
+	Keyed bool
+	// Number of attempts so far, at least 1.
+	Number int
+	// Depth of the call chain; only depth 0 retries.
+	Depth   int
+	Verdict verdict.Verdict
+	Reason  verdict.Reason
+	// Status of an answer with the verdict Ran; 0 when there is none.
+	Status int
+	// Remaining time to the deadline.
+	Remaining time.Duration
+	// Streamed says that a part of the answer has reached the caller, or that the request body
+	// cannot be sent again.
+	Streamed bool
+}
+
+// Why is the cause of a Decision.
+type Why string
+
+// Causes of decisions.
+const (
+	SafeNotRun     Why = "not-run"
+	SafeIdempotent Why = "idempotent"
+	NoRetryDepth   Why = "depth"
+	NoRetryVerdict Why = "may-have-run"
+	NoRetryAnswer  Why = "answered"
+	NoRetryMax     Why = "max-attempts"
+	NoRetryTime    Why = "deadline"
+	NoRetryBudget  Why = "budget"
+	NoRetryStream  Why = "streamed"
+	NoRetryReason  Why = "reason"
+)
+
+// Decision says whether another attempt follows.
+type Decision struct {
+	Retry bool
+	// Wait before the next attempt; 0 when another endpoint can take it at once.
+	Wait time.Duration
+	// Elsewhere says that the next attempt should exclude the endpoints already tried.
+	Elsewhere bool
+	Why       Why
+}
+
+// Policy holds the rules of further attempts.
+type Policy struct {
+	// MaxAttempts includes the first.
+	MaxAttempts int
+}
+
+// PolicyOf returns the policy of a bundle.
+func PolicyOf(p bundle.Policy) Policy { return Policy{MaxAttempts: p.MaxAttempts} }
+
+// Next decides on another attempt after a failed one. It takes the attempt from the budget when it
+// permits one. random is uniform in [0, 1) and spreads the waits of callers that fail together.
+func (p Policy) Next(a Attempt, b *Budget, now time.Time, random float64) Decision {
+	why, permitted := a.permitted()
+	if !permitted {
+		return Decision{Why: why}
+	}
+	wait := a.wait(random)
+	switch {
+	case a.Depth > 0:
+		return Decision{Why: NoRetryDepth}
+	case a.Number >= p.MaxAttempts:
+		return Decision{Why: NoRetryMax}
+	case a.Remaining < wait+minRemaining:
+		return Decision{Why: NoRetryTime}
+	case !b.Spend(now):
+		return Decision{Why: NoRetryBudget}
+	}
+	return Decision{Retry: true, Wait: wait, Elsewhere: true, Why: why}
+}
+
+// permitted reports whether running the request again can do no harm and may help.
+func (a Attempt) permitted() (Why, bool) {
+	switch {
+	case a.Streamed:
+		return NoRetryStream, false
+	case a.final():
+		return NoRetryReason, false
+	case a.Verdict == verdict.NotRun:
+		return SafeNotRun, true
+	case a.Verdict == verdict.Ran && !retryableStatus(a.Status):
+		return NoRetryAnswer, false
+	case !a.Idempotent:
+		return NoRetryVerdict, false
+	}
+	return SafeIdempotent, true
+}
+
+// final reports whether every endpoint would refuse for the same reason, or the caller has gone.
+func (a Attempt) final() bool {
+	switch a.Reason {
+	case verdict.NoRoute, verdict.NoBundle, verdict.BadRequest, verdict.BodyTooLarge, verdict.TooDeep,
+		verdict.Quarantined, verdict.Canceled, verdict.DeadlineExceeded, verdict.DeadlineTooShort,
+		verdict.ClaimUnavailable, verdict.ClaimHeld, verdict.ClaimMismatch:
+		return true
+	}
+	return false
+}
+
+// retryableStatus reports whether another endpoint may answer better. 501 and 505 state a lack that
+// all endpoints share.
+func retryableStatus(status int) bool {
+	switch status {
+	case http.StatusNotImplemented, http.StatusHTTPVersionNotSupported:
+		return false
+	}
+	return status >= http.StatusInternalServerError
+}
+
+// busy reports whether the endpoint refused for its load, which its peers may share.
+func (a Attempt) busy() bool {
+	switch a.Reason {
+	case verdict.QueueFull, verdict.QueueTimeout, verdict.Overloaded, verdict.ConnectionLimit:
+		return true
+	}
+	return false
+}
+
+// wait is the time before the next attempt: none unless the endpoint was busy, else exponential with
+// full jitter.
+func (a Attempt) wait(random float64) time.Duration {
+	if !a.busy() {
+		return 0
+	}
+	mean := math.Min(float64(firstBackoff)*math.Pow(2, float64(a.Number-1)), float64(maxBackoff))
+	return time.Duration(2 * mean * random)
+}
+
+// Hedge is the state of a request that has not been answered yet.
+type Hedge struct {
+	// Permitted by the route, with the request idempotent and its body at hand.
+	Permitted, Idempotent bool
+	Long                  bool
+	Number                int // attempts so far
+	Depth                 int
+	// Quantile is the latency quantile that the bundle names, of recent short requests to the
+	// service; 0 when too few are known.
+	Quantile time.Duration
+	// Remaining time to the deadline.
+	Remaining time.Duration
+}
+
+// HedgeAfter returns the time after the start of the newest attempt at which a second one should
+// start, and whether to start one at all. The caller calls Budget.Spend when that time has come.
+func (p Policy) HedgeAfter(h Hedge) (time.Duration, bool) {
+	if !h.Permitted || !h.Idempotent || h.Long || h.Depth > 0 || h.Quantile <= 0 {
+		return 0, false
+	}
+	if h.Number >= min(p.MaxAttempts, maxHedgedAttempts) {
+		return 0, false
+	}
+	delay := max(h.Quantile, minHedgeDelay)
+	if h.Remaining < delay+minRemaining {
+		return 0, false
+	}
+	return delay, true
+}
+
+// maxHedgedAttempts is the number of attempts of one request that run at the same time, at most.
+const maxHedgedAttempts = 2
--- /dev/null
+++ b/internal/retry/quarantine.go
@@ -0,0 +1,230 @@
+package retry
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandelionspoke/internal/wire"
+)
+
+// FingerprintSize is the length of a fingerprint in bytes.
+const FingerprintSize = 16
+
+// Fingerprint identifies requests that are equal in method, target and body.
+type Fingerprint [FingerprintSize]byte
+
+// Bytes returns the fingerprint for a message.
+func (f Fingerprint) Bytes() []byte { return f[:] }
+
+// ParseFingerprint returns the fingerprint of a message, or false when b is not one.
+func ParseFingerprint(b []byte) (f Fingerprint, ok bool) {
+	if len(b) != FingerprintSize {
+		return f, false
+	}
+	copy(f[:], b)
+	return f, true
+}
+
+// Seeds of the two halves of a fingerprint.
+const (
+	fingerprintSeed1 = 0
+	fingerprintSeed2 = 0x9e3779b97f4a7c15
+)
+
+// Digest computes the fingerprint of a request while its body is read. It implements io.Writer for
+// the body.
+type Digest struct{ a, b *xxhash.Digest }
+
+// NewDigest starts the fingerprint of a request. target is the path with the query.
+func NewDigest(method, target string) *Digest {
+	d := &Digest{xxhash.NewWithSeed(fingerprintSeed1), xxhash.NewWithSeed(fingerprintSeed2)}
+	d.writeField(method)
+	d.writeField(target)
+	return d
+}
+
+// writeField writes a length before the text, so that no two pairs of fields give the same input.
+func (d *Digest) writeField(s string) {
+	var size [8]byte
+	binary.LittleEndian.PutUint64(size[:], uint64(len(s)))
+	_, _ = d.Write(size[:])
+	_, _ = d.Write([]byte(s))
+}
+
+// Write implements io.Writer. It never fails.
+func (d *Digest) Write(p []byte) (int, error) {
+	_, _ = d.a.Write(p)
+	return d.b.Write(p)
+}
+
+// Sum returns the fingerprint of what has been written.
+func (d *Digest) Sum() (f Fingerprint) {
+	binary.BigEndian.PutUint64(f[:8], d.a.Sum64())
+	binary.BigEndian.PutUint64(f[8:], d.b.Sum64())
+	return f
+}
+
+// FingerprintOf returns the fingerprint of a request whose body is at hand.
+func FingerprintOf(method, target string, body []byte) Fingerprint {
+	d := NewDigest(method, target)
+	_, _ = d.Write(body)
+	return d.Sum()
+}
+
+// Limits of the quarantine's memory.
+const (
+	maxFingerprints = 4096
+	// maxVictims bounds the endpoints remembered for one fingerprint.
+	maxVictims = 8
+	// maxLifetime bounds the expiry that other nodes may state.
+	maxLifetime = 24 * time.Hour
+)
+
+// Quarantine counts the backend servers that died while they ran a request, and refuses the request
+// once enough of them have. It is safe for concurrent use.
+type Quarantine struct {
+	mu      sync.Mutex
+	deaths  int
+	keep    time.Duration
+	entries map[Fingerprint]*entry
+}
+
+type entry struct {
+	victims []string // IDs of endpoints whose death this node learned of first hand
+	remote  uint32   // deaths stated by other nodes
+	expires time.Time
+}
+
+// count is the number of distinct deaths. Those that other nodes state may be the same as this
+// node's, so that the larger number counts and not the sum.
+func (e *entry) count() int { return max(len(e.victims), int(e.remote)) }
+
+// NewQuarantine returns an empty table that refuses a request for the time keep after the last of
+// the given number of deaths.
+func NewQuarantine(deaths int, keep time.Duration) *Quarantine {
+	return &Quarantine{deaths: max(deaths, 1), keep: keep, entries: make(map[Fingerprint]*entry)}
+}
+
+// SetPolicy applies the limits of a new bundle to later deaths and refusals.
+func (q *Quarantine) SetPolicy(deaths int, keep time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deaths, q.keep = max(deaths, 1), keep
+}
+
+// Refuses reports whether the request must not run.
+func (q *Quarantine) Refuses(f Fingerprint, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.entries[f]
+	return e != nil && now.Before(e.expires) && e.count() >= q.deaths
+}
+
+// Died records that an endpoint's backend server died while it ran the request. It returns true when
+// this puts the request into quarantine.
+func (q *Quarantine) Died(f Fingerprint, endpointID string, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.entry(f, now)
+	before := e.count()
+	if !slices.Contains(e.victims, endpointID) && len(e.victims) < maxVictims {
+		e.victims = append(e.victims, endpointID)
+	}
+	e.expires = now.Add(q.keep)
+	return before < q.deaths && e.count() >= q.deaths
+}
+
+// Merge takes over entries of other nodes. A malformed or expired entry has no effect, and an expiry
+// further away than a bundle can set is cut.
+func (q *Quarantine) Merge(entries []*wire.QuarantineEntry, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, m := range entries {
+		f, ok := ParseFingerprint(m.GetFingerprint())
+		expires := time.UnixMilli(int64(min(m.GetExpiresUnixMs(), uint64(now.Add(maxLifetime).UnixMilli()))))
+		if !ok || m.GetDeaths() == 0 || !now.Before(expires) {
+			continue
+		}
+		e := q.entry(f, now)
+		e.remote = max(e.remote, min(m.GetDeaths(), maxVictims))
+		if expires.After(e.expires) {
+			e.expires = expires
+		}
+	}
+}
+
+// Entries returns the entries to send to other nodes, those that expire last first, at most limit.
+func (q *Quarantine) Entries(now time.Time, limit int) []*wire.QuarantineEntry {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.expire(now)
+	out := make([]*wire.QuarantineEntry, 0, len(q.entries))
+	for f, e := range q.entries {
+		out = append(out, &wire.QuarantineEntry{
+			Fingerprint:   f.Bytes(),
+			ExpiresUnixMs: uint64(e.expires.UnixMilli()),
+			Deaths:        uint32(e.count()),
+		})
+	}
+	slices.SortFunc(out, func(a, b *wire.QuarantineEntry) int {
+		return cmp.Or(cmp.Compare(b.ExpiresUnixMs, a.ExpiresUnixMs), slices.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return out[:min(limit, len(out))]
+}
+
+// Len returns the number of fingerprints in memory and of those that are refused.
+func (q *Quarantine) Len(now time.Time) (known, refused int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.expire(now)
+	for _, e := range q.entries {
+		if e.count() >= q.deaths {
+			refused++
+		}
+	}
+	return len(q.entries), refused
+}
+
+// entry returns the entry of f, after making room for it.
+func (q *Quarantine) entry(f Fingerprint, now time.Time) *entry {
+	if e := q.entries[f]; e != nil {
+		if now.Before(e.expires) {
+			return e
+		}
+		delete(q.entries, f)
+	}
+	if len(q.entries) >= maxFingerprints {
+		q.expire(now)
+	}
+	if len(q.entries) >= maxFingerprints {
+		q.evict()
+	}
+	e := &entry{}
+	q.entries[f] = e
+	return e
+}
+
+func (q *Quarantine) expire(now time.Time) {
+	for f, e := range q.entries {
+		if !now.Before(e.expires) {
+			delete(q.entries, f)
+		}
+	}
+}
+
+// evict removes the entry with the fewest deaths, the earliest to expire among equals.
+func (q *Quarantine) evict() {
+	var victim Fingerprint
+	var least *entry
+	for f, e := range q.entries {
+		if least == nil || e.count() < least.count() || (e.count() == least.count() && e.expires.Before(least.expires)) {
+			victim, least = f, e
+		}
+	}
+	delete(q.entries, victim)
+}
