--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -2,7 +2,10 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"encoding/binary"
+	"hash"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -30,19 +33,14 @@
 	return f, true
 }
 
-// Seeds of the two halves of a fingerprint.
-const (
-	fingerprintSeed1 = 0
-	fingerprintSeed2 = 0x9e3779b97f4a7c15
-)
-
 // Digest computes the fingerprint of a request while its body is read. It implements io.Writer for
-// the body.
-type Digest struct{ a, b *xxhash.Digest }
+// the body. The hash is a cryptographic one: a caller must not be able to build a request that puts
+// another caller's request into quarantine.
+type Digest struct{ h hash.Hash }
 
 // NewDigest starts the fingerprint of a request. target is the path with the query.
 func NewDigest(method, target string) *Digest {
-	d := &Digest{xxhash.NewWithSeed(fingerprintSeed1), xxhash.NewWithSeed(fingerprintSeed2)}
+	d := &Digest{sha256.New()}
 	d.writeField(method)
 	d.writeField(target)
 	return d
@@ -52,20 +50,16 @@
 func (d *Digest) writeField(s string) {
 	var size [8]byte
 	binary.LittleEndian.PutUint64(size[:], uint64(len(s)))
-	_, _ = d.Write(size[:])
-	_, _ = d.Write([]byte(s))
+	_, _ = d.h.Write(size[:])
+	_, _ = io.WriteString(d.h, s)
 }
 
 // Write implements io.Writer. It never fails.
-func (d *Digest) Write(p []byte) (int, error) {
-	_, _ = d.a.Write(p)
-	return d.b.Write(p)
-}
+func (d *Digest) Write(p []byte) (int, error) { return d.h.Write(p) }
 
 // Sum returns the fingerprint of what has been written.
-func (d *Digest) Sum() (f Fingerprint) {
-	binary.BigEndian.PutUint64(f[:8], d.a.Sum64())
-	binary.BigEndian.PutUint64(f[8:], d.b.Sum64())
+func (d *Digest) Sum() Fingerprint {
+	f, _ := ParseFingerprint(d.h.Sum(nil)[:FingerprintSize])
 	return f
 }
 
@@ -95,14 +89,20 @@
 }
 
 type entry struct {
-	victims []string // IDs of endpoints whose death this node learned of first hand
-	remote  uint32   // deaths stated by other nodes
+	victims []uint64 // hashes of the IDs of the endpoints that died
+	stated  uint32   // deaths stated by other nodes, which may name fewer victims
 	expires time.Time
 }
 
-// count is the number of distinct deaths. Those that other nodes state may be the same as this
-// node's, so that the larger number counts and not the sum.
-func (e *entry) count() int { return max(len(e.victims), int(e.remote)) }
+// count is the number of distinct deaths. Those that other nodes state without naming the victims may
+// be the same as the named ones, so that the larger number counts and not the sum.
+func (e *entry) count() int { return max(len(e.victims), int(e.stated)) }
+
+func (e *entry) addVictim(v uint64) {
+	if len(e.victims) < maxVictims && !slices.Contains(e.victims, v) {
+		e.victims = append(e.victims, v)
+	}
+}
 
 // NewQuarantine returns an empty table that refuses a request for the time keep after the last of
 // the given number of deaths.
@@ -132,9 +132,7 @@
 	defer q.mu.Unlock()
 	e := q.entry(f, now)
 	before := e.count()
-	if !slices.Contains(e.victims, endpointID) && len(e.victims) < maxVictims {
-		e.victims = append(e.victims, endpointID)
-	}
+	e.addVictim(xxhash.Sum64String(endpointID))
 	e.expires = now.Add(q.keep)
 	return before < q.deaths && e.count() >= q.deaths
 }
@@ -151,7 +149,10 @@
 			continue
 		}
 		e := q.entry(f, now)
-		e.remote = max(e.remote, min(m.GetDeaths(), maxVictims))
+		e.stated = max(e.stated, min(m.GetDeaths(), maxVictims))
+		for _, v := range m.GetVictims() {
+			e.addVictim(v)
+		}
 		if expires.After(e.expires) {
 			e.expires = expires
 		}
@@ -169,6 +170,7 @@
 			Fingerprint:   f.Bytes(),
 			ExpiresUnixMs: uint64(e.expires.UnixMilli()),
 			Deaths:        uint32(e.count()),
+			Victims:       slices.Clone(e.victims),
 		})
 	}
 	slices.SortFunc(out, func(a, b *wire.QuarantineEntry) int {
