Compare own failure domain and region together and judge slots, not links

Cause: one endpoint alone in its failure domain had no peer to be compared with, so a slow one kept its work; requests under way to another region counted as occupied slots; a latency outlier was ejected for 2 s after a 200 ms spell; noise of the latency average outweighed the load. Change: one sample over own failure domain and region, with an advantage for the former; own requests count by the share of time they spend at the gate; another region is used only without free capacity nearby and when its answer is expected sooner; a latency ejection needs one second of evidence per locality; jitter in proportion to what is estimated; latency weight 1/8; sample of 3.

--- a/internal/balance/control_test.go
+++ b/internal/balance/control_test.go
@@ -87,11 +87,16 @@
 			}
 			test.first(svc.Endpoints[0].Stats)
 			var reason EjectReason
-			for _, event := range Eject(testNow, svc.Endpoints, policy) {
-				if event.Endpoint != svc.Endpoints[0] {
-					t.Errorf("ejected %s", event.Endpoint.ID)
+			for pass, now := range []int64{testNow, testNow + int64(ejectSlowFor)} {
+				for _, event := range Eject(now, svc.Endpoints, policy) {
+					if event.Endpoint != svc.Endpoints[0] {
+						t.Errorf("ejected %s", event.Endpoint.ID)
+					}
+					if event.Reason == EjectLatency && pass == 0 {
+						t.Error("ejected for a short spell")
+					}
+					reason = event.Reason
 				}
-				reason = event.Reason
 			}
 			if reason != test.reason {
 				t.Errorf("reason %q, want %q", reason, test.reason)
--- a/internal/balance/dandelionspoke.go
+++ b/internal/balance/dandelionspoke.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"dandelionspoke/internal/table"
 )
@@ -9,19 +10,34 @@
 // Tuning of the choice.
 const (
 	// sampleSize is the number of endpoints of a locality that one choice compares.
-	// More than 4 take over 1 us in the case that all three localities are compared.
-	sampleSize = 4
+	sampleSize = 3
 	// hotQuantile of the sampled loads separates hot from cold endpoints (Prequal, NSDI 2024).
 	hotQuantile = 0.75
-	// freeLoad is the estimated load per slot up to which an endpoint has free capacity.
-	freeLoad = 0.9
-	// loadCost is the weight of the load in the expected latency of a request.
+	// freeLoad is the estimated load per slot, with the new request, up to which an endpoint has
+	// free capacity.
+	freeLoad = 1.0
+	// loadCost is the weight of the load in the expected time of a request.
 	loadCost = 1.0
-	// jitter spreads the choices of nodes that hold the same report, as a share of the cost.
+	// crowdedLoad is the load from which the cost rises with its square, weighted by crowdedCost.
+	crowdedLoad = 0.7
+	crowdedCost = 4.0
+	// jitter spreads the choices of nodes that hold the same report, as a share of the cost. It
+	// applies in proportion to the part of the load that comes from reports.
 	jitter = 0.3
+	// domainBias is the factor by which the cost of another failure domain must be lower.
+	domainBias = 1.3
 	// stalledRatio is the latency, in multiples of the fastest sampled endpoint, from which an
 	// endpoint counts as having no free capacity.
 	stalledRatio = 4
+	// unknownLatency is assumed while no endpoint of the sample has answered or reported.
+	unknownLatency = 5 * time.Millisecond
+	// farLatency is the latency added for another region until an answer from there is known.
+	farLatency = 40 * time.Millisecond
+	// fullFarBias is the factor by which the cost of another region without free capacity must be
+	// lower, since sending work there crosses a paid link.
+	fullFarBias = 2
+	// unknownLoad caps the load assumed for an endpoint that has never reported.
+	unknownLoad = 0.5
 	// minSlowStart is the share of its draws that a newly admitted endpoint starts with.
 	minSlowStart = 0.05
 	// trialShare is the share of first attempts that try a sampled endpoint whose ejection has ended.
@@ -33,47 +49,54 @@
 
 // sample is the set of endpoints that one choice compares.
 type sample struct {
-	c [sampleSize]candidate
+	c [2 * sampleSize]candidate
 	n int
 }
 
-// Pick implements Picker. It takes localities in order and leaves one only when no sampled endpoint
-// of it has free capacity. When none has, it takes the least loaded one of the nearest region that
-// has a usable endpoint, then an ejected one, then a suspect one. A draining endpoint
-// is never chosen.
+// Pick implements Picker. It compares endpoints of the own failure domain and the own region, the
+// former with an advantage. It considers another region only when none of these has free capacity.
+// When the other region would take longer, it stays in the own region. Ejected endpoints, then suspect ones, are the last resort. A draining endpoint is never
+// chosen.
 func (dandelionspoke) Pick(now int64, rng *rand.Rand, svc *table.Service, exclude uint64, long bool) int {
-	fallback, fallbackLoad := None, 0.0
-	start := 0
-	for l, end := range svc.LocalityEnd {
-		if end <= start {
-			continue
-		}
-		var s sample
-		s.draw(now, rng, svc, start, end, exclude)
-		start = end
-		if s.n == 0 {
-			continue
-		}
-		s.rate(now, rng, svc, long)
-		if i := s.trial(rng, exclude); i != None {
-			return i
-		}
-		if i := s.best(rng); i != None {
-			return i
-		}
-		if table.Locality(l) == table.OtherRegion && fallback != None {
-			break
-		}
-		if i, load := s.leastLoaded(); fallback == None || load < fallbackLoad {
-			fallback, fallbackLoad = i, load
-		}
+	var near sample
+	domainEnd, regionEnd := svc.LocalityEnd[table.SameDomain], svc.LocalityEnd[table.SameRegion]
+	near.draw(now, rng, svc, 0, domainEnd, exclude)
+	near.draw(now, rng, svc, domainEnd, regionEnd, exclude)
+	near.rate(now, rng, svc, long, 0)
+	if i := near.trial(rng, exclude); i != None {
+		return i
+	}
+	if i := near.best(); i != None {
+		return near.c[i].index
+	}
+	var far sample
+	far.draw(now, rng, svc, regionEnd, svc.LocalityEnd[table.OtherRegion], exclude)
+	far.rate(now, rng, svc, long, float64(farLatency))
+	if i := far.trial(rng, exclude); i != None {
+		return i
 	}
-	if fallback != None {
-		return fallback
+	if i := overflow(&near, &far); i != None {
+		return i
 	}
 	return lastResort(rng, svc, exclude)
 }
 
+// overflow chooses between regions when the own one has no free capacity: another region when it has
+// and its answer is expected sooner, or when it has not and its answer is expected much sooner.
+func overflow(near, far *sample) int {
+	n, f, factor := near.cheapest(), far.best(), 1.0
+	if f == None {
+		f, factor = far.cheapest(), fullFarBias
+	}
+	switch {
+	case f != None && (n == None || far.c[f].cost*factor < near.c[n].cost):
+		return far.c[f].index
+	case n != None:
+		return near.c[n].index
+	}
+	return None
+}
+
 // usable reports whether ordinary work may go to the endpoint. An endpoint whose ejection has ended
 // takes one trial request at a time.
 func usable(s *table.Stats, now int64) bool {
@@ -87,24 +110,28 @@
 	return now >= until && s.TrialInFlight.Load() == 0
 }
 
-// draw fills the sample with distinct usable endpoints from positions start to end.
+// draw adds up to sampleSize distinct usable endpoints from positions start to end.
 func (s *sample) draw(now int64, rng *rand.Rand, svc *table.Service, start, end int, exclude uint64) {
-	n := end - start
+	n, full := end-start, s.n+sampleSize
+	if n <= 0 {
+		return
+	}
 	if n <= sampleSize {
-		s.scan(now, rng, svc, start, n, exclude, sampleSize)
+		s.scan(now, rng, svc, start, n, exclude, full)
 		return
 	}
+	first := s.n
 	for range 2 * sampleSize {
 		i := start + rng.IntN(n)
 		if !excluded(exclude, i) && !s.has(i) && usable(svc.Endpoints[i].Stats, now) {
 			s.add(i)
-			if s.n == sampleSize {
+			if s.n == full {
 				return
 			}
 		}
 	}
-	if s.n == 0 {
-		s.scan(now, rng, svc, start, n, exclude, 2)
+	if s.n == first {
+		s.scan(now, rng, svc, start, n, exclude, first+2)
 	}
 }
 
@@ -112,7 +139,10 @@
 func (s *sample) scan(now int64, rng *rand.Rand, svc *table.Service, start, n int, exclude uint64, limit int) {
 	offset := rng.IntN(n)
 	for k := range n {
-		i := start + (offset+k)%n
+		i := start + offset + k
+		if i >= start+n {
+			i -= n
+		}
 		if excluded(exclude, i) || !usable(svc.Endpoints[i].Stats, now) {
 			continue
 		}
@@ -137,26 +167,51 @@
 	s.n++
 }
 
-// rate estimates load, latency and cost of each sampled endpoint.
-func (s *sample) rate(now int64, rng *rand.Rand, svc *table.Service, long bool) {
+// rate estimates load, latency and cost of each sampled endpoint. distance is the latency added
+// to endpoints of which none is known.
+func (s *sample) rate(now int64, rng *rand.Rand, svc *table.Service, long bool, distance float64) {
+	if s.n == 0 {
+		return
+	}
 	slots := max(svc.Config.Slots, 1)
 	if long {
 		slots = max(svc.Config.LongSlots, 1)
 	}
 	for k := range s.n {
 		c := &s.c[k]
-		c.observe(now, svc.Endpoints[c.index], slots, long)
-		c.late = slowStartSkips(now, rng, svc, svc.Endpoints[c.index].Stats)
+		e := svc.Endpoints[c.index]
+		c.observe(now, e, slots, long)
+		c.late = slowStartSkips(now, rng, svc, e.Stats)
 	}
 	prior := s.meanOthers()
 	peer := s.peerLatency(svc)
 	for k := range s.n {
 		c := &s.c[k]
-		others := prior + (c.others-prior)*c.weight
-		c.load = (c.own + others + 1) / c.slots
-		c.latency = latencyOf(svc.Endpoints[c.index].Stats, now, peer)
+		e := svc.Endpoints[c.index]
+		c.load = (c.own + c.estimateOthers(e.Stats, prior) + 1) / c.slots
+		c.latency = latencyOf(e.Stats, now, peer)
+		if e.Stats.LatencyNanos.Load() == 0 {
+			c.latency += distance
+		}
 	}
 	s.markUnfit()
+	for k := range s.n {
+		c := &s.c[k]
+		c.cost = c.expectedTime() * (1 + jitter*c.unsure*rng.Float64())
+		if svc.Endpoints[c.index].Locality == table.SameRegion {
+			c.cost *= domainBias
+		}
+	}
+}
+
+// expectedTime is the expected latency of one more request, raised by recent failures.
+func (c *candidate) expectedTime() float64 {
+	crowded := max(c.load-crowdedLoad, 0)
+	latency := c.latency
+	if latency == 0 {
+		latency = float64(unknownLatency)
+	}
+	return latency * (1 + loadCost*c.load + crowdedCost*crowded*crowded) * c.penalty
 }
 
 // slowStartSkips passes over a recently admitted endpoint in a falling share of the draws.
@@ -230,27 +285,27 @@
 	return None
 }
 
-// best returns the position with the lowest cost among the cold endpoints with free capacity, or
+// best returns the sampled endpoint with the lowest cost among the cold ones with free capacity, or
 // None when no endpoint has free capacity. Endpoints in slow start that were passed over count only
 // when there is no other.
-func (s *sample) best(rng *rand.Rand) int {
+func (s *sample) best() int {
 	if !s.hasFree() {
 		return None
 	}
 	for _, late := range [2]bool{false, true} {
 		threshold := s.loadQuantile(late)
-		best, least := None, 0.0
+		best := None
 		for k := range s.n {
 			c := &s.c[k]
 			if c.late != late || c.load > freeLoad || c.load > threshold {
 				continue
 			}
-			if cost := c.cost(rng); best == None || cost < least {
-				best, least = k, cost
+			if best == None || c.cost < s.c[best].cost {
+				best = k
 			}
 		}
 		if best != None {
-			return s.c[best].index
+			return best
 		}
 	}
 	return None
@@ -265,15 +320,9 @@
 	return false
 }
 
-// cost is the expected latency of one more request, raised by recent failures and spread at random.
-func (c *candidate) cost(rng *rand.Rand) float64 {
-	noise := 1 + jitter*rng.Float64()
-	return max(c.latency, 1) * (1 + loadCost*c.load) * c.penalty * noise
-}
-
 // loadQuantile is the hotQuantile of the loads among candidates with the given value of late.
 func (s *sample) loadQuantile(late bool) float64 {
-	var loads [sampleSize]float64
+	var loads [2 * sampleSize]float64
 	n := 0
 	for k := range s.n {
 		if s.c[k].late != late {
@@ -293,15 +342,15 @@
 	return loads[int(hotQuantile*float64(n-1)+0.5)]
 }
 
-// leastLoaded returns the position with the lowest load, and that load.
-func (s *sample) leastLoaded() (int, float64) {
-	best := 0
-	for k := 1; k < s.n; k++ {
-		if s.c[k].load < s.c[best].load {
+// cheapest returns the sampled endpoint with the lowest cost, or None.
+func (s *sample) cheapest() int {
+	best := None
+	for k := range s.n {
+		if best == None || s.c[k].cost < s.c[best].cost {
 			best = k
 		}
 	}
-	return s.c[best].index, s.c[best].load
+	return best
 }
 
 // lastResort returns an ejected endpoint, else a suspect one, else None. Work that would otherwise
--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -22,6 +22,9 @@
 	ejectLatencyRatio = 8
 	// minEjectLatency keeps differences of fast services from ejecting.
 	minEjectLatency = 20 * time.Millisecond
+	// ejectSlowFor is the time for which each pass must find an endpoint slow. Spells of a few
+	// hundred milliseconds are left to the choice, which avoids the endpoint only while they last.
+	ejectSlowFor = time.Second
 	// latencyFresh is the age up to which a latency average is evidence.
 	latencyFresh = time.Second
 	// minLatencyPeers is the number of endpoints with a known latency that a median needs.
@@ -74,13 +77,13 @@
 	for len(out) > limit {
 		events = append(events, readmitFirst(now, &out))
 	}
-	median := medianLatency(now, endpoints)
+	medians := medianLatencies(now, endpoints)
 	for _, e := range endpoints {
 		if ejected(e.Stats) || slices.Contains(out, e) {
 			continue
 		}
 		forgive(e.Stats, now)
-		reason, bad := outlier(now, e.Stats, median, p)
+		reason, bad := outlier(now, e.Stats, medians[e.Locality], p)
 		alive := isLive(e.Stats)
 		if !bad || len(out) >= limit || (alive && live <= 1) {
 			continue
@@ -139,33 +142,54 @@
 	if failures > 0 && s.FailureRateMilli.Load() >= ejectRateMilli {
 		return EjectFailureRate, true
 	}
-	if median == 0 {
-		return "", false
+	if persistentlySlow(now, s, median) {
+		return EjectLatency, true
 	}
+	return "", false
+}
+
+// persistentlySlow reports whether each pass of the last ejectSlowFor found the endpoint far slower
+// than the median of its peers.
+func persistentlySlow(now int64, s *table.Stats, median float64) bool {
 	latency := meanAge(s, now)
 	if now-s.LatencyAt.Load() <= int64(latencyFresh) {
 		latency = max(latency, float64(s.LatencyNanos.Load()))
 	}
-	if latency > ejectLatencyRatio*median && latency > float64(minEjectLatency) {
-		return EjectLatency, true
+	if median == 0 || latency <= ejectLatencyRatio*median || latency <= float64(minEjectLatency) {
+		s.SlowSince.Store(0)
+		return false
 	}
-	return "", false
+	s.SlowSince.CompareAndSwap(0, now)
+	return now-s.SlowSince.Load() >= int64(ejectSlowFor)
 }
 
-// medianLatency is the lower median of the fresh latency averages, or 0 when too few are known.
-func medianLatency(now int64, endpoints []*table.Endpoint) float64 {
-	var known []int64
+// medianLatencies is, for each locality, the lower median of the fresh latency averages, or 0 when
+// too few are known. Endpoints of the own region are compared with one another, and those of other
+// regions too, since the distance between regions may exceed any service time.
+func medianLatencies(now int64, endpoints []*table.Endpoint) (medians [table.Localities]float64) {
+	var near, far []int64
 	for _, e := range endpoints {
 		l := e.Stats.LatencyNanos.Load()
-		if l > 0 && now-e.Stats.LatencyAt.Load() <= int64(latencyFresh) {
-			known = append(known, l)
+		switch {
+		case l == 0 || now-e.Stats.LatencyAt.Load() > int64(latencyFresh):
+		case e.Locality == table.OtherRegion:
+			far = append(far, l)
+		default:
+			near = append(near, l)
 		}
 	}
-	if len(known) < minLatencyPeers {
+	medians[table.SameDomain] = lowerMedian(near)
+	medians[table.SameRegion] = medians[table.SameDomain]
+	medians[table.OtherRegion] = lowerMedian(far)
+	return medians
+}
+
+func lowerMedian(values []int64) float64 {
+	if len(values) < minLatencyPeers {
 		return 0
 	}
-	slices.Sort(known)
-	return float64(known[(len(known)-1)/2])
+	slices.Sort(values)
+	return float64(values[(len(values)-1)/2])
 }
 
 // eject starts an ejection whose duration doubles with each repeat, and returns its end.
@@ -191,6 +215,7 @@
 	s.ConsecutiveFailures.Store(0)
 	s.FailureRateMilli.Store(0)
 	s.LatencyNanos.Store(0)
+	s.SlowSince.Store(0)
 	s.AdmittedAt.Store(now)
 	s.TrialInFlight.Store(0)
 	s.EjectedUntil.Store(0)
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -37,6 +37,8 @@
 	weight  float64 // trust in others, 0 to 1
 	load    float64 // estimated requests in flight or queued per slot, counting the new one
 	latency float64 // nanoseconds; 0 when unknown
+	unsure  float64 // part of the load that is estimated, 0 to 1
+	cost    float64 // expected time of one more request, nanoseconds
 	penalty float64 // at least 1; grows with the failure share
 	failing bool    // the last results were failures
 	trial   bool    // its ejection has ended and no trial runs
@@ -71,14 +73,17 @@
 	if !long && e.Slots > 0 {
 		c.slots = float64(e.Slots)
 	}
+	reported, atReport := 0.0, 0.0
 	if long {
-		c.own = float64(s.OwnLong.Load())
-		c.others = float64(s.ReportedLong.Load() + s.ReportedLongQueue.Load() - s.OwnLongAtReport.Load())
+		c.own, atReport = float64(s.OwnLong.Load()), float64(s.OwnLongAtReport.Load())
+		reported = float64(s.ReportedLong.Load() + s.ReportedLongQueue.Load())
 	} else {
-		c.own = float64(s.OwnInFlight.Load())
-		c.others = float64(s.ReportedInFlight.Load() + s.ReportedQueue.Load() - s.OwnAtReport.Load())
+		c.own, atReport = float64(s.OwnInFlight.Load()), float64(s.OwnAtReport.Load())
+		reported = float64(s.ReportedInFlight.Load() + s.ReportedQueue.Load())
 	}
-	c.others = max(c.others, 0)
+	present := c.presence(s)
+	c.own *= present
+	c.others = max(reported-atReport*present, 0)
 	c.weight = reportWeight(s, now)
 	c.trial = onTrial(s, now)
 	c.penalty = 1
@@ -89,6 +94,28 @@
 	}
 }
 
+// estimateOthers is the load by other nodes. Its trust in the report falls towards the prior, which
+// is the mean of the peers.
+func (c *candidate) estimateOthers(s *table.Stats, prior float64) float64 {
+	others := prior + (c.others-prior)*c.weight
+	if s.ReportedAt.Load() == 0 {
+		others = min(prior, unknownLoad*c.slots)
+	}
+	c.unsure = (others + 1) / (c.own + others + 1)
+	return others
+}
+
+// presence is the share of the time of a request that it spends at the gate and not on the way.
+// Requests on the way to another region take most of the time and hold no slot.
+func (c *candidate) presence(s *table.Stats) float64 {
+	latency, service := float64(s.LatencyNanos.Load()), float64(s.ReportedServiceNanos.Load())
+	if latency == 0 || service == 0 {
+		return 1
+	}
+	atGate := service * (1 + float64(s.ReportedQueue.Load())/c.slots)
+	return min(atGate/latency, 1)
+}
+
 // meanAge is the mean age of this node's short requests in flight, in nanoseconds; 0 when there are none.
 func meanAge(s *table.Stats, now int64) float64 {
 	n := int64(s.OwnInFlight.Load() - s.OwnLong.Load())
--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -25,7 +25,7 @@
 
 // Weights of a new observation in the moving averages, as 1/weight.
 const (
-	latencyWeight = 4
+	latencyWeight = 8
 	failureWeight = 8
 )
 
--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -96,28 +96,32 @@
 	}
 }
 
-// Guards against leaving the own failure domain or region while it has free capacity, and against
-// staying there when it has none.
+// Guards against leaving the own failure domain or region while it has free capacity, against
+// staying there when it has none and another region answers sooner, and against crossing to another
+// region for a queue that is shorter than the way.
 func TestLocalityOrder(t *testing.T) {
-	full := func(svc *table.Service, from, to int) {
-		for _, e := range svc.Endpoints[from:to] {
-			ObserveReport(e.Stats, testNow, &wire.Load{InFlight: 12, QueuedShort: 6})
-		}
-	}
 	tests := []struct {
 		name     string
-		full     int // first positions without free capacity
+		busy     int // first positions without free capacity
+		queue    uint32
 		from, to int // permitted positions
 	}{
-		{"own failure domain free", 0, 0, 2},
-		{"own region free", 2, 2, 4},
-		{"only the other region free", 4, 4, 6},
-		{"none free: stay in own region", 6, 0, 4},
+		{"own failure domain free", 0, 0, 0, 2},
+		{"own region free", 2, 6, 2, 4},
+		{"short queue in the own region", 4, 2, 0, 4},
+		{"long queue in the own region", 4, 30, 4, 6},
+		{"long queue everywhere", 6, 30, 0, 4},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			svc := newService(2, 2, 2)
-			full(svc, 0, test.full)
+			for i, e := range svc.Endpoints {
+				load := &wire.Load{InFlight: 4, ServiceTimeUs: 5000}
+				if i < test.busy {
+					load = &wire.Load{InFlight: 12, QueuedShort: test.queue, ServiceTimeUs: 5000}
+				}
+				ObserveReport(e.Stats, testNow, load)
+			}
 			for i, n := range shares(newPicker(t, Dandelionspoke), svc, 500, 0) {
 				if n > 0 && (i < test.from || i >= test.to) {
 					t.Errorf("position %d was chosen %d times", i, n)
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -82,6 +82,8 @@
 	ReportedServiceNanos atomic.Int64
 	// FailedAt is when the last failure was observed.
 	FailedAt atomic.Int64
+	// SlowSince is when the ejection pass first found the endpoint far slower than its peers.
+	SlowSince atomic.Int64
 	// ProbedAt is when this node last sent a probe to the endpoint.
 	ProbedAt atomic.Int64
 }
