--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -263,3 +264,61 @@
 		}
 	}
 }
+
+// Guards against requests on their way to another region counting as occupied slots, which would
+// make an idle endpoint there look full.
+func TestRequestsOnTheWayHoldNoSlot(t *testing.T) {
+	svc := newService(1, 0, 1)
+	far := svc.Endpoints[1].Stats
+	for _, e := range svc.Endpoints {
+		ObserveReport(e.Stats, testNow, &wire.Load{InFlight: 12, QueuedShort: 60, ServiceTimeUs: 5000})
+	}
+	for range 40 {
+		ObserveStart(far, testNow-int64(10*time.Millisecond), false)
+	}
+	ObserveReport(far, testNow, &wire.Load{InFlight: 5, ServiceTimeUs: 5000})
+	far.LatencyNanos.Store(int64(45 * time.Millisecond))
+	far.LatencyAt.Store(testNow)
+	if counts := shares(newPicker(t, Dandelionspoke), svc, 200, 0); counts[1] != 200 {
+		t.Errorf("picks %v, want all in the other region", counts)
+	}
+}
+
+// Guards against a failed trial that re-admits, that leaves the endpoint on trial without a pause, or
+// that changes an endpoint which is no longer ejected.
+func TestFailedTrial(t *testing.T) {
+	s := &table.Stats{}
+	s.EjectedUntil.Store(testNow)
+	s.EjectionCount.Store(1)
+	ObserveStart(s, testNow, false)
+	ObserveResult(s, testNow+1, 1, Failed, false)
+	if got, want := s.EjectedUntil.Load(), testNow+1+int64(2*trialRetry); got != want {
+		t.Errorf("ejected until %d, want %d", got, want)
+	}
+	readmit(s, testNow)
+	ObserveStart(s, testNow, false)
+	ObserveResult(s, testNow+1, 1, Failed, false)
+	if s.EjectedUntil.Load() != 0 {
+		t.Error("a failure ejected an endpoint outside the ejection pass")
+	}
+}
+
+// Guards against counters that drift when requests start and end concurrently.
+func TestObservationsBalance(t *testing.T) {
+	s := &table.Stats{}
+	var wg sync.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			rng := newRNG(uint64(g))
+			for range 500 {
+				start, latency, long := rng.Int64N(1000), rng.Int64N(100), rng.IntN(4) == 0
+				ObserveStart(s, start, long)
+				ObserveResult(s, start+latency, time.Duration(latency), Outcome(rng.IntN(4)), long)
+			}
+		})
+	}
+	wg.Wait()
+	if s.OwnInFlight.Load() != 0 || s.OwnLong.Load() != 0 || s.StartSum.Load() != 0 {
+		t.Errorf("in flight %d, long %d, start sum %d", s.OwnInFlight.Load(), s.OwnLong.Load(), s.StartSum.Load())
+	}
+}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -274,3 +275,22 @@
 		t.Errorf("%d entries, want 5", n)
 	}
 }
+
+// Guards against concurrent requests that together spend more than the budget.
+func TestBudgetConcurrently(t *testing.T) {
+	b := NewBudget(start, 0.1, 0)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 250 {
+				b.First()
+				b.Spend(start)
+				b.Spend(start)
+			}
+		})
+	}
+	wg.Wait()
+	if c := b.Counts(); c.First != 2000 || c.Spent > 200 || c.Spent < 150 {
+		t.Errorf("counts %+v", c)
+	}
+}
