--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -24,9 +24,10 @@
 // Bytes returns the fingerprint for a message.
 func (f Fingerprint) Bytes() []byte { return f[:] }
 
-// ParseFingerprint returns the fingerprint of a message, or false when b is not one.
+// ParseFingerprint returns the fingerprint of a message, or false when b is too short to be one. A
+// longer digest is cut.
 func ParseFingerprint(b []byte) (f Fingerprint, ok bool) {
-	if len(b) != FingerprintSize {
+	if len(b) < FingerprintSize {
 		return f, false
 	}
 	copy(f[:], b)
@@ -59,7 +60,7 @@
 
 // Sum returns the fingerprint of what has been written.
 func (d *Digest) Sum() Fingerprint {
-	f, _ := ParseFingerprint(d.h.Sum(nil)[:FingerprintSize])
+	f, _ := ParseFingerprint(d.h.Sum(nil))
 	return f
 }
 
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -294,3 +294,26 @@
 		t.Errorf("counts %+v", c)
 	}
 }
+
+// Guards against a quantile from too few or outdated samples, and against a wrong one.
+func TestLatencies(t *testing.T) {
+	l := NewLatencies(start, 0.95)
+	for i := range minLatencies {
+		if l.Quantile(start) != 0 {
+			t.Fatalf("a quantile of %d samples", i)
+		}
+		l.Record(start, 3*time.Millisecond)
+	}
+	for i := range 1000 {
+		l.Record(start, time.Duration(i*7919%1000+1)*time.Millisecond)
+	}
+	if q := l.Quantile(start); q < 920*time.Millisecond || q > 970*time.Millisecond {
+		t.Errorf("quantile %v, want about 950ms", q)
+	}
+	if l.Quantile(start.Add(latencyWindow)) == 0 {
+		t.Error("the window before was forgotten")
+	}
+	if q := l.Quantile(start.Add(3 * latencyWindow)); q != 0 {
+		t.Errorf("quantile %v after all windows have passed", q)
+	}
+}
