--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -271,3 +271,15 @@
 	}()
 	q.Release(at(2), ticket, 0)
 }
+
+// Guards against the bounded wait of long work being read as leave to take further slots from waiting short work.
+func TestSecondLongRequestYieldsToStandingShortQueue(t *testing.T) {
+	q := New(Limits{Slots: 4, LongSlots: 2, QueueShort: 10, QueueLong: 4})
+	offer(t, q, at(0), long("running", 9000), Admitted, "")
+	a := offer(t, q, at(0), short("a", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("b", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("c", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("d", 0, 9000), Queued, "")
+	offer(t, q, at(0), long("second", 9000), Queued, "")
+	expectDecisions(t, q.Release(at(500), a, 0), "d admitted")
+}
