Refuse with overloaded when the queue is why a deadline would be missed

Cause: deadline-too-short is final for the retry policy, yet a queue ahead says nothing about other endpoints. Change: overloaded when the wait is the cause; deadline-too-short only when the service time alone exceeds the remaining time. Measured: go test ./internal/admission passes.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -152,16 +152,21 @@
 	return &q.short, q.limits.QueueShort
 }
 
-// earlyRefusal refuses a request that would miss its deadline or lengthen a standing queue.
+// earlyRefusal refuses a request that would miss its deadline or lengthen a standing queue. The reason
+// DeadlineTooShort holds without any queue, so other endpoints would refuse too; Overloaded does not.
 func (q *Queue) earlyRefusal(now time.Time, e *entry, l *lane) verdict.Reason {
 	estimate, slots := q.shortTime, q.limits.Slots-q.inUseLong
 	if e.long {
 		estimate, slots = q.longTime, q.limits.LongSlots
 	}
 	wait := estimate.wait(l.ahead(e), slots)
-	if now.Add(wait + estimate.duration()).After(e.request.Deadline) {
+	remaining := e.request.Deadline.Sub(now)
+	if estimate.duration() > remaining {
 		return verdict.DeadlineTooShort
 	}
+	if wait+estimate.duration() > remaining {
+		return verdict.Overloaded
+	}
 	if !e.long && q.standing(now) && wait > q.standingWait() {
 		return verdict.Overloaded
 	}
