Keep NextDecision after the present

Cause: with a long request running and another one overdue, NextDecision returned a past time, so a timer set from it would spin. Change: the overdue time counts only when it can start a request; the rapid test checks that the next decision lies after the present. Measured: go test ./internal/admission passes.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -227,9 +227,10 @@
 func (q *Queue) Expire(now time.Time) []Grant { return q.settle(now) }
 
 // NextDecision returns the earliest time at which Expire may decide a waiter, or false without waiters.
+// After any other call it lies after the time passed to that call.
 func (q *Queue) NextDecision() (time.Time, bool) {
 	next := q.long.earliestDeadline(q.short.earliestDeadline(time.Time{}))
-	if head := q.long.head(); head != nil && q.free() > 0 {
+	if head := q.long.head(); head != nil && q.inUseLong == 0 && q.free() > 0 {
 		if overdue := head.offered.Add(q.longPatience()); overdue.Before(next) {
 			next = overdue
 		}
--- a/internal/admission/rapid_test.go
+++ b/internal/admission/rapid_test.go
@@ -164,6 +164,9 @@
 	if int(load.QueuedShort+load.QueuedLong) != len(m.waiting) || int(load.QueuedShort) != waitingShort {
 		m.t.Fatalf("load %v, want %d waiting, %d short: a waiter was lost", load, len(m.waiting), waitingShort)
 	}
+	if next, ok := m.queue.NextDecision(); ok != (len(m.waiting) > 0) || (ok && !next.After(m.now)) {
+		m.t.Fatalf("next decision %v, %v at %v with %d waiting: a timer would spin", next, ok, m.now, len(m.waiting))
+	}
 	if waitingShort > 0 && len(m.running) < m.limits.Slots {
 		m.t.Fatalf("short work waits beside %d free slots", m.limits.Slots-len(m.running))
 	}
