--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,28 +97,32 @@
 	}
 }
 
-// Guards against leaving the own failure domain or region while it has free capacity, and against
-// staying there when it has none.
+// Guards against leaving the own failure domain or region while it has free capacity, against
+// staying there when it has none and another region answers sooner, and against crossing to another
+// region for a queue that is shorter than the way.
 func TestLocalityOrder(t *testing.T) {
-	full := func(svc *table.Service, from, to int) {
-		for _, e := range svc.Endpoints[from:to] {
-			ObserveReport(e.Stats, testNow, &wire.Load{InFlight: 12, QueuedShort: 6})
-		}
-	}
 	tests := []struct {
 		name     string
-		full     int // first positions without free capacity
+		busy     int // first positions without free capacity
+		queue    uint32
 		from, to int // permitted positions
 	}{
-		{"own failure domain free", 0, 0, 2},
-		{"own region free", 2, 2, 4},
-		{"only the other region free", 4, 4, 6},
-		{"none free: stay in own region", 6, 0, 4},
+		{"own failure domain free", 0, 0, 0, 2},
+		{"own region free", 2, 6, 2, 4},
+		{"short queue in the own region", 4, 2, 0, 4},
+		{"long queue in the own region", 4, 30, 4, 6},
+		{"long queue everywhere", 6, 30, 0, 4},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			svc := newService(2, 2, 2)
-			full(svc, 0, test.full)
+			for i, e := range svc.Endpoints {
+				load := &wire.Load{InFlight: 4, ServiceTimeUs: 5000}
+				if i < test.busy {
+					load = &wire.Load{InFlight: 12, QueuedShort: test.queue, ServiceTimeUs: 5000}
+				}
+				ObserveReport(e.Stats, testNow, load)
+			}
 			for i, n := range shares(newPicker(t, Dandelionspoke), svc, 500, 0) {
 				if n > 0 && (i < test.from || i >= test.to) {
 					t.Errorf("position %d was chosen %d times", i, n)
@@ -259,3 +264,61 @@
 		}
 	}
 }
+
+// Guards against requests on their way to another region counting as occupied slots, which would
+// make an idle endpoint there look full.
+func TestRequestsOnTheWayHoldNoSlot(t *testing.T) {
+	svc := newService(1, 0, 1)
+	far := svc.Endpoints[1].Stats
+	for _, e := range svc.Endpoints {
+		ObserveReport(e.Stats, testNow, &wire.Load{InFlight: 12, QueuedShort: 60, ServiceTimeUs: 5000})
+	}
+	for range 40 {
+		ObserveStart(far, testNow-int64(10*time.Millisecond), false)
+	}
+	ObserveReport(far, testNow, &wire.Load{InFlight: 5, ServiceTimeUs: 5000})
+	far.LatencyNanos.Store(int64(45 * time.Millisecond))
+	far.LatencyAt.Store(testNow)
+	if counts := shares(newPicker(t, Dandelionspoke), svc, 200, 0); counts[1] != 200 {
+		t.Errorf("picks %v, want all in the other region", counts)
+	}
+}
+
+// Guards against a failed trial that re-admits, that leaves the endpoint on trial without a pause, or
+// that changes an endpoint which is no longer ejected.
+func TestFailedTrial(t *testing.T) {
+	s := &table.Stats{}
+	s.EjectedUntil.Store(testNow)
+	s.EjectionCount.Store(1)
+	ObserveStart(s, testNow, false)
+	ObserveResult(s, testNow+1, 1, Failed, false)
+	if got, want := s.EjectedUntil.Load(), testNow+1+int64(2*trialRetry); got != want {
+		t.Errorf("ejected until %d, want %d", got, want)
+	}
+	readmit(s, testNow)
+	ObserveStart(s, testNow, false)
+	ObserveResult(s, testNow+1, 1, Failed, false)
+	if s.EjectedUntil.Load() != 0 {
+		t.Error("a failure ejected an endpoint outside the ejection pass")
+	}
+}
+
+// Guards against counters that drift when requests start and end concurrently.
+func TestObservationsBalance(t *testing.T) {
+	s := &table.Stats{}
+	var wg sync.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			rng := newRNG(uint64(g))
+			for range 500 {
+				start, latency, long := rng.Int64N(1000), rng.Int64N(100), rng.IntN(4) == 0
+				ObserveStart(s, start, long)
+				ObserveResult(s, start+latency, time.Duration(latency), Outcome(rng.IntN(4)), long)
+			}
+		})
+	}
+	wg.Wait()
+	if s.OwnInFlight.Load() != 0 || s.OwnLong.Load() != 0 || s.StartSum.Load() != 0 {
+		t.Errorf("in flight %d, long %d, start sum %d", s.OwnInFlight.Load(), s.OwnLong.Load(), s.StartSum.Load())
+	}
+}
