--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -152,16 +152,21 @@
 	return &q.short, q.limits.QueueShort
 }
 
-// earlyRefusal refuses a request that would miss its deadline or lengthen a standing queue.
+// earlyRefusal refuses a request that would miss its deadline or lengthen a standing queue. The reason
+// DeadlineTooShort holds without any queue, so other endpoints would refuse too; Overloaded does not.
 func (q *Queue) earlyRefusal(now time.Time, e *entry, l *lane) verdict.Reason {
 	estimate, slots := q.shortTime, q.limits.Slots-q.inUseLong
 	if e.long {
 		estimate, slots = q.longTime, q.limits.LongSlots
 	}
 	wait := estimate.wait(l.ahead(e), slots)
-	if now.Add(wait + estimate.duration()).After(e.request.Deadline) {
+	remaining := e.request.Deadline.Sub(now)
+	if estimate.duration() > remaining {
 		return verdict.DeadlineTooShort
 	}
+	if wait+estimate.duration() > remaining {
+		return verdict.Overloaded
+	}
 	if !e.long && q.standing(now) && wait > q.standingWait() {
 		return verdict.Overloaded
 	}
@@ -222,9 +227,10 @@
 func (q *Queue) Expire(now time.Time) []Grant { return q.settle(now) }
 
 // NextDecision returns the earliest time at which Expire may decide a waiter, or false without waiters.
+// After any other call it lies after the time passed to that call.
 func (q *Queue) NextDecision() (time.Time, bool) {
 	next := q.long.earliestDeadline(q.short.earliestDeadline(time.Time{}))
-	if head := q.long.head(); head != nil && q.free() > 0 {
+	if head := q.long.head(); head != nil && q.inUseLong == 0 && q.free() > 0 {
 		if overdue := head.offered.Add(q.longPatience()); overdue.Before(next) {
 			next = overdue
 		}
