--- /dev/null
+++ b/internal/membership/apply.go
@@ -0,0 +1,177 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dandelionspoke/internal/wire"
+)
+
+// cleanupInterval is the time between two passes that drop expired records.
+const cleanupInterval = time.Minute
+
+// origin says how a record arrived. Gossip is fresh; a sync may carry the view of a node that was cut
+// off from the member.
+type origin uint8
+
+const (
+	fromGossip origin = iota
+	fromSync
+	// fromBulkSync is a sync of more than maxSpreadMembers records.
+	fromBulkSync
+)
+
+// maxSpreadMembers is the number of records up to which a node gossips what it learns from a sync. A
+// node that joins a larger system learns thousands of records that everyone else has.
+const maxSpreadMembers = 64
+
+func syncOrigin(members []*wire.Member) origin {
+	if len(members) > maxSpreadMembers {
+		return fromBulkSync
+	}
+	return fromSync
+}
+
+// apply merges a heard record into the table.
+func (n *Node) apply(now time.Time, heard *wire.Member, via origin) {
+	if err := Validate(heard, now); err != nil {
+		n.counters.Malformed.Add(1)
+		return
+	}
+	if heard.NodeId == n.self.NodeId {
+		n.refute(now, heard)
+		return
+	}
+	known := n.list.entries[heard.NodeId]
+	if known == nil {
+		n.insert(now, heard, via)
+		return
+	}
+	merged := Merge(known.record, heard)
+	if merged == known.record || proto.Equal(merged, known.record) {
+		n.verifyDisagreement(known, heard, via)
+		return
+	}
+	merged = n.tempered(now, known, heard, merged, via)
+	if merged == nil {
+		return
+	}
+	n.store(now, known, merged, via)
+}
+
+// tempered turns a report of failure about a member that counts as ALIVE here into something the
+// member can refute: gossip makes it SUSPECT, a sync makes this node ping it. Nil means no change.
+func (n *Node) tempered(now time.Time, known *entry, heard, merged *wire.Member, via origin) *wire.Member {
+	accusation := heard.State == wire.MemberState_SUSPECT || heard.State == wire.MemberState_DEAD
+	if !accusation || known.record.State != wire.MemberState_ALIVE {
+		return merged
+	}
+	if via != fromGossip {
+		n.detector.verify(known.record.NodeId)
+		return nil
+	}
+	if merged.State == wire.MemberState_DEAD {
+		return withState(merged, wire.MemberState_SUSPECT)
+	}
+	return merged
+}
+
+// verifyDisagreement pings a member that is DEAD here but live in the state of another node, so that
+// the member refutes its death.
+func (n *Node) verifyDisagreement(known *entry, heard *wire.Member, via origin) {
+	if via != fromGossip && Live(heard.State) && known.record.State == wire.MemberState_DEAD &&
+		heard.Incarnation == known.record.Incarnation {
+		n.detector.verify(heard.NodeId)
+	}
+}
+
+func (n *Node) insert(now time.Time, heard *wire.Member, via origin) {
+	if n.list.set(heard, now, n.rng) == nil {
+		n.counters.Malformed.Add(1)
+		return
+	}
+	// A DEAD or LEAVING record of an unknown node in a sync is old.
+	if via == fromGossip || Live(heard.State) {
+		n.spread(heard, heard.State == wire.MemberState_ALIVE || heard.State == wire.MemberState_LEAVING, via)
+	}
+}
+
+func (n *Node) store(now time.Time, known *entry, merged *wire.Member, via origin) {
+	before := known.record
+	if sameExceptBundle(before, merged) {
+		known.bundle = max(known.bundle, merged.BundleVersion)
+		return
+	}
+	n.list.set(merged, now, n.rng)
+	restarted := Incarnation(merged.Incarnation).Process() != Incarnation(before.Incarnation).Process()
+	leaving := merged.State == wire.MemberState_LEAVING && before.State != wire.MemberState_LEAVING
+	undrained := before.State == wire.MemberState_LEAVING && merged.State == wire.MemberState_ALIVE
+	n.spread(merged, leaving || undrained || restarted, via)
+	if before.State == wire.MemberState_DEAD && Live(merged.State) && !restarted {
+		n.reconnect(merged, via)
+	}
+}
+
+func sameExceptBundle(a, b *wire.Member) bool {
+	return a.Incarnation == b.Incarnation && a.State == b.State && sameDetails(a, b)
+}
+
+func (n *Node) spread(m *wire.Member, push bool, via origin) {
+	if via == fromBulkSync {
+		return
+	}
+	n.gossip.add(m)
+	if push {
+		n.push = max(n.push, 1)
+	}
+}
+
+// refute answers a record about this node that is not its own. A leaving node lets a report of its
+// death stand, unless it hides the LEAVING record.
+func (n *Node) refute(now time.Time, heard *wire.Member) {
+	own := Incarnation(n.self.Incarnation)
+	stale := heard.Incarnation < n.self.Incarnation
+	harmless := heard.Incarnation == n.self.Incarnation && heard.State <= n.self.State && sameDetails(heard, n.self)
+	leavingAnyway := n.self.State == wire.MemberState_LEAVING && heard.Incarnation == n.self.Incarnation
+	if stale || harmless || leavingAnyway {
+		return
+	}
+	n.counters.Refutations.Add(1)
+	n.replaceSelf(now, proto.CloneOf(n.self), own.Above(Incarnation(heard.Incarnation)))
+}
+
+// expireSuspicions turns members that did not refute a suspicion in time into DEAD ones.
+func (n *Node) expireSuspicions(now time.Time) {
+	timeout := SuspicionTimeout(n.cfg.Period, n.list.live)
+	var expired []string
+	for nodeID, e := range n.list.suspects {
+		if now.Sub(e.since) >= timeout {
+			expired = append(expired, nodeID)
+		}
+	}
+	slices.Sort(expired)
+	for _, nodeID := range expired {
+		e := n.list.suspects[nodeID]
+		n.counters.Deaths.Add(1)
+		dead := withState(e.record, wire.MemberState_DEAD)
+		n.list.set(dead, now, n.rng)
+		n.gossip.add(dead)
+	}
+}
+
+// cleanup drops DEAD and LEAVING records after the retention time, and expired quarantine entries.
+func (n *Node) cleanup(now time.Time) {
+	if now.Before(n.nextCleanup) {
+		return
+	}
+	n.nextCleanup = now.Add(cleanupInterval)
+	n.quarant.expire(now)
+	for i := len(n.list.order) - 1; i >= 0; i-- {
+		e := n.list.order[i]
+		if !Live(e.record.State) && e.record.NodeId != n.self.NodeId && now.Sub(e.since) > n.cfg.Retention {
+			n.list.remove(e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/counters.go
@@ -0,0 +1,110 @@
+package membership
+
+import (
+	"sync/atomic"
+
+	"dandelionspoke/internal/wire"
+)
+
+// Kind is the type of a datagram in the counters.
+type Kind uint8
+
+// Kinds of datagrams.
+const (
+	KindGossip Kind = iota // updates only
+	KindPing
+	KindAck
+	KindPingRequest
+	KindProbe
+	KindProbeReply
+	KindBundleNotice
+	KindOther
+	kinds
+)
+
+var kindNames = [kinds]string{"gossip", "ping", "ack", "ping_request", "probe", "probe_reply", "bundle_notice", "other"}
+
+// String returns the name used in the counters.
+func (k Kind) String() string { return kindNames[min(k, KindOther)] }
+
+// KindOf returns the kind of a datagram.
+func KindOf(d *wire.Datagram) Kind {
+	switch d.Kind.(type) {
+	case nil:
+		return KindGossip
+	case *wire.Datagram_Ping:
+		return KindPing
+	case *wire.Datagram_Ack:
+		return KindAck
+	case *wire.Datagram_PingRequest:
+		return KindPingRequest
+	case *wire.Datagram_Probe:
+		return KindProbe
+	case *wire.Datagram_ProbeReply:
+		return KindProbeReply
+	case *wire.Datagram_BundleNotice:
+		return KindBundleNotice
+	default:
+		return KindOther
+	}
+}
+
+// Counters are totals since the start. Bytes include headerBytes for each datagram. All fields are
+// safe for concurrent use.
+type Counters struct {
+	SentMessages, SentBytes         [kinds]atomic.Uint64
+	ReceivedMessages, ReceivedBytes [kinds]atomic.Uint64
+	// OverBudget counts datagrams that were not sent because of the byte budget.
+	OverBudget atomic.Uint64
+	// Malformed counts datagrams and records that could not be used; UnknownSender, datagrams of
+	// nodes that are not members.
+	Malformed, UnknownSender atomic.Uint64
+	// Suspicions and Deaths count the state changes made by this node.
+	Suspicions, Deaths, Refutations atomic.Uint64
+	// InputDropped counts inputs from request goroutines that found the queue full.
+	InputDropped atomic.Uint64
+	SendErrors   atomic.Uint64
+	Snapshots    atomic.Uint64
+}
+
+// Map returns the counters that are not zero, for expvar.
+func (c *Counters) Map() map[string]uint64 {
+	out := map[string]uint64{}
+	put := func(name string, v *atomic.Uint64) {
+		if n := v.Load(); n > 0 {
+			out[name] = n
+		}
+	}
+	for k := range kinds {
+		put("sent_messages_"+k.String(), &c.SentMessages[k])
+		put("sent_bytes_"+k.String(), &c.SentBytes[k])
+		put("received_messages_"+k.String(), &c.ReceivedMessages[k])
+		put("received_bytes_"+k.String(), &c.ReceivedBytes[k])
+	}
+	put("over_budget", &c.OverBudget)
+	put("malformed", &c.Malformed)
+	put("unknown_sender", &c.UnknownSender)
+	put("suspicions", &c.Suspicions)
+	put("deaths", &c.Deaths)
+	put("refutations", &c.Refutations)
+	put("input_dropped", &c.InputDropped)
+	put("send_errors", &c.SendErrors)
+	put("snapshots", &c.Snapshots)
+	return out
+}
+
+// Totals returns all messages and bytes sent.
+func (c *Counters) Totals() (messages, bytes uint64) {
+	for k := range kinds {
+		messages += c.SentMessages[k].Load()
+		bytes += c.SentBytes[k].Load()
+	}
+	return messages, bytes
+}
+
+// Received counts a datagram that has been read from the socket.
+func (c *Counters) Received(d *wire.Datagram, size int) {
+	k := KindOf(d)
+	c.ReceivedMessages[k].Add(1)
+	c.ReceivedBytes[k].Add(uint64(size + headerBytes))
+}
--- /dev/null
+++ b/internal/membership/sync.go
@@ -0,0 +1,135 @@
+package membership
+
+import (
+	"math/bits"
+	"time"
+
+	"dandelionspoke/internal/wire"
+)
+
+const (
+	// membersPerDigest is the number of members that share a digest in a sync request.
+	membersPerDigest = 8
+	// crossRegionSyncs is one in how many anti-entropy exchanges may leave the region.
+	crossRegionSyncs = 8
+	// reconnectSyncs is how many of the nodes of a system start a sync when a cut ends.
+	reconnectSyncs = 32
+)
+
+// SyncRequest returns this node's own record and the digests of its live members.
+func (n *Node) SyncRequest() *wire.SyncRequest {
+	return &wire.SyncRequest{
+		Members:       []*wire.Member{n.self},
+		Quarantine:    n.quarant.all(),
+		BundleVersion: n.bundleVersion,
+		Digests:       n.list.folded(digestCount(n.list.live)),
+	}
+}
+
+func digestCount(live int) int {
+	return min(maxDigests, 1<<bits.Len(uint(live/membersPerDigest)))
+}
+
+// HandleSync merges a request and returns the members of the buckets that differ.
+func (n *Node) HandleSync(now time.Time, request *wire.SyncRequest) *wire.SyncReply {
+	via := syncOrigin(request.GetMembers())
+	for _, m := range request.GetMembers() {
+		n.apply(now, m, via)
+	}
+	n.addQuarantine(now, request.GetQuarantine())
+	reply := &wire.SyncReply{Quarantine: n.quarant.all(), BundleVersion: n.bundleVersion}
+	count := len(request.GetDigests())
+	if count == 0 || count > maxDigests || bits.OnesCount(uint(count)) != 1 {
+		return reply
+	}
+	reply.Buckets = uint32(count)
+	differs := make([]bool, count)
+	for i, digest := range n.list.folded(count) {
+		if digest != request.Digests[i] {
+			differs[i] = true
+			reply.Differing = append(reply.Differing, uint32(i))
+		}
+	}
+	reply.Members = n.inBuckets(differs)
+	return reply
+}
+
+func (n *Node) inBuckets(chosen []bool) []*wire.Member {
+	var out []*wire.Member
+	for _, e := range n.list.order {
+		if chosen[bucketOf(e.record.NodeId)%len(chosen)] && !e.secondhand {
+			out = append(out, e.record)
+		}
+	}
+	return out
+}
+
+// HandleSyncReply merges the answer of the node at peerAddr and sends it back what is newer here.
+func (n *Node) HandleSyncReply(now time.Time, peerAddr string, reply *wire.SyncReply) {
+	theirs := make(map[string]*wire.Member, len(reply.GetMembers()))
+	via := syncOrigin(reply.GetMembers())
+	for _, m := range reply.GetMembers() {
+		theirs[m.GetNodeId()] = m
+		n.apply(now, m, via)
+	}
+	n.addQuarantine(now, reply.GetQuarantine())
+	if newer := n.newerThan(reply, theirs); len(newer) > 0 {
+		n.out.Sync(peerAddr, &wire.SyncRequest{Members: newer, BundleVersion: n.bundleVersion})
+	}
+}
+
+func (n *Node) newerThan(reply *wire.SyncReply, theirs map[string]*wire.Member) []*wire.Member {
+	count := int(reply.GetBuckets())
+	if count == 0 || count > maxDigests || bits.OnesCount(uint(count)) != 1 {
+		return nil
+	}
+	differs := make([]bool, count)
+	for _, i := range reply.GetDiffering() {
+		if int(i) < count {
+			differs[i] = true
+		}
+	}
+	var newer []*wire.Member
+	for _, m := range n.inBuckets(differs) {
+		their := theirs[m.NodeId]
+		switch {
+		case their == nil && Live(m.State):
+			newer = append(newer, m)
+		case their != nil && Merge(their, m) != their:
+			newer = append(newer, m)
+		}
+	}
+	return newer
+}
+
+// Merge applies records that were learnt from the store or from a peer.
+func (n *Node) Merge(now time.Time, members []*wire.Member) {
+	via := syncOrigin(members)
+	for _, m := range members {
+		n.apply(now, m, via)
+	}
+}
+
+// startSync begins an anti-entropy exchange with a random member, mostly of the own region, since
+// the links between regions are paid by volume.
+func (n *Node) startSync(now time.Time) {
+	if now.Before(n.nextSync) {
+		return
+	}
+	n.nextSync = now.Add(n.cfg.SyncInterval/2 + jitter(n.rng, n.cfg.SyncInterval))
+	anywhere := n.rng.IntN(crossRegionSyncs) == 0
+	peers := n.list.sample(1, n.rng, func(e *entry) bool {
+		return n.isPeer(e) && (anywhere || e.record.Region == n.self.Region)
+	})
+	for _, e := range peers {
+		n.out.Sync(e.record.PeerAddr, n.SyncRequest())
+	}
+}
+
+// reconnect starts a sync with a member that was DEAD and answers again. In a large system only some
+// nodes do so; the others get the state from their own region.
+func (n *Node) reconnect(m *wire.Member, via origin) {
+	if via == fromGossip && n.rng.IntN(max(n.list.live, 1)) < reconnectSyncs {
+		n.out.Sync(m.PeerAddr, n.SyncRequest())
+	}
+}
