--- /dev/null
+++ b/internal/engine/fuzz_test.go
@@ -0,0 +1,92 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dandelionspoke/internal/membership"
+	"dandelionspoke/internal/table"
+	"dandelionspoke/internal/wire"
+)
+
+// unstarted returns an engine with a node but without a socket; what it sends is counted as send errors.
+func unstarted(tb testing.TB) *Engine {
+	hooks := Hooks{GateLoad: func() *wire.Load { return &wire.Load{Slots: 12} }}
+	e := New(Config{NodeID: "self"}, hooks, &table.Publisher{})
+	cfg := membership.Config{NodeID: "self", UDPAddr: "127.0.0.1:1"}
+	node, err := membership.NewNode(cfg, time.Now(), rand.New(rand.NewPCG(1, 2)), (*output)(e), &e.counters)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	e.node = node
+	e.Merge([]*wire.Member{{NodeId: "peer", UdpAddr: "127.0.0.1:2"}})
+	endpoints := []*wire.EndpointRecord{{Id: "e", Service: "katalog"}}
+	if err := e.SetLocalEndpoints(endpoints); err != nil {
+		tb.Fatal(err)
+	}
+	return e
+}
+
+func encode(tb testing.TB, d *wire.Datagram) []byte {
+	data, err := proto.Marshal(d)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return data
+}
+
+// Guards against panics and amplification: no input causes more than one ack, relayed ping or probe
+// reply at once, whatever it holds.
+func FuzzReceive(f *testing.F) {
+	dead := &wire.Member{NodeId: "self", State: wire.MemberState_DEAD, Incarnation: ^uint64(0), UdpAddr: "127.0.0.1:9"}
+	for _, d := range []*wire.Datagram{
+		{From: "peer", Kind: &wire.Datagram_Ping{Ping: &wire.Ping{Seq: 1}}},
+		{From: "peer", Kind: &wire.Datagram_Ping{}},
+		{From: "peer", Kind: &wire.Datagram_Ack{Ack: &wire.Ack{Seq: 1}}},
+		{From: "peer", Kind: &wire.Datagram_PingRequest{PingRequest: &wire.PingRequest{Target: "peer"}}},
+		{From: "peer", Kind: &wire.Datagram_Probe{Probe: &wire.Probe{Service: "katalog"}}},
+		{From: "peer", Kind: &wire.Datagram_ProbeReply{ProbeReply: &wire.ProbeReply{Seq: 1}}},
+		{From: "peer", Kind: &wire.Datagram_BundleNotice{BundleNotice: &wire.BundleNotice{Version: 7}}},
+		{From: "peer", Kind: &wire.Datagram_SummaryRequest{}},
+		{From: "peer", Updates: []*wire.Member{dead, {}}, Quarantine: []*wire.QuarantineEntry{{}}},
+		{From: "stranger", Kind: &wire.Datagram_Ping{Ping: &wire.Ping{Seq: 1}}},
+	} {
+		f.Add(encode(f, d))
+	}
+	f.Add([]byte{0xff})
+	f.Add(make([]byte, wire.MaxDatagramBytes+1))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e := unstarted(t)
+		before, _ := e.counters.Totals()
+		e.receive(data)
+		if after, _ := e.counters.Totals(); after > before+1 {
+			t.Errorf("%d datagrams sent in answer to one", after-before)
+		}
+		e.tick()
+	})
+}
+
+// Guards against answers to nodes that are not members.
+func TestUnknownSenderGetsNoAnswer(t *testing.T) {
+	e := unstarted(t)
+	for _, d := range []*wire.Datagram{
+		{From: "stranger", Kind: &wire.Datagram_Ping{Ping: &wire.Ping{Seq: 1}}},
+		{From: "stranger", Kind: &wire.Datagram_Probe{Probe: &wire.Probe{Service: "katalog"}}},
+		{From: "peer", Kind: &wire.Datagram_PingRequest{PingRequest: &wire.PingRequest{Target: "stranger"}}},
+		{From: "stranger", Updates: []*wire.Member{{NodeId: "stranger", UdpAddr: "127.0.0.1:3"}}},
+	} {
+		e.receive(encode(t, d))
+	}
+	if sent, _ := e.counters.Totals(); sent != 0 {
+		t.Errorf("%d datagrams sent", sent)
+	}
+	if got := e.counters.UnknownSender.Load(); got != 3 {
+		t.Errorf("%d datagrams of unknown senders counted, want 3", got)
+	}
+	if e.node.Record("stranger") != nil {
+		t.Error("an unknown sender became a member through its own datagram")
+	}
+}
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -88,7 +88,7 @@
 }
 
 func (n *Node) insert(now time.Time, heard *wire.Member, via origin) {
-	if n.list.set(heard, now, n.rng) == nil {
+	if n.set(now, heard) == nil {
 		n.counters.Malformed.Add(1)
 		return
 	}
@@ -104,7 +104,7 @@
 		known.bundle = max(known.bundle, merged.BundleVersion)
 		return
 	}
-	n.list.set(merged, now, n.rng)
+	n.set(now, merged)
 	restarted := Incarnation(merged.Incarnation).Process() != Incarnation(before.Incarnation).Process()
 	leaving := merged.State == wire.MemberState_LEAVING && before.State != wire.MemberState_LEAVING
 	undrained := before.State == wire.MemberState_LEAVING && merged.State == wire.MemberState_ALIVE
@@ -156,7 +156,7 @@
 		e := n.list.suspects[nodeID]
 		n.counters.Deaths.Add(1)
 		dead := withState(e.record, wire.MemberState_DEAD)
-		n.list.set(dead, now, n.rng)
+		n.set(now, dead)
 		n.gossip.add(dead)
 	}
 }
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -171,7 +171,7 @@
 	}
 	n.counters.Suspicions.Add(1)
 	record := withState(e.record, wire.MemberState_SUSPECT)
-	n.list.set(record, now, n.rng)
+	n.set(now, record)
 	n.gossip.add(record)
 	n.ping(now, e, urgent)
 }
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -70,6 +70,8 @@
 	SendDatagram(udpAddr string, data []byte)
 	// NewerBundle reports a member that holds a newer bundle. It repeats while that is so.
 	NewerBundle(version uint64, peerAddr string)
+	// Changed reports a new record of a member; before is nil for a new member.
+	Changed(before, after *wire.Member)
 	// Quarantined reports new entries.
 	Quarantined([]*wire.QuarantineEntry)
 	// Sync asks for a full-state exchange; the answer goes to Node.HandleSyncReply.
@@ -119,7 +121,7 @@
 	if err := Validate(n.self, now); err != nil {
 		return nil, err
 	}
-	n.list.set(n.self, now, rng)
+	n.set(now, n.self)
 	n.gossip.add(n.self)
 	n.push = 1
 	return n, nil
@@ -211,11 +213,21 @@
 	next.Incarnation = uint64(incarnation)
 	next.BundleVersion = n.bundleVersion
 	n.self = next
-	n.list.set(next, now, n.rng)
+	n.set(now, next)
 	n.gossip.add(next)
 	n.push = max(n.push, 1)
 }
 
+// set stores a record and reports the change. It returns nil when the table is full.
+func (n *Node) set(now time.Time, m *wire.Member) *entry {
+	before := n.Record(m.NodeId)
+	e := n.list.set(m, now, n.rng)
+	if e != nil {
+		n.out.Changed(before, m)
+	}
+	return e
+}
+
 // SetBundleVersion states the bundle version in force here and pushes a notice of a newer one.
 func (n *Node) SetBundleVersion(now time.Time, version uint64) {
 	if version <= n.bundleVersion {
--- a/internal/membershiptest/fleet.go
+++ b/internal/membershiptest/fleet.go
@@ -244,6 +244,9 @@
 // Quarantined implements membership.Output.
 func (h *Host) Quarantined(entries []*wire.QuarantineEntry) { h.QuarantineSeen += len(entries) }
 
+// Changed implements membership.Output.
+func (h *Host) Changed(_, _ *wire.Member) {}
+
 // Agree reports whether every running host sees node in the state.
 func (f *Fleet) Agree(node *Host, state wire.MemberState) bool {
 	for _, h := range f.Nodes {
--- /dev/null
+++ b/internal/wire/fuzz_test.go
@@ -0,0 +1,61 @@
+package wire
+
+import (
+	"bytes"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Guards against panics, and against accepted datagrams that break the limits the engine relies on.
+func FuzzDecodeDatagram(f *testing.F) {
+	for _, d := range []*Datagram{
+		{},
+		{From: "a", Kind: &Datagram_Ping{Ping: &Ping{Seq: 1}}},
+		{From: "a", Updates: []*Member{{NodeId: "b", UdpAddr: "127.0.0.1:1"}}, Quarantine: []*QuarantineEntry{{}}},
+	} {
+		data, err := proto.Marshal(d)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add(make([]byte, MaxDatagramBytes+1))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := DecodeDatagram(data)
+		if err == nil && (d.From == "" || len(data) > MaxDatagramBytes) {
+			t.Errorf("accepted %d bytes from %q", len(data), d.From)
+		}
+	})
+}
+
+// Guards against panics, and against frames that do not survive a round trip.
+func FuzzReadFrame(f *testing.F) {
+	const limit = 4096
+	for _, frame := range []*Frame{
+		{Kind: &Frame_Chunk{Chunk: &Chunk{Data: []byte("body")}}},
+		{Kind: &Frame_Request{Request: &RequestHead{Service: "katalog", ContentLength: -1}}},
+	} {
+		var buf bytes.Buffer
+		if err := WriteFrame(&buf, frame, limit); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(buf.Bytes())
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame, err := ReadFrame(bytes.NewReader(data), limit)
+		if err != nil {
+			return
+		}
+		var buf bytes.Buffer
+		if err := WriteFrame(&buf, frame, 2*limit); err != nil {
+			t.Fatalf("cannot write a frame that was read: %v", err)
+		}
+		again, err := ReadFrame(&buf, 2*limit)
+		if err != nil || !proto.Equal(frame, again) {
+			t.Errorf("round trip changed the frame: %v", err)
+		}
+	})
+}
