Add the object API client and its in-memory stand-in

Cause: the bundle, status and claims live in the platform's object API, which loses answers, cuts watches and has outages. Other packages need one Store interface and a stand-in with these faults.

Change: platform.Store with conditional writes and watches; platform.Client over HTTP with a time limit for each call, a rate budget over all calls, back-off with full jitter for reads, and a watch that lists after each cut. Writes are sent once. PutResolved decides a write of unknown outcome by a writer token in the value; while the object is unchanged it sends the same conditional write again, because the first copy may still arrive. platformtest.Store is the stand-in, in memory and as http.Handler, with call counters and faults; platformtest.Contract runs on both.

With one mechanism removed at a time these tests fail: no deletions after a cut: TestWatchDeletionInGap; no list after a cut: TestContractOverHTTP/watch survives a cut or closes; no writer token: Contract/unknown outcome is resolved; answers lost after sending counted as unavailable: TestContractOverHTTP/lost answers are unknown; no rate budget: TestRateBudget.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,260 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+)
+
+const (
+	defaultCallTimeout    = 2 * time.Second
+	defaultCallsPerSecond = 20
+	defaultReadAttempts   = 4
+	defaultWatchIdle      = 3 * HeartbeatInterval
+	// maxListBytes bounds the body of a list so that a faulty server cannot exhaust memory.
+	maxListBytes = 64 << 20
+)
+
+// Options configure a Client. Zero fields take the defaults.
+type Options struct {
+	// BaseURL is the root of the object API, such as "http://192.0.2.7:8080".
+	BaseURL string
+	// CallTimeout bounds each call but a watch, including the wait for the rate budget. Default 2 s.
+	CallTimeout time.Duration
+	// CallsPerSecond is the rate budget of this client over all kinds of calls. Default 20.
+	CallsPerSecond float64
+	// Burst is the number of calls that may be made at once. Default: CallsPerSecond.
+	Burst int
+	// ReadAttempts is the number of times that a read is tried while the store is unavailable. Default 4.
+	ReadAttempts int
+	// WatchIdle is the time without a line after which a watch counts as lost. Default 15 s.
+	WatchIdle time.Duration
+	// Transport defaults to a clone of http.DefaultTransport without a proxy.
+	Transport http.RoundTripper
+}
+
+// Client is a Store over the HTTP object API. Reads are retried with back-off; writes are sent once,
+// because only the caller can resolve a write whose outcome is unknown (see PutResolved).
+type Client struct {
+	options Options
+	base    *url.URL
+	http    *http.Client
+	limiter *rate.Limiter
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient returns a client for the object API at options.BaseURL.
+func NewClient(options Options) (*Client, error) {
+	base, err := url.Parse(options.BaseURL)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform: base URL")
+	}
+	if base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
+		return nil, errors.Newf("platform: base URL %q: allowed is http://HOST[:PORT] or https://HOST[:PORT]", options.BaseURL)
+	}
+	options.setDefaults()
+	return &Client{
+		options: options,
+		base:    base,
+		http:    &http.Client{Transport: options.Transport, CheckRedirect: refuseRedirect},
+		limiter: rate.NewLimiter(rate.Limit(options.CallsPerSecond), options.Burst),
+	}, nil
+}
+
+func (o *Options) setDefaults() {
+	if o.CallTimeout <= 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+	if o.CallsPerSecond <= 0 {
+		o.CallsPerSecond = defaultCallsPerSecond
+	}
+	if o.Burst <= 0 {
+		o.Burst = max(1, int(o.CallsPerSecond))
+	}
+	if o.ReadAttempts <= 0 {
+		o.ReadAttempts = defaultReadAttempts
+	}
+	if o.WatchIdle <= 0 {
+		o.WatchIdle = defaultWatchIdle
+	}
+	if o.Transport == nil {
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		transport.Proxy = nil
+		o.Transport = transport
+	}
+}
+
+// refuseRedirect keeps a write from being sent to another address.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections. Watches end with their contexts.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	if err := CheckKey(key); err != nil {
+		return Object{}, err
+	}
+	reply, err := c.read(ctx, c.objectURL(key), MaxValueBytes)
+	if err != nil {
+		return Object{}, errors.Wrapf(err, "get %s", key)
+	}
+	version, err := ParseETag(reply.header.Get("ETag"))
+	return Object{Key: key, Value: reply.body, Version: version}, err
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
+	objects, _, err := c.listAt(ctx, prefix)
+	return objects, err
+}
+
+// listAt also returns the store's version counter at the time of the list.
+func (c *Client) listAt(ctx context.Context, prefix string) ([]Object, int64, error) {
+	target := c.base.JoinPath(ObjectsPath)
+	target.RawQuery = url.Values{"prefix": {prefix}}.Encode()
+	reply, err := c.read(ctx, target, maxListBytes)
+	if err != nil {
+		return nil, 0, errors.Wrapf(err, "list %s", prefix)
+	}
+	var list ListReply
+	if err := json.Unmarshal(reply.body, &list); err != nil {
+		return nil, 0, errors.Wrapf(err, "list %s", prefix)
+	}
+	objects := make([]Object, len(list.Objects))
+	for i, o := range list.Objects {
+		objects[i] = Object(o)
+	}
+	return objects, list.Revision, nil
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, ifVersion int64) (Object, error) {
+	if err := CheckPut(key, value); err != nil {
+		return Object{}, err
+	}
+	reply, err := c.write(ctx, http.MethodPut, key, value, ifVersion)
+	if err != nil {
+		return Object{}, err
+	}
+	version, err := ParseETag(reply.header.Get("ETag"))
+	if err != nil {
+		return Object{}, errors.Mark(err, ErrUnknownOutcome)
+	}
+	return Object{Key: key, Value: value, Version: version}, nil
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, key string, ifVersion int64) error {
+	if err := CheckKey(key); err != nil {
+		return err
+	}
+	_, err := c.write(ctx, http.MethodDelete, key, nil, ifVersion)
+	return err
+}
+
+func (c *Client) objectURL(key string) *url.URL {
+	return c.base.JoinPath(ObjectsPath, key)
+}
+
+// reply is a complete answer with a 2xx status.
+type reply struct {
+	header http.Header
+	body   []byte
+}
+
+// read sends a GET and repeats it with back-off while the store is unavailable.
+func (c *Client) read(ctx context.Context, target *url.URL, limit int64) (reply, error) {
+	for attempt := 0; ; attempt++ {
+		r, _, err := c.call(ctx, http.MethodGet, target, nil, nil, limit)
+		if !errors.Is(err, ErrUnavailable) || attempt+1 >= c.options.ReadAttempts {
+			return r, err
+		}
+		if sleepBackoff(ctx, attempt) != nil {
+			return r, err
+		}
+	}
+}
+
+// write sends a write once. net/http does not repeat a PUT or DELETE that may have reached the server.
+func (c *Client) write(ctx context.Context, method, key string, value []byte, ifVersion int64) (reply, error) {
+	header := http.Header{}
+	SetCondition(header, ifVersion)
+	r, sent, err := c.call(ctx, method, c.objectURL(key), header, value, MaxValueBytes)
+	if sent && errors.Is(err, ErrUnavailable) {
+		err = errors.Mark(errors.Newf("%v", err), ErrUnknownOutcome)
+	}
+	return r, errors.Wrapf(err, "%s %s", strings.ToLower(method), key)
+}
+
+// call makes one call within the time limit and the rate budget. sent says that the server may have
+// received the request and that its answer, which would decide the outcome, is missing.
+func (c *Client) call(ctx context.Context, method string, target *url.URL, header http.Header, body []byte, limit int64) (r reply, sent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	if err := c.limiter.Wait(ctx); err != nil {
+		return r, false, unavailable(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return r, false, errors.Wrap(err, "platform: build request")
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return r, !isDialError(err), unavailable(err)
+	}
+	defer response.Body.Close()
+	r.header = response.Header
+	r.body, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil && response.StatusCode/100 == 2 {
+		return r, true, unavailable(err)
+	}
+	if int64(len(r.body)) > limit {
+		return r, true, unavailable(errors.Newf("answer exceeds %d bytes", limit))
+	}
+	err, sent = statusError(response.StatusCode)
+	return r, sent, err
+}
+
+func unavailable(cause error) error {
+	return errors.Mark(errors.Wrap(cause, "platform"), ErrUnavailable)
+}
+
+// isDialError reports that no connection was made, so that the server cannot have seen the request.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// statusError returns the error of an HTTP status, and whether it leaves the outcome of a write open.
+func statusError(status int) (err error, open bool) {
+	switch status {
+	case http.StatusOK, http.StatusNoContent:
+		return nil, false
+	case http.StatusNotFound:
+		return ErrNotFound, false
+	case http.StatusPreconditionFailed:
+		return ErrConflict, false
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge, false
+	case http.StatusBadRequest:
+		return ErrInvalidKey, false
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return unavailable(errors.Newf("status %d", status)), false
+	default:
+		return unavailable(errors.Newf("status %d", status)), true
+	}
+}
--- /dev/null
+++ b/internal/platform/watch.go
@@ -0,0 +1,138 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Watch implements Store. After a cut it lists the objects, sends what the cut has hidden, including
+// deletions of objects that it has sent before, and watches again from the list's version. The
+// channel closes only when ctx ends.
+func (c *Client) Watch(ctx context.Context, prefix string, fromVersion int64) (<-chan Event, error) {
+	w := &watch{
+		client: c,
+		prefix: prefix,
+		from:   fromVersion,
+		known:  map[string]int64{},
+		events: make(chan Event),
+	}
+	go w.run(ctx)
+	return w.events, nil
+}
+
+type watch struct {
+	client *Client
+	prefix string
+	from   int64
+	known  map[string]int64 // version of each live object that has been sent
+	events chan Event
+}
+
+func (w *watch) run(ctx context.Context) {
+	defer close(w.events)
+	for failures := 0; ctx.Err() == nil; failures++ {
+		if w.stream(ctx) {
+			failures = 0
+		}
+		if sleepBackoff(ctx, failures) != nil {
+			return
+		}
+		w.closeGap(ctx)
+	}
+}
+
+// stream follows one watch until it breaks. It reports whether the watch delivered anything.
+func (w *watch) stream(ctx context.Context) (delivered bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	idle := time.AfterFunc(w.client.options.WatchIdle, cancel)
+	defer idle.Stop()
+	response, err := w.open(ctx)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var line WatchLine
+		if decoder.Decode(&line) != nil {
+			return delivered
+		}
+		idle.Reset(w.client.options.WatchIdle)
+		delivered = true
+		if line.Key == "" {
+			continue
+		}
+		object := Object{Key: line.Key, Value: line.Value, Version: line.Version}
+		if !w.send(ctx, Event{Deleted: line.Deleted, Object: object}) {
+			return delivered
+		}
+		w.from = max(w.from, line.Version)
+	}
+}
+
+func (w *watch) open(ctx context.Context) (*http.Response, error) {
+	if err := w.client.limiter.Wait(ctx); err != nil {
+		return nil, err
+	}
+	target := w.client.base.JoinPath(WatchPath)
+	query := url.Values{"prefix": {w.prefix}, "from": {strconv.FormatInt(w.from, 10)}}
+	target.RawQuery = query.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := w.client.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, errors.Newf("watch: status %d", response.StatusCode)
+	}
+	return response, nil
+}
+
+func (w *watch) closeGap(ctx context.Context) {
+	objects, revision, err := w.client.listAt(ctx, w.prefix)
+	if err != nil {
+		return
+	}
+	listed := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		listed[o.Key] = true
+		version, sent := w.known[o.Key]
+		unseen := !sent && o.Version > w.from
+		changed := sent && o.Version != version
+		if (unseen || changed) && !w.send(ctx, Event{Object: o}) {
+			return
+		}
+	}
+	for key := range w.known {
+		gone := Event{Deleted: true, Object: Object{Key: key, Version: revision}}
+		if !listed[key] && !w.send(ctx, gone) {
+			return
+		}
+	}
+	w.from = revision
+}
+
+func (w *watch) send(ctx context.Context, e Event) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case w.events <- e:
+	}
+	if e.Deleted {
+		delete(w.known, e.Object.Key)
+	} else {
+		w.known[e.Object.Key] = e.Object.Version
+	}
+	return true
+}
--- /dev/null
+++ b/internal/platformtest/contract.go
@@ -0,0 +1,268 @@
+package platformtest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"dandelionspoke/internal/platform"
+)
+
+// eventTimeout bounds the wait for an event that must come.
+const eventTimeout = 20 * time.Second
+
+// Factory returns a store under test and the stand-in behind it, which may be the same.
+type Factory func(t *testing.T) (platform.Store, *Store)
+
+// Contract checks what every platform.Store promises.
+func Contract(t *testing.T, factory Factory) {
+	cases := map[string]func(*testing.T, platform.Store, *Store){
+		"writes are conditional":          contractConditional,
+		"versions rise after a deletion":  contractRecreate,
+		"list is ordered by key":          contractList,
+		"limits":                          contractLimits,
+		"down is a definite failure":      contractDown,
+		"lost answers are unknown":        contractLostAnswers,
+		"unknown outcome is resolved":     contractResolve,
+		"watch starts at a version":       contractWatch,
+		"watch survives a cut or closes":  contractWatchCut,
+		"conflict by fault has no effect": contractSpuriousConflict,
+	}
+	for name, check := range cases {
+		t.Run(name, func(t *testing.T) {
+			store, backing := factory(t)
+			check(t, store, backing)
+		})
+	}
+}
+
+func wantError(t *testing.T, err, want error) {
+	t.Helper()
+	if !errors.Is(err, want) {
+		t.Fatalf("error %v, want %v", err, want)
+	}
+}
+
+func mustPut(t *testing.T, s platform.Store, key, value string, ifVersion int64) platform.Object {
+	t.Helper()
+	o, err := s.Put(t.Context(), key, []byte(value), ifVersion)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+func wantValue(t *testing.T, s platform.Store, want platform.Object) {
+	t.Helper()
+	got, err := s.Get(t.Context(), want.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func contractConditional(t *testing.T, s platform.Store, _ *Store) {
+	_, err := s.Get(t.Context(), "a/b")
+	wantError(t, err, platform.ErrNotFound)
+	_, err = s.Put(t.Context(), "a/b", []byte("x"), 7)
+	wantError(t, err, platform.ErrConflict)
+	first := mustPut(t, s, "a/b", "one", platform.MustNotExist)
+	_, err = s.Put(t.Context(), "a/b", []byte("x"), platform.MustNotExist)
+	wantError(t, err, platform.ErrConflict)
+	second := mustPut(t, s, "a/b", "two", first.Version)
+	_, err = s.Put(t.Context(), "a/b", []byte("x"), first.Version)
+	wantError(t, err, platform.ErrConflict)
+	wantError(t, s.Delete(t.Context(), "a/b", first.Version), platform.ErrConflict)
+	wantValue(t, s, second)
+}
+
+func contractRecreate(t *testing.T, s platform.Store, _ *Store) {
+	first := mustPut(t, s, "k", "one", platform.MustNotExist)
+	if err := s.Delete(t.Context(), "k", first.Version); err != nil {
+		t.Fatal(err)
+	}
+	wantError(t, s.Delete(t.Context(), "k", first.Version), platform.ErrNotFound)
+	second := mustPut(t, s, "k", "two", platform.MustNotExist)
+	if second.Version <= first.Version {
+		t.Fatalf("version %d after %d", second.Version, first.Version)
+	}
+}
+
+func contractList(t *testing.T, s platform.Store, _ *Store) {
+	b := mustPut(t, s, "p/b", "2", platform.MustNotExist)
+	a := mustPut(t, s, "p/a", "", platform.MustNotExist)
+	mustPut(t, s, "q/a", "3", platform.MustNotExist)
+	got, err := s.List(t.Context(), "p/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range got {
+		got[i].Value = append([]byte{}, got[i].Value...)
+	}
+	a.Value = []byte{}
+	if diff := cmp.Diff([]platform.Object{a, b}, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func contractLimits(t *testing.T, s platform.Store, _ *Store) {
+	large := make([]byte, platform.MaxValueBytes+1)
+	_, err := s.Put(t.Context(), "k", large, platform.MustNotExist)
+	wantError(t, err, platform.ErrTooLarge)
+	wantValue(t, s, mustPut(t, s, "k", string(large[1:]), platform.MustNotExist))
+	_, err = s.Put(t.Context(), "a/../b", nil, platform.MustNotExist)
+	wantError(t, err, platform.ErrInvalidKey)
+}
+
+func contractDown(t *testing.T, s platform.Store, backing *Store) {
+	before := mustPut(t, s, "k", "one", platform.MustNotExist)
+	backing.SetDown(true)
+	_, err := s.Put(t.Context(), "k", []byte("two"), before.Version)
+	wantError(t, err, platform.ErrUnavailable)
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		t.Fatalf("a refused write counts as unknown: %v", err)
+	}
+	_, err = s.Get(t.Context(), "k")
+	wantError(t, err, platform.ErrUnavailable)
+	_, err = s.List(t.Context(), "k")
+	wantError(t, err, platform.ErrUnavailable)
+	backing.SetDown(false)
+	wantValue(t, s, before)
+}
+
+func contractLostAnswers(t *testing.T, s platform.Store, backing *Store) {
+	backing.LoseAnswers(1)
+	_, err := s.Put(t.Context(), "k", []byte("one"), platform.MustNotExist)
+	wantError(t, err, platform.ErrUnknownOutcome)
+	backing.DropWrites(1)
+	_, err = s.Put(t.Context(), "k", []byte("two"), 1)
+	wantError(t, err, platform.ErrUnknownOutcome)
+	wantValue(t, s, platform.Object{Key: "k", Value: []byte("one"), Version: 1})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	backing.SetSlow(time.Minute)
+	_, err = s.Put(ctx, "k", []byte("three"), 1)
+	wantError(t, err, platform.ErrUnknownOutcome)
+}
+
+func contractResolve(t *testing.T, s platform.Store, backing *Store) {
+	base := platform.Sealed{}
+	inject := []func(){
+		func() { backing.LoseAnswers(1) },
+		func() { backing.DropWrites(2) },
+		func() { backing.DelayWrites(2, 5*time.Millisecond) },
+	}
+	for i, fault := range inject {
+		fault()
+		payload := []byte{byte('a' + i)}
+		next, err := platform.PutResolved(t.Context(), s, "k", base, payload)
+		if err != nil {
+			t.Fatalf("fault %d: %v", i, err)
+		}
+		found, err := platform.GetSealed(t.Context(), s, "k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(next, found); diff != "" {
+			t.Fatal(diff)
+		}
+		base = next
+	}
+	_, err := platform.PutResolved(t.Context(), s, "k", platform.Sealed{}, nil)
+	wantError(t, err, platform.ErrConflict)
+}
+
+func nextEvent(t *testing.T, events <-chan platform.Event) (platform.Event, bool) {
+	t.Helper()
+	select {
+	case e, open := <-events:
+		return e, open
+	case <-time.After(eventTimeout):
+		t.Fatal("no event")
+		return platform.Event{}, false
+	}
+}
+
+func wantEvent(t *testing.T, events <-chan platform.Event, want platform.Event) {
+	t.Helper()
+	got, _ := nextEvent(t, events)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func contractWatch(t *testing.T, s platform.Store, _ *Store) {
+	old := mustPut(t, s, "w/old", "1", platform.MustNotExist)
+	ctx, cancel := context.WithCancel(t.Context())
+	all, err := s.Watch(ctx, "w/", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantEvent(t, all, platform.Event{Object: old})
+	later, err := s.Watch(ctx, "w/", old.Version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustPut(t, s, "other", "1", platform.MustNotExist)
+	created := mustPut(t, s, "w/new", "2", platform.MustNotExist)
+	wantEvent(t, all, platform.Event{Object: created})
+	wantEvent(t, later, platform.Event{Object: created})
+	if err := s.Delete(t.Context(), "w/new", created.Version); err != nil {
+		t.Fatal(err)
+	}
+	gone := platform.Event{Deleted: true, Object: platform.Object{Key: "w/new", Version: created.Version + 1}}
+	wantEvent(t, all, gone)
+	wantEvent(t, later, gone)
+	cancel()
+	if e, open := nextEvent(t, all); open {
+		t.Fatalf("event %v after the end of the context", e)
+	}
+}
+
+// contractWatchCut guards against changes that are missed because they fall between a cut and the next watch.
+func contractWatchCut(t *testing.T, s platform.Store, backing *Store) {
+	first := mustPut(t, s, "w/a", "1", platform.MustNotExist)
+	events, err := s.Watch(t.Context(), "w/", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantEvent(t, events, platform.Event{Object: first})
+	backing.SetDown(true)
+	second, err := backing.putDirect("w/a", []byte("2"), first.Version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	backing.SetDown(false)
+	e, open := nextEvent(t, events)
+	if !open {
+		events, err = s.Watch(t.Context(), "w/", first.Version)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e, _ = nextEvent(t, events)
+	}
+	if diff := cmp.Diff(platform.Event{Object: second}, e); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// putDirect writes past the faults.
+func (s *Store) putDirect(key string, value []byte, ifVersion int64) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.putLocked(key, value, ifVersion)
+}
+
+func contractSpuriousConflict(t *testing.T, s platform.Store, backing *Store) {
+	first := mustPut(t, s, "k", "1", platform.MustNotExist)
+	backing.ConflictNext(1)
+	_, err := s.Put(t.Context(), "k", []byte("2"), first.Version)
+	wantError(t, err, platform.ErrConflict)
+	wantValue(t, s, first)
+	mustPut(t, s, "k", "2", first.Version)
+}
--- /dev/null
+++ b/internal/platformtest/server.go
@@ -0,0 +1,148 @@
+package platformtest
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionspoke/internal/platform"
+)
+
+// ServeHTTP serves the HTTP form of the object API. A write whose answer is lost closes its connection.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	key, isObject := strings.CutPrefix(r.URL.Path, platform.ObjectsPath+"/")
+	switch {
+	case isObject && r.Method == http.MethodGet:
+		s.serveGet(w, r, key)
+	case isObject && r.Method == http.MethodPut:
+		s.servePut(w, r, key)
+	case isObject && r.Method == http.MethodDelete:
+		s.serveDelete(w, r, key)
+	case r.URL.Path == platform.ObjectsPath && r.Method == http.MethodGet:
+		s.serveList(w, r)
+	case r.URL.Path == platform.WatchPath && r.Method == http.MethodGet:
+		s.serveWatch(w, r)
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request, key string) {
+	o, err := s.Get(r.Context(), key)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("ETag", platform.FormatETag(o.Version))
+	_, _ = w.Write(o.Value) // a broken connection shows at the client
+}
+
+func (s *Store) servePut(w http.ResponseWriter, r *http.Request, key string) {
+	ifVersion, err := platform.Condition(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	o, err := s.Put(r.Context(), key, value, ifVersion)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("ETag", platform.FormatETag(o.Version))
+}
+
+func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request, key string) {
+	ifVersion, err := platform.Condition(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := s.Delete(r.Context(), key, ifVersion); err != nil {
+		writeError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
+	objects, revision, err := s.listAt(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	list := platform.ListReply{Revision: revision}
+	for _, o := range objects {
+		list.Objects = append(list.Objects, platform.ListObject(o))
+	}
+	_ = json.NewEncoder(w).Encode(list) // a broken connection shows at the client
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	events, err := s.Watch(r.Context(), query.Get("prefix"), from)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	streamEvents(w, events)
+}
+
+// streamEvents sends a first heartbeat at once, so that the client knows that the watch stands.
+func streamEvents(w http.ResponseWriter, events <-chan platform.Event) {
+	heartbeat := time.NewTicker(platform.HeartbeatInterval)
+	defer heartbeat.Stop()
+	encoder := json.NewEncoder(w)
+	flusher := http.NewResponseController(w)
+	line := platform.WatchLine{}
+	for {
+		if encoder.Encode(line) != nil || flusher.Flush() != nil {
+			return
+		}
+		select {
+		case e, open := <-events:
+			if !open {
+				return
+			}
+			line = platform.WatchLine{Key: e.Object.Key, Version: e.Object.Version, Value: e.Object.Value, Deleted: e.Deleted}
+		case <-heartbeat.C:
+			line = platform.WatchLine{}
+		}
+	}
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		panic(http.ErrAbortHandler)
+	}
+	http.Error(w, err.Error(), errorStatus(err))
+}
+
+func errorStatus(err error) int {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, platform.ErrConflict):
+		return http.StatusPreconditionFailed
+	case errors.Is(err, platform.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, platform.ErrInvalidKey):
+		return http.StatusBadRequest
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/internal/platformtest/store_test.go
@@ -0,0 +1,84 @@
+package platformtest_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/platformtest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestContractInMemory(t *testing.T) {
+	platformtest.Contract(t, func(*testing.T) (platform.Store, *platformtest.Store) {
+		s := platformtest.New()
+		return s, s
+	})
+}
+
+func TestContractOverHTTP(t *testing.T) {
+	platformtest.Contract(t, func(t *testing.T) (platform.Store, *platformtest.Store) {
+		backing := platformtest.New()
+		return newClient(t, backing, platform.Options{CallsPerSecond: 10000}), backing
+	})
+}
+
+func newClient(t *testing.T, backing *platformtest.Store, options platform.Options) *platform.Client {
+	t.Helper()
+	server := httptest.NewServer(backing)
+	options.BaseURL = server.URL
+	client, err := platform.NewClient(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		client.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return client
+}
+
+// TestRateBudget guards against a client that exceeds its share of the store's call rate.
+func TestRateBudget(t *testing.T) {
+	backing := platformtest.New()
+	client := newClient(t, backing, platform.Options{CallsPerSecond: 0.001, Burst: 3, CallTimeout: time.Second, ReadAttempts: 1})
+	for range 10 {
+		_, _ = client.List(t.Context(), "") // calls above the budget fail without reaching the store
+	}
+	counts, _ := backing.Counts()
+	if counts.List != 3 {
+		t.Fatalf("%d calls reached the store, budget 3", counts.List)
+	}
+}
+
+// TestWatchDeletionInGap guards against objects that seem to live on because their deletion fell into a cut.
+func TestWatchDeletionInGap(t *testing.T) {
+	backing := platformtest.New()
+	client := newClient(t, backing, platform.Options{CallsPerSecond: 10000})
+	o, err := client.Put(t.Context(), "w/a", []byte("1"), platform.MustNotExist)
+	if err != nil {
+		t.Fatal(err)
+	}
+	events, err := client.Watch(t.Context(), "w/", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-events
+	backing.CutWatches()
+	if err := backing.Delete(t.Context(), "w/a", o.Version); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case e := <-events:
+		if !e.Deleted || e.Object.Key != "w/a" {
+			t.Fatalf("event %+v, want the deletion of w/a", e)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the deletion was not reported")
+	}
+}
