--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -92,6 +92,9 @@
 // D returns d as a time.Duration.
 func (d Duration) D() time.Duration { return time.Duration(d) }
 
+// String returns the text form.
+func (d Duration) String() string { return time.Duration(d).String() }
+
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
