--- a/cmd/dandelionspoke/main.go
+++ b/cmd/dandelionspoke/main.go
@@ -1,4 +1,13 @@
 // Command dandelionspoke runs a node and the tools around it.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"dandelionspoke/internal/cli"
+)
+
+// linkedToLibc exists only in builds with cgo; a build without it fails here.
+const _ = linkedToLibc
+
+func main() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/cli/completion.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/alecthomas/kong"
+)
+
+type completionCommand struct {
+	Shell string `arg:"" optional:"" default:"bash" enum:"bash" help:"Shell; only bash is supported."`
+}
+
+const completionHead = `_dandelionspoke() {
+  local cur="${COMP_WORDS[COMP_CWORD]}" path="" word words=""
+  for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
+    case "$path/$word" in
+`
+
+const completionMiddle = `    esac
+  done
+  case "$path" in
+`
+
+const completionTail = `  esac
+  COMPREPLY=($(compgen -W "$words" -- "$cur"))
+  if [[ ${#COMPREPLY[@]} -eq 0 && $cur != -* ]]; then
+    COMPREPLY=($(compgen -f -- "$cur"))
+  fi
+}
+complete -o filenames -F _dandelionspoke dandelionspoke
+`
+
+// Run prints a bash script that completes the visible commands and their flags.
+func (*completionCommand) Run(o output, app *kong.Application) error {
+	io.WriteString(o.out, completionHead)
+	walk(app.Node, "", func(path string, _ *kong.Node) {
+		if path != "" {
+			fmt.Fprintf(o.out, "    %s) path=%s ;;\n", path, path)
+		}
+	})
+	io.WriteString(o.out, completionMiddle)
+	walk(app.Node, "", func(path string, n *kong.Node) {
+		fmt.Fprintf(o.out, "  %q) words=%q ;;\n", path, strings.Join(completionWords(n), " "))
+	})
+	_, err := io.WriteString(o.out, completionTail)
+	return err
+}
+
+func walk(n *kong.Node, path string, visit func(string, *kong.Node)) {
+	visit(path, n)
+	for _, child := range n.Children {
+		if !child.Hidden && child.Type == kong.CommandNode {
+			walk(child, path+"/"+child.Name, visit)
+		}
+	}
+}
+
+func completionWords(n *kong.Node) []string {
+	var words []string
+	for _, child := range n.Children {
+		if !child.Hidden && child.Type == kong.CommandNode {
+			words = append(words, child.Name)
+		}
+	}
+	for _, flag := range n.Flags {
+		if !flag.Hidden {
+			words = append(words, "--"+flag.Name)
+		}
+	}
+	return words
+}
