settings: name the owners of bundle keys

Envelopes name their signers, so a node needs keys by name, in the form that bundle keygen prints.

Result: go test ./internal/settings passes.

--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -3,13 +3,14 @@
 import (
 	"crypto/ed25519"
 	"encoding/base64"
-	"fmt"
 	"log/slog"
 	"net/netip"
 	"net/url"
 	"regexp"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Key describes one key of a settings file.
@@ -31,7 +32,7 @@
 const (
 	addressAllowed = "ip:port, such as \"10.0.0.7:7070\" (an IP address, not a name; port 0 to 65535)"
 	nameAllowed    = "1 to 64 letters, digits, '.', '-', '_', ':', '[' or ']'"
-	keysAllowed    = "a list of at least one ed25519 public key (32 bytes in base64)"
+	keysAllowed    = "a list of at least one public key, each \"NAME ed25519 BASE64\" as printed by bundle keygen, no name twice"
 )
 
 const maxKeyedNameLength = 64
@@ -65,8 +66,8 @@
 		{Name: "store.timeout", Allowed: "a duration from \"10ms\" to \"1m\"", Default: "2s", set: duration(10*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Store.Timeout })},
 		{Name: "store.calls_per_second", Allowed: "a number from 0.1 to 2000", Default: "20", set: setCallsPerSecond},
 
-		{Name: "bundle.trusted_keys", Allowed: keysAllowed, Required: true, set: publicKeys(func(s *Settings) *[]ed25519.PublicKey { return &s.Bundle.TrustedKeys })},
-		{Name: "bundle.approver_keys", Allowed: keysAllowed, Required: true, set: publicKeys(func(s *Settings) *[]ed25519.PublicKey { return &s.Bundle.ApproverKeys })},
+		{Name: "bundle.trusted_keys", Allowed: keysAllowed, Required: true, set: publicKeys(func(s *Settings) *map[string]ed25519.PublicKey { return &s.Bundle.TrustedKeys })},
+		{Name: "bundle.approver_keys", Allowed: keysAllowed, Required: true, set: publicKeys(func(s *Settings) *map[string]ed25519.PublicKey { return &s.Bundle.ApproverKeys })},
 
 		{Name: "log.level", Allowed: "\"debug\", \"info\", \"warn\" or \"error\"", Default: "info", set: setLogLevel},
 	}
@@ -219,38 +220,43 @@
 	return true
 }
 
-func publicKeys(field func(*Settings) *[]ed25519.PublicKey) func(*Settings, any) bool {
+func publicKeys(field func(*Settings) *map[string]ed25519.PublicKey) func(*Settings, any) bool {
 	return func(s *Settings, value any) bool {
 		list, ok := value.([]any)
 		if !ok || len(list) == 0 {
 			return false
 		}
-		keys := make([]ed25519.PublicKey, 0, len(list))
+		keys := make(map[string]ed25519.PublicKey, len(list))
 		for _, item := range list {
-			key, err := parsePublicKey(item)
-			if err != nil {
+			owner, key, err := parsePublicKey(item)
+			if _, twice := keys[owner]; twice || err != nil {
 				return false
 			}
-			keys = append(keys, key)
+			keys[owner] = key
 		}
 		*field(s) = keys
 		return true
 	}
 }
 
-func parsePublicKey(value any) (ed25519.PublicKey, error) {
-	v, ok := text(value)
-	if !ok {
-		return nil, fmt.Errorf("key is not text")
+// publicKeyScheme is the second word of a public key.
+const publicKeyScheme = "ed25519"
+
+// parsePublicKey reads "NAME ed25519 BASE64".
+func parsePublicKey(value any) (owner string, key ed25519.PublicKey, err error) {
+	v, _ := text(value)
+	fields := strings.Fields(v)
+	if len(fields) != 3 || fields[1] != publicKeyScheme {
+		return "", nil, errors.New("not NAME ed25519 BASE64")
 	}
-	raw, err := base64.StdEncoding.DecodeString(v)
+	raw, err := base64.StdEncoding.DecodeString(fields[2])
 	if err != nil {
-		return nil, err
+		return "", nil, err
 	}
 	if len(raw) != ed25519.PublicKeySize {
-		return nil, fmt.Errorf("key has %d bytes", len(raw))
+		return "", nil, errors.Newf("key has %d bytes", len(raw))
 	}
-	return raw, nil
+	return fields[0], raw, nil
 }
 
 func setLogLevel(s *Settings, value any) bool {
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -170,6 +170,11 @@
 	if !tokenGiven && !isLoopback(s.Admin.Listen) {
 		p.fault("admin.token", tokenAllowed, "is required because admin.listen is %s", s.Admin.Listen)
 	}
+	for owner, key := range s.Bundle.ApproverKeys {
+		if other, both := s.Bundle.TrustedKeys[owner]; both && !other.Equal(key) {
+			p.fault("bundle.approver_keys", keysAllowed, "%s has another key in bundle.trusted_keys", owner)
+		}
+	}
 	if s.NodeID == "" {
 		s.NodeID = s.Peer.Advertise
 	}
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"crypto/ed25519"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -11,7 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-const testKey = "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8="
+const testKey = "ann ed25519 AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8="
 
 const minimal = `region = "ostlandet"
 failure_domain = "oslo-a"
@@ -37,8 +38,8 @@
 	want.Region, want.FailureDomain = "ostlandet", "oslo-a"
 	want.Peer = Peer{Listen: "127.0.0.1:7070", Advertise: "127.0.0.1:7070"}
 	want.Gossip = Gossip(want.Peer)
-	want.Bundle.TrustedKeys = append(want.Bundle.TrustedKeys, key)
-	want.Bundle.ApproverKeys = append(want.Bundle.ApproverKeys, key)
+	want.Bundle.TrustedKeys = map[string]ed25519.PublicKey{"ann": key}
+	want.Bundle.ApproverKeys = want.Bundle.TrustedKeys
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
@@ -123,7 +124,10 @@
 		{"advertise missing", strings.Replace(minimal, "127.0.0.1:7070", "0.0.0.0:7070", 1) + "[gossip]\nlisten = \"127.0.0.1:1\"\n", 3, "peer.advertise"},
 		{"advertise unspecified", minimal + "[gossip]\nadvertise = \"0.0.0.0:80\"\n", 9, "gossip.advertise"},
 		{"seed with name", "seeds = [\"10.0.0.1:1\", \"seed:1\"]\n" + minimal, 1, "seeds"},
-		{"short key", strings.Replace(minimal, testKey, "AAEC", 1), 6, "bundle.trusted_keys"},
+		{"short key", strings.Replace(minimal, testKey, "ann ed25519 AAEC", 1), 6, "bundle.trusted_keys"},
+		{"key without name", strings.Replace(minimal, "[\"ann ", "[\"", 1), 6, "bundle.trusted_keys"},
+		{"name twice", strings.Replace(minimal, "[\""+testKey+"\"]", "[\""+testKey+"\", \""+testKey+"\"]", 1), 6, "bundle.trusted_keys"},
+		{"approver with two keys", strings.Replace(minimal, "AAEC", "AQEC", 1), 7, "bundle.approver_keys"},
 		{"no approver", strings.Replace(minimal, "approver_keys = [\""+testKey+"\"]", "approver_keys = []", 1), 7, "bundle.approver_keys"},
 		{"log level", minimal + "[log]\nlevel = \"loud\"\n", 9, "log.level"},
 		{"region missing", strings.Replace(minimal, "region = \"ostlandet\"\n", "", 1), 1, "region"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/ed25519"
 	"log/slog"
+	"maps"
 	"time"
 )
 
@@ -71,12 +72,22 @@
 	CallsPerSecond float64
 }
 
-// Bundle holds the keys that a bundle must be signed with.
+// Bundle holds the public keys that a bundle must be signed with, by the names of their owners.
 type Bundle struct {
-	// TrustedKeys are the public keys of authors.
-	TrustedKeys []ed25519.PublicKey
-	// ApproverKeys are the public keys of approvers.
-	ApproverKeys []ed25519.PublicKey
+	// TrustedKeys are those of authors.
+	TrustedKeys map[string]ed25519.PublicKey
+	// ApproverKeys are those of approvers. An owner may be in both maps, with the same key.
+	ApproverKeys map[string]ed25519.PublicKey
+}
+
+// Trusted returns the keys of authors and approvers together.
+func (b Bundle) Trusted() map[string]ed25519.PublicKey {
+	all := maps.Clone(b.TrustedKeys)
+	if all == nil {
+		all = map[string]ed25519.PublicKey{}
+	}
+	maps.Copy(all, b.ApproverKeys)
+	return all
 }
 
 // Log configures the log on stderr.
