--- /dev/null
+++ b/internal/demo/summary.go
@@ -0,0 +1,122 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"slices"
+)
+
+// Summary is the result of one run. Latencies are in milliseconds and cover answered requests.
+type Summary struct {
+	Workload string  `json:"workload"`
+	Seed     uint64  `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+	Nodes    int     `json:"nodes"`
+
+	Sent          int64 `json:"sent"`
+	AnsweredOK    int64 `json:"answered_ok"`
+	RefusedNotRun int64 `json:"refused_not_run"`
+	MayHaveRun    int64 `json:"may_have_run"`
+	RanFailed     int64 `json:"ran_failed"`
+	BackendErrors int64 `json:"backend_errors"`
+	WrongBody     int64 `json:"wrong_body"`
+	CutOff        int64 `json:"cut_off"`
+	// Unsent counts arrivals that the generator dropped because too many requests were in flight.
+	Unsent int64 `json:"unsent"`
+
+	DuplicateRuns int64 `json:"duplicate_runs"`
+	// NotRunButRan counts operations that callers were told were not run but that the run log holds.
+	NotRunButRan int64 `json:"not_run_but_ran"`
+	// OKWithoutRun counts non-idempotent operations that were answered although the run log does not hold them.
+	OKWithoutRun int64 `json:"ok_without_run"`
+
+	P50 float64 `json:"p50_ms"`
+	P99 float64 `json:"p99_ms"`
+	// The light load sends one request at a time, without service time.
+	LightSamples    int64   `json:"light_samples"`
+	DirectP99       float64 `json:"direct_p99_ms"`
+	SystemP99       float64 `json:"system_p99_ms"`
+	BareHopP99      float64 `json:"bare_hop_p99_ms"`
+	AddedP50        float64 `json:"added_p50_ms"`
+	AddedP99        float64 `json:"added_p99_ms"`
+	BareHopAddedP99 float64 `json:"bare_hop_added_p99_ms"`
+
+	Classes map[string]ClassSummary `json:"classes"`
+	// Faults are those that were injected, in order.
+	Faults []string `json:"faults"`
+	// Broken names the first operations with a wrong body or without a whole answer.
+	Broken []string `json:"broken"`
+}
+
+// ClassSummary is the result of one kind of request.
+type ClassSummary struct {
+	Sent       int64   `json:"sent"`
+	AnsweredOK int64   `json:"answered_ok"`
+	P50        float64 `json:"p50_ms"`
+	P99        float64 `json:"p99_ms"`
+}
+
+// Failed reports whether the run broke a promise to callers.
+func (s *Summary) Failed() bool {
+	return s.WrongBody+s.DuplicateRuns+s.CutOff+s.NotRunButRan+s.OKWithoutRun != 0
+}
+
+func (s *Summary) addTally(t *tally) {
+	s.Sent = t.sent()
+	s.AnsweredOK = t.count(OK)
+	s.RefusedNotRun = t.count(RefusedNotRun)
+	s.MayHaveRun = t.count(MayHaveRun)
+	s.RanFailed = t.count(RanFailed)
+	s.BackendErrors = t.count(BackendError)
+	s.WrongBody = t.count(WrongBody)
+	s.CutOff = t.count(CutOff)
+	s.Broken = t.broken
+	s.Classes = map[string]ClassSummary{}
+	overall := newLatencies()
+	for name, k := range t.kinds {
+		c := ClassSummary{AnsweredOK: k.counts[OK], P50: k.latency.ms(50), P99: k.latency.ms(99)}
+		for _, n := range k.counts {
+			c.Sent += n
+		}
+		s.Classes[name] = c
+		overall.hist.Merge(k.latency.hist)
+	}
+	s.P50, s.P99 = overall.ms(50), overall.ms(99)
+}
+
+func (s *Summary) addLight(l *lightLoad) {
+	s.LightSamples = l.system.count()
+	s.DirectP99 = l.direct.ms(99)
+	s.SystemP99 = l.system.ms(99)
+	s.BareHopP99 = l.bareHop.ms(99)
+	s.AddedP50 = l.system.ms(50) - l.direct.ms(50)
+	s.AddedP99 = s.SystemP99 - s.DirectP99
+	s.BareHopAddedP99 = s.BareHopP99 - s.DirectP99
+}
+
+// Print writes the summary as text.
+func (s *Summary) Print(w io.Writer) {
+	fmt.Fprintf(w, "workload %s, %d nodes, seed %d, %.1f s\n", s.Workload, s.Nodes, s.Seed, s.Seconds)
+	fmt.Fprintf(w, "sent %d: answered_ok %d, refused_not_run %d, may_have_run %d, ran_failed %d, backend_errors %d, unsent %d\n",
+		s.Sent, s.AnsweredOK, s.RefusedNotRun, s.MayHaveRun, s.RanFailed, s.BackendErrors, s.Unsent)
+	fmt.Fprintf(w, "wrong_body %d, duplicate_runs %d, cut_off %d, not_run_but_ran %d, ok_without_run %d\n",
+		s.WrongBody, s.DuplicateRuns, s.CutOff, s.NotRunButRan, s.OKWithoutRun)
+	fmt.Fprintf(w, "p50 %.2f ms, p99 %.2f ms\n", s.P50, s.P99)
+	fmt.Fprintf(w, "light load (%d samples): p99 direct %.2f ms, through the system %.2f ms (added %.2f ms), through a bare hop %.2f ms (added %.2f ms)\n",
+		s.LightSamples, s.DirectP99, s.SystemP99, s.AddedP99, s.BareHopP99, s.BareHopAddedP99)
+	names := make([]string, 0, len(s.Classes))
+	for name := range s.Classes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		c := s.Classes[name]
+		fmt.Fprintf(w, "  %-18s sent %6d, ok %6d, p50 %8.2f ms, p99 %8.2f ms\n", name, c.Sent, c.AnsweredOK, c.P50, c.P99)
+	}
+	for _, f := range s.Faults {
+		fmt.Fprintf(w, "  fault: %s\n", f)
+	}
+	for _, b := range s.Broken {
+		fmt.Fprintf(w, "  broken: %s\n", b)
+	}
+}
