--- a/internal/backendtest/handler.go
+++ b/internal/backendtest/handler.go
@@ -8,12 +8,16 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dandelionspoke/internal/verdict"
 )
 
-// Headers with which the system hands on the context of a request.
+// Headers that the system and the server exchange.
 const (
 	deadlineHeader = "Dandelionspoke-Deadline-Ms"
 	contextPrefix  = "Dandelionspoke-"
+	// refusedHeader marks a 503 by which the server itself states that it did no work.
+	refusedHeader = "Dandelionspoke-Backend-Refused"
 )
 
 // pacedReply is the answer length in bytes from which the service time is spread over the answer.
@@ -37,13 +41,13 @@
 func (s *Server) serveWork(l *life, w http.ResponseWriter, r *http.Request) {
 	if l.draining.Load() {
 		w.Header().Set("Connection", "close")
-		http.Error(w, "draining", http.StatusServiceUnavailable)
+		refuse(w, "draining")
 		return
 	}
 	ctx, cancel := requestContext(r)
 	defer cancel()
 	if !s.acquire(ctx, l) {
-		http.Error(w, "no free slot", http.StatusServiceUnavailable)
+		refuse(w, "no free slot")
 		return
 	}
 	defer s.release(l)
@@ -62,6 +66,13 @@
 	}
 }
 
+// refuse answers that the server does not run the request, in the form that a gate recognises.
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set(verdict.Header, verdict.NotRun.String())
+	w.Header().Set(refusedHeader, reason)
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
 // idempotent reports whether the request may run more than once. GET and HEAD may.
 func idempotent(r *http.Request) bool {
 	return r.Method == http.MethodGet || r.Method == http.MethodHead
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -45,7 +45,7 @@
 		{Name: "node_id", Allowed: nameAllowed, Default: "advertised peer address", set: name(func(s *Settings) *string { return &s.NodeID })},
 		{Name: "region", Allowed: nameAllowed, Required: true, set: name(func(s *Settings) *string { return &s.Region })},
 		{Name: "failure_domain", Allowed: nameAllowed, Required: true, set: name(func(s *Settings) *string { return &s.FailureDomain })},
-		{Name: "seeds", Allowed: "a list of peer addresses, each " + addressAllowed, Default: "empty", set: setSeeds},
+		{Name: "seeds", Allowed: "a list of peer addresses, each ip:port with a specific IP address and a port from 1", Default: "empty", set: setSeeds},
 		{Name: "drain_timeout", Allowed: "a duration from \"1s\" to \"1h\"", Default: "30s", set: duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.DrainTimeout })},
 
 		{Name: "ingress.listen", Allowed: addressAllowed, Default: DefaultIngressListen, set: address(func(s *Settings) *string { return &s.Ingress.Listen })},
