cli: exit with 1 for a missing file

A file that does not exist is a failed operation, not a usage error, and faults name the file as it was given.

--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -10,7 +10,7 @@
 )
 
 type checkCommand struct {
-	File string `arg:"" type:"existingfile" help:"TOML file with the settings of a node."`
+	File string `arg:"" help:"TOML file with the settings of a node."`
 }
 
 // Run prints each fault of the file with its line, key and allowed values.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -42,6 +42,7 @@
 		{"unknown flag", []string{"version", "--frobnicate"}, ExitUsage},
 		{"missing argument", []string{"check"}, ExitUsage},
 		{"missing flag", []string{"node"}, ExitUsage},
+		{"missing file", []string{"check", bad + ".none"}, ExitFailed},
 		{"faulty settings", []string{"check", bad}, ExitFailed},
 		{"node with faulty settings", []string{"node", "--settings", bad}, ExitFailed},
 		{"node with missing settings", []string{"node", "--settings", bad + ".none"}, ExitFailed},
