Relay trailers of empty answers

Cause: net/http gives an answer without a body a Content-Length, and then drops its trailers. Change: flush the head of an answer of unknown length before the body. Measured: the path tests pass, also with the race detector (5.1 s).

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -175,6 +175,10 @@
 		h.Set("Content-Length", strconv.FormatInt(head.ContentLength, 10))
 	}
 	w.WriteHeader(int(head.Status))
+	if head.ContentLength < 0 {
+		// Without a flush net/http would send an empty answer with a length and drop its trailers.
+		_ = http.NewResponseController(w).Flush()
+	}
 }
 
 func writeTrailers(w http.ResponseWriter, trailers []*wire.Header) {
--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -165,6 +164,8 @@
 func TestVerdicts(t *testing.T) {
 	var runs atomic.Int64
 	p := newPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// net/http notices a closed connection only once the body has been read.
+		_, _ = io.ReadAll(r.Body)
 		runs.Add(1)
 		if r.URL.Path == "/order/crash" {
 			panic(http.ErrAbortHandler)
@@ -273,9 +274,6 @@
 func (p *breakableProxy) breakAll() { close(p.broken) }
 
 func pipe(dst, src net.Conn) {
-	_, err := io.Copy(dst, src)
-	if err != nil && !errors.Is(err, net.ErrClosed) {
-		_ = err
-	}
+	_, _ = io.Copy(dst, src)
 	dst.Close()
 }
