Assemble the node: request path, control loop, store readers and administration

Cause: the parts must run together as one process beside each backend server. Change: node with its listeners, engine hooks, bundle exchange between nodes, store readers, drain, admin API. Measured: three in-process nodes serve through each other; a drain under load of 16 callers fails no request.

--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,106 @@
+// Package admin serves a node's operators: health, metrics, state dump, drain and bundle status, as JSON over HTTP.
+package admin
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"strings"
+)
+
+// Health is the answer of GET /v1/health.
+type Health struct {
+	// Status is "ok", "draining" or "starting" (no bundle is in force yet).
+	Status        string `json:"status"`
+	NodeID        string `json:"node_id"`
+	BundleVersion uint64 `json:"bundle_version"`
+	LiveMembers   int    `json:"live_members"`
+}
+
+// BundleStatus is the answer of GET /v1/bundle.
+type BundleStatus struct {
+	Version uint64 `json:"version"`
+	// Refused is why the newest bundle that was offered is not in force; empty if it is.
+	Refused string `json:"refused,omitempty"`
+	// Nodes holds the version in force of each member as this node knows it.
+	Nodes map[string]uint64 `json:"nodes"`
+}
+
+// Node is what the administration interface needs of a node. Its methods are safe for concurrent use.
+type Node interface {
+	Health() Health
+	BundleStatus() BundleStatus
+	// Dump returns the whole state in a form that encoding/json accepts.
+	Dump() any
+	// Metrics returns counters and gauges by name.
+	Metrics() map[string]int64
+	// SetLeaving makes the node refuse new work, or accept it again, without ending the process.
+	SetLeaving(leaving bool)
+}
+
+// New returns the handler of the admin listener. A non-empty token must be sent as a bearer token.
+func New(n Node, token string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/health", func(w http.ResponseWriter, _ *http.Request) {
+		h := n.Health()
+		status := http.StatusOK
+		if h.Status != "ok" {
+			status = http.StatusServiceUnavailable
+		}
+		writeJSON(w, status, h)
+	})
+	mux.HandleFunc("GET /v1/bundle", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, n.BundleStatus())
+	})
+	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, n.Dump())
+	})
+	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
+		n.SetLeaving(true)
+		writeJSON(w, http.StatusOK, n.Health())
+	})
+	mux.HandleFunc("POST /v1/undrain", func(w http.ResponseWriter, _ *http.Request) {
+		n.SetLeaving(false)
+		writeJSON(w, http.StatusOK, n.Health())
+	})
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, r *http.Request) { serveVars(w, n) })
+	return authenticate(mux, token)
+}
+
+// serveVars writes the variables of package expvar and, under "node", those of this node. They are not
+// published globally, since one process may run several nodes.
+func serveVars(w http.ResponseWriter, n Node) {
+	vars := new(expvar.Map)
+	for name, value := range n.Metrics() {
+		v := new(expvar.Int)
+		v.Set(value)
+		vars.Set(name, v)
+	}
+	all := map[string]json.RawMessage{"node": json.RawMessage(vars.String())}
+	expvar.Do(func(kv expvar.KeyValue) { all[kv.Key] = json.RawMessage(kv.Value.String()) })
+	writeJSON(w, http.StatusOK, all)
+}
+
+func authenticate(next http.Handler, token string) http.Handler {
+	if token == "" {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !found || subtle.ConstantTimeCompare([]byte(given), []byte(token)) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			http.Error(w, "a bearer token is required", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -50,13 +50,15 @@
 	// IsQuarantined reports whether a fingerprint is refused. Nil means that none is.
 	IsQuarantined func(fingerprint []byte) bool
 
-	mu        sync.Mutex
-	queue     *admission.Queue
-	waiters   map[admission.Ticket]chan admission.Grant
-	backend   *Backend
-	draining  bool
-	keepBytes int
-	inFlight  sync.WaitGroup
+	mu       sync.Mutex
+	queue    *admission.Queue
+	waiters  map[admission.Ticket]chan admission.Grant
+	backend  *Backend
+	draining bool
+	// backendDraining is set while the backend server drains although the node stays.
+	backendDraining bool
+	keepBytes       int
+	inFlight        sync.WaitGroup
 }
 
 // New returns a gate without a backend server. instance is the node's process identifier.
@@ -120,7 +122,7 @@
 	if g.queue != nil {
 		l = g.queue.Load()
 	}
-	l.Draining = l.Draining || g.draining
+	l.Draining = l.Draining || g.draining || g.backendDraining
 	l.Generation = g.attempts.currentGeneration()
 	return l
 }
@@ -132,6 +134,13 @@
 	g.mu.Unlock()
 }
 
+// SetBackendDraining refuses new work while the backend server beside the node drains.
+func (g *Gate) SetBackendDraining(draining bool) {
+	g.mu.Lock()
+	g.backendDraining = draining
+	g.mu.Unlock()
+}
+
 // Wait blocks until no request is queued or in flight.
 func (g *Gate) Wait() { g.inFlight.Wait() }
 
@@ -169,6 +178,8 @@
 	switch {
 	case g.draining:
 		return verdict.New(verdict.NotRun, verdict.Draining, "the node is leaving")
+	case g.backendDraining:
+		return verdict.New(verdict.NotRun, verdict.Draining, "the backend server is draining")
 	case backend == nil:
 		return verdict.New(verdict.NotRun, verdict.BackendDown, "no backend server has announced itself")
 	case g.queue == nil:
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -175,57 +175,6 @@
 	return nil, errorOf(fate, verdict.PeerBroken)
 }
 
-// run sends the request to endpoints until one answers or no further attempt is permitted.
-func (in *Ingress) run(ctx context.Context, q *request) (*answer, error) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline.Add(verdictGrace))
-	stop := context.AfterFunc(q.http.Context(), cancel)
-	a, err := in.tryEndpoints(ctx, q)
-	if err != nil {
-		stop()
-		cancel()
-		return nil, err
-	}
-	a.release = func() { stop(); cancel() }
-	return a, nil
-}
-
-func (in *Ingress) tryEndpoints(ctx context.Context, q *request) (*answer, error) {
-	var exclude uint64
-	var last error
-	for number := 1; ; number++ {
-		i, ep := in.Chooser.pick(q.service, exclude, q.route.Class == bundle.Long)
-		if ep == nil {
-			if last != nil {
-				return nil, last
-			}
-			return nil, verdict.New(verdict.NotRun, verdict.NoEndpoint, "no endpoint of service %s can be used", q.route.Service)
-		}
-		a, err := in.attempt(ctx, q, ep)
-		if err == nil {
-			return a, nil
-		}
-		last = err
-		if !in.mayRetry(ctx, q, number, err) {
-			return nil, err
-		}
-		in.Counters.Retries.Add(1)
-		if i < 64 {
-			exclude |= 1 << i
-		}
-	}
-}
-
-// mayRetry decides on another attempt after err.
-func (in *Ingress) mayRetry(ctx context.Context, q *request, number int, err error) bool {
-	if ctx.Err() != nil || q.restUsed || time.Until(q.deadline) <= 0 {
-		return false
-	}
-	if number >= q.snapshot.Bundle.Policy.MaxAttempts {
-		return false
-	}
-	return verdict.Of(err) == verdict.NotRun || q.idempotent && q.depth == 0
-}
-
 func outcomeOf(ctx context.Context, status uint32, err error) balance.Outcome {
 	switch {
 	case ctx.Err() != nil:
--- a/internal/ingress/chooser.go
+++ b/internal/ingress/chooser.go
@@ -59,3 +59,6 @@
 		balance.ObserveReport(o.endpoint.Stats, now, load)
 	})
 }
+
+// age is the time since the attempt began.
+func (o *observation) age() time.Duration { return time.Duration(Now() - o.started) }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -11,9 +11,12 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
@@ -31,10 +34,13 @@
 	Snapshots *table.Publisher
 	Opener    Opener
 	Chooser   *Chooser
-	Claims    Claims // nil: keyed requests are refused
+	Claims    Claims        // nil: keyed requests are refused
+	Budget    *retry.Budget // of retries and hedges
 	Logger    *slog.Logger
 	// IsQuarantined reports whether a fingerprint is refused; nil means that none is.
 	IsQuarantined func(fingerprint []byte) bool
+	// OnStale is told of each request's service, so that stale load figures are refreshed; nil means no report.
+	OnStale func(service string)
 	// OnSuccess is told of requests that ran to the end; nil means no report.
 	OnSuccess func(fingerprint []byte)
 }
@@ -49,6 +55,7 @@
 	Config
 	Counters Counters
 	draining atomic.Bool
+	latency  sync.Map // service name to *retry.Latencies
 	inFlight sync.WaitGroup
 }
 
@@ -129,6 +136,7 @@
 	body     *peer.Body
 	stop     func() bool // detaches the request's context from conn
 	release  func()      // ends the context of the attempts; nil for none
+	cancel   context.CancelFunc
 	seen     *observation
 	kept     *wire.AttemptFate // set instead of conn when the gate had kept the whole answer
 }
@@ -138,6 +146,9 @@
 		a.stop()
 		_ = a.conn.Close()
 	}
+	if a.cancel != nil {
+		a.cancel()
+	}
 	if a.release != nil {
 		a.release()
 	}
@@ -154,7 +165,11 @@
 		return nil
 	}
 	err := copyBody(w, a)
-	a.seen.end(outcomeOf(q.http.Context(), a.head.Status, err), a.body.End().GetLoad())
+	outcome := outcomeOf(q.http.Context(), a.head.Status, err)
+	a.seen.end(outcome, a.body.End().GetLoad())
+	if outcome == balance.Success && q.route.Hedge {
+		in.latencies(q).Record(time.Now(), a.seen.age())
+	}
 	if err != nil {
 		return http.ErrAbortHandler
 	}
--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -18,6 +18,7 @@
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/ingress"
 	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
@@ -94,7 +95,7 @@
 		t.Fatal(err)
 	}
 	pool := peer.NewPool("ingress-node", 8)
-	in := ingress.New(ingress.Config{Snapshots: snapshots, Opener: opener{pool}, Chooser: ingress.NewChooser(picker), Logger: logger})
+	in := ingress.New(ingress.Config{Snapshots: snapshots, Opener: opener{pool}, Chooser: ingress.NewChooser(picker), Logger: logger, Budget: retry.NewBudget(time.Now(), 0.1, 10)})
 	caller := httptest.NewServer(in)
 	t.Cleanup(func() {
 		caller.Close()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"hash"
 	"io"
 	"net"
 	"net/http"
@@ -12,12 +11,11 @@
 
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/gate"
+	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
 
-	"crypto/sha256"
-
 	"github.com/cockroachdb/errors"
 )
 
@@ -135,8 +133,7 @@
 	if q.http.ContentLength > limit {
 		return verdict.New(verdict.NotRun, verdict.BodyTooLarge, "body of %d bytes, limit %d", q.http.ContentLength, limit)
 	}
-	digest := sha256.New()
-	writeFingerprintHead(digest, q.http)
+	digest := retry.NewDigest(q.http.Method, q.http.Host+q.http.URL.RequestURI())
 	if q.http.Body != nil && q.http.Body != http.NoBody {
 		body := http.MaxBytesReader(w, q.http.Body, limit)
 		_ = http.NewResponseController(w).SetReadDeadline(q.deadline)
@@ -150,15 +147,12 @@
 		}
 	}
 	_, _ = digest.Write(q.prefix)
-	q.fingerprint = digest.Sum(nil)[:16]
-	return nil
-}
-
-func writeFingerprintHead(digest hash.Hash, r *http.Request) {
-	for _, part := range []string{r.Method, r.Host, r.URL.RequestURI(), strconv.FormatInt(r.ContentLength, 10)} {
-		_, _ = io.WriteString(digest, part)
-		_, _ = digest.Write([]byte{0})
+	if q.rest != nil {
+		// Only the length stands for the part of a large body that has not arrived yet.
+		_, _ = digest.Write(strconv.AppendInt(nil, q.http.ContentLength, 10))
 	}
+	q.fingerprint = digest.Sum().Bytes()
+	return nil
 }
 
 func bodyError(ctx context.Context, err error) error {
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"dandelionspoke/internal/admin"
+	"dandelionspoke/internal/announce"
+	"dandelionspoke/internal/engine"
+	"dandelionspoke/internal/wire"
+)
+
+func (n *Node) adminHandler() http.Handler { return admin.New(n, n.settings.Admin.Token) }
+
+// Health implements admin.Node.
+func (n *Node) Health() admin.Health {
+	version, _ := n.BundleVersion()
+	status := "ok"
+	switch {
+	case n.draining.Load():
+		status = "draining"
+	case version == 0:
+		status = "starting"
+	}
+	return admin.Health{Status: status, NodeID: n.settings.NodeID, BundleVersion: version, LiveMembers: len(n.liveMembers())}
+}
+
+// BundleStatus implements admin.Node.
+func (n *Node) BundleStatus() admin.BundleStatus {
+	version, refused := n.BundleVersion()
+	nodes := make(map[string]uint64)
+	for _, m := range n.liveMembers() {
+		nodes[m.NodeID] = m.BundleVersion
+	}
+	return admin.BundleStatus{Version: version, Refused: refused, Nodes: nodes}
+}
+
+// SetLeaving implements admin.Node.
+func (n *Node) SetLeaving(leaving bool) {
+	n.draining.Store(leaving)
+	n.gate.SetDraining(leaving)
+	if leaving {
+		n.engine.SetLeaving()
+	} else {
+		n.engine.ClearLeaving()
+	}
+	n.logger.Info("leaving changed", "event", "leaving_changed", "leaving", leaving)
+}
+
+// Dump is a node's state at one moment.
+type Dump struct {
+	NodeID        string                 `json:"node_id"`
+	UptimeSeconds float64                `json:"uptime_seconds"`
+	Addresses     Addresses              `json:"addresses"`
+	Draining      bool                   `json:"draining"`
+	StoreReader   bool                   `json:"store_reader"`
+	Backend       *announce.Announcement `json:"backend"`
+	GateLoad      *wire.Load             `json:"gate_load"`
+	Bundle        admin.BundleStatus     `json:"bundle"`
+	Metrics       map[string]int64       `json:"metrics"`
+	Engine        engine.State           `json:"engine"`
+}
+
+// Dump implements admin.Node; it returns a Dump.
+func (n *Node) Dump() any {
+	backend, _ := n.registry.Current()
+	return Dump{
+		NodeID: n.settings.NodeID, UptimeSeconds: n.uptime().Seconds(), Addresses: n.addresses,
+		Draining: n.draining.Load(), StoreReader: n.reader.Load(), Backend: backend, GateLoad: n.gate.Load(),
+		Bundle: n.BundleStatus(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
+	}
+}
+
+// Metrics implements admin.Node. The names are documented in docs/operations/administration.md.
+func (n *Node) Metrics() map[string]int64 {
+	in, g := &n.ingress.Counters, &n.gate.Counters
+	budget := n.budget.Counts()
+	known, refused := n.quarantine.Len(time.Now())
+	load := n.gate.Load()
+	m := map[string]int64{
+		"ingress_requests": in.Requests.Load(), "ingress_answered": in.Answered.Load(), "ingress_failed": in.Failed.Load(),
+		"ingress_aborted": in.Aborted.Load(), "ingress_attempts": in.Attempts.Load(), "ingress_retries": in.Retries.Load(),
+		"ingress_hedges": in.Hedges.Load(), "ingress_attempt_queries": in.Queries.Load(), "ingress_replays": in.Replays.Load(),
+		"gate_admitted": g.Admitted.Load(), "gate_queued": g.Queued.Load(), "gate_refused": g.Refused.Load(),
+		"gate_ran": g.Ran.Load(), "gate_broken": g.Broken.Load(), "gate_canceled": g.Canceled.Load(),
+		"gate_attempt_queries": g.Queries.Load(), "gate_crashes": g.Crashes.Load(), "gate_attempts_remembered": int64(n.gate.Attempts()),
+		"gate_in_flight": int64(load.InFlight), "gate_queued_short": int64(load.QueuedShort), "gate_queued_long": int64(load.QueuedLong),
+		"retry_budget_spent": int64(budget.Spent), "retry_budget_denied": int64(budget.Denied),
+		"quarantine_known": int64(known), "quarantine_refused": int64(refused),
+		"peer_sessions": int64(n.pool.Len()), "peer_malformed": n.peers.Malformed.Load(),
+	}
+	if p := n.counters.probeCounts.Load(); p != nil {
+		m["probe_messages"], m["probe_bytes"] = int64(p.Messages), int64(p.Bytes)
+		m["probe_link_messages"], m["probe_link_bytes"] = int64(p.LinkMessages), int64(p.LinkBytes)
+	}
+	for name, value := range n.engine.Counters().Map() {
+		m["engine_"+name] = int64(value)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/node/drain.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// announceDelay is the time that a leaving node goes on accepting calls for its own ingress after it has
+// announced that it leaves, so that callers' load balancers and other nodes hear of it first.
+const announceDelay = 200 * time.Millisecond
+
+// Drain announces that the node leaves, refuses new work, waits for the work in flight and closes the node.
+// When ctx ends first, the remaining requests are cut off and Drain returns ctx's error.
+func (n *Node) Drain(ctx context.Context) error {
+	n.draining.Store(true)
+	n.logger.Info("drain started", "event", "drain_started", "node", n.settings.NodeID)
+	n.engine.SetLeaving()
+	n.gate.SetDraining(true)
+	sleep(ctx, announceDelay)
+	n.ingress.SetDraining(true)
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		n.shutdownIngress(ctx)
+		n.gate.Wait()
+	}()
+	var err error
+	select {
+	case <-finished:
+	case <-ctx.Done():
+		err = errors.Wrap(ctx.Err(), "drain")
+	}
+	n.logger.Info("drain ended", "event", "drain_ended", "node", n.settings.NodeID, "error", err)
+	return errors.CombineErrors(err, n.Close())
+}
+
+// shutdownIngress closes the listener for callers once its requests have been answered.
+func (n *Node) shutdownIngress(ctx context.Context) {
+	if len(n.servers) > 0 {
+		_ = n.servers[0].Shutdown(ctx)
+	}
+	n.ingress.Wait()
+}
+
+// Close ends the node at once. Requests in flight break.
+func (n *Node) Close() error {
+	n.closeOnce.Do(n.close)
+	return nil
+}
+
+func (n *Node) close() {
+	n.cancel()
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	if n.pool != nil {
+		n.pool.Close()
+	}
+	if n.peers != nil {
+		n.peers.Close()
+	}
+	if n.engine != nil {
+		n.engine.Stop()
+	}
+	n.gate.Close()
+	n.wg.Wait()
+	n.logger.Info("node stopped", "event", "node_stopped", "node", n.settings.NodeID)
+}
+
+// sleep waits for d or until ctx ends; it reports whether d has passed.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,250 @@
+// Package node assembles the ingress, the gate and the control loop of one node.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionspoke/internal/announce"
+	"dandelionspoke/internal/balance"
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/engine"
+	"dandelionspoke/internal/gate"
+	"dandelionspoke/internal/ingress"
+	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/retry"
+	"dandelionspoke/internal/rollout"
+	"dandelionspoke/internal/settings"
+	"dandelionspoke/internal/table"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Options configure a node.
+type Options struct {
+	Settings settings.Settings
+	Logger   *slog.Logger // nil discards
+	// Store replaces the client that Settings.Store describes.
+	Store platform.Store
+	// Policy names the endpoint choice policy; empty means balance.Dandelionspoke.
+	Policy string
+}
+
+// Addresses are the bound addresses of a started node.
+type Addresses struct {
+	Ingress, Peer, UDP, Admin, Announce string
+}
+
+// Node is one process of the system. Its methods are safe for concurrent use.
+type Node struct {
+	settings settings.Settings
+	logger   *slog.Logger
+	store    platform.Store // nil without direct access
+	instance uint64
+	started  time.Time
+
+	snapshots  table.Publisher
+	pool       *peer.Pool
+	gate       *gate.Gate
+	ingress    *ingress.Ingress
+	registry   *announce.Registry
+	engine     *engine.Engine
+	peers      *peer.Server
+	quarantine *retry.Quarantine
+	budget     *retry.Budget
+	probes     *balance.ProbePlanner
+	provider   rollout.Provider
+	bundles    bundleState
+	counters   requestCounters
+	reader     atomic.Bool // this node reads the store for its failure domain
+	// probePolicy and probeRand belong to the engine loop.
+	probePolicy uint64
+	probeRand   *rand.Rand
+
+	addresses Addresses
+	servers   []*http.Server
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+	closeOnce sync.Once
+	draining  atomic.Bool
+}
+
+// New returns a node that has not been started.
+func New(o Options) (*Node, error) {
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Policy == "" {
+		o.Policy = balance.Dandelionspoke
+	}
+	picker, err := balance.New(o.Policy)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings: o.Settings, logger: o.Logger, store: o.Store, instance: rand.Uint64(), started: time.Now(),
+		registry: &announce.Registry{},
+	}
+	if n.store == nil && o.Settings.Store.URL != "" {
+		if n.store, err = newStoreClient(o.Settings.Store); err != nil {
+			return nil, err
+		}
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.bundles.acceptor = bundle.NewAcceptor(trustedKeys(o.Settings.Bundle))
+	n.assemble(picker)
+	return n, nil
+}
+
+func newStoreClient(s settings.Store) (platform.Store, error) {
+	return platform.NewClient(platform.Options{
+		BaseURL: s.URL, Token: s.Token, CallTimeout: s.Timeout, CallsPerSecond: s.CallsPerSecond,
+	})
+}
+
+// assemble creates the parts that need no address. The default policy applies until a bundle is in force.
+func (n *Node) assemble(picker balance.Picker) {
+	defaults := &bundle.Bundle{}
+	defaults.SetDefaults()
+	policy := defaults.Policy
+	n.quarantine = retry.NewQuarantine(policy.QuarantineDeaths, policy.QuarantineFor.D())
+	n.budget = retry.NewBudget(n.started, policy.RetryShare, policy.RetryMinPerSecond)
+	n.probes = balance.NewProbePlanner(n.started.UnixNano(), policy, probeExchangeBytes)
+	n.probeRand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.gate = gate.New(n.instance, n.logger)
+	n.gate.IsQuarantined = n.isQuarantined
+	n.gate.OnCrash = n.crashed
+	n.registry.OnChange = n.backendChanged
+	n.ingress = ingress.New(ingress.Config{
+		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget,
+		Logger: n.logger, IsQuarantined: n.isQuarantined, OnStale: n.freshen,
+	})
+}
+
+// Addrs returns the bound addresses. They are empty before Start.
+func (n *Node) Addrs() Addresses { return n.addresses }
+
+// ID returns the node's identifier.
+func (n *Node) ID() string { return n.settings.NodeID }
+
+// Start binds all listeners and joins the fleet in the background. When it fails, nothing stays bound.
+func (n *Node) Start(ctx context.Context) error {
+	err := n.start(ctx)
+	if err != nil {
+		_ = n.Close()
+	}
+	return err
+}
+
+func (n *Node) start(ctx context.Context) error {
+	peerListener, err := listen(ctx, "peer", n.settings.Peer.Listen)
+	if err != nil {
+		return err
+	}
+	n.addresses.Peer = peerListener.Addr().String()
+	if n.settings.Peer.Advertise == "" {
+		n.settings.Peer.Advertise = n.addresses.Peer
+	}
+	if n.settings.NodeID == "" {
+		n.settings.NodeID = n.settings.Peer.Advertise
+	}
+	n.pool = peer.NewPool(n.settings.NodeID, n.instance)
+	n.peers = peer.NewServer(n.settings.NodeID, n.instance, n, n.logger)
+	n.engine = engine.New(n.engineConfig(), n.engineHooks(), &n.snapshots)
+	if err := n.engine.Start(); err != nil {
+		_ = peerListener.Close()
+		return err
+	}
+	n.addresses.UDP = n.engine.UDPAddr()
+	n.peers.Serve(peerListener)
+	if err := n.startHTTP(ctx); err != nil {
+		return err
+	}
+	n.background(n.maintain)
+	n.background(n.join)
+	if n.store != nil {
+		n.background(n.followStore)
+	}
+	n.logger.Info("node started", "event", "node_started", "node", n.settings.NodeID, "ingress", n.addresses.Ingress,
+		"peer", n.addresses.Peer, "udp", n.addresses.UDP, "admin", n.addresses.Admin, "announce", n.addresses.Announce)
+	return nil
+}
+
+func (n *Node) background(run func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		run()
+	}()
+}
+
+func listen(ctx context.Context, name, address string) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	return l, errors.Wrapf(err, "%s.listen", name)
+}
+
+// startHTTP serves the three HTTP listeners.
+func (n *Node) startHTTP(ctx context.Context) error {
+	in := n.settings.Ingress
+	err := n.serveHTTP(ctx, "ingress", in.Listen, &n.addresses.Ingress, &http.Server{
+		Handler: n.ingress, ReadHeaderTimeout: in.HeaderTimeout, MaxHeaderBytes: in.MaxHeaderBytes,
+	})
+	if err != nil {
+		return err
+	}
+	timeout := n.settings.Ingress.HeaderTimeout
+	err = n.serveHTTP(ctx, "announce", n.settings.Announce.Listen, &n.addresses.Announce, &http.Server{
+		Handler: n.registry.Handler(), ReadHeaderTimeout: timeout, ReadTimeout: timeout,
+	})
+	if err != nil {
+		return err
+	}
+	return n.serveHTTP(ctx, "admin", n.settings.Admin.Listen, &n.addresses.Admin, &http.Server{
+		Handler: n.adminHandler(), ReadHeaderTimeout: timeout, ReadTimeout: timeout,
+	})
+}
+
+func (n *Node) serveHTTP(ctx context.Context, name, address string, bound *string, server *http.Server) error {
+	l, err := listen(ctx, name, address)
+	if err != nil {
+		return err
+	}
+	*bound = l.Addr().String()
+	server.ErrorLog = slog.NewLogLogger(n.logger.With("listener", name).Handler(), slog.LevelDebug)
+	n.servers = append(n.servers, server)
+	n.background(func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.logger.Error("listener failed", "event", "listener_failed", "listener", name, "error", err)
+		}
+	})
+	return nil
+}
+
+// Open implements ingress.Opener. The gate of this node is reached without a session.
+func (n *Node) Open(ctx context.Context, ep *table.Endpoint, lane peer.Lane) (*peer.Conn, error) {
+	if ep.NodeID != n.settings.NodeID {
+		return n.pool.Open(ctx, ep.PeerAddr, lane)
+	}
+	remote := &peer.Remote{Instance: n.instance}
+	remote.Note(n.gate.Generation())
+	client, server := peer.Pipe(remote)
+	go n.serveLocal(server)
+	return client, nil
+}
+
+func (n *Node) serveLocal(conn *peer.Conn) {
+	defer conn.Close()
+	first, err := conn.Read()
+	if err != nil {
+		return
+	}
+	n.ServePeer(n.ctx, conn, first)
+}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,252 @@
+package node_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dandelionspoke/internal/backendtest"
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/node"
+	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/rollout"
+	"dandelionspoke/internal/settings"
+)
+
+const testBundle = `
+version = %d
+[services.katalog]
+slots = 12
+[[routes]]
+name = "preview"
+service = "katalog"
+path_prefix = "/"
+timeout = "5s"
+[[routes]]
+name = "order"
+service = "katalog"
+path_prefix = "/order"
+methods = ["POST"]
+idempotent = false
+timeout = "5s"
+`
+
+// fleet is a few nodes in this process, each with a backend server, and a store.
+type fleet struct {
+	t        *testing.T
+	store    *platformtest.Store
+	author   bundle.SigningKey
+	approver bundle.SigningKey
+	nodes    []*node.Node
+	backends []*backendtest.Server
+	log      *backendtest.RunLog
+}
+
+func key(t *testing.T, name string) bundle.SigningKey {
+	t.Helper()
+	k, err := bundle.GenerateKey(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: platformtest.New(), author: key(t, "author"), approver: key(t, "approver"), log: backendtest.NewRunLog()}
+	for i := range size {
+		f.addNode(i)
+	}
+	f.rollout(1)
+	return f
+}
+
+func (f *fleet) addNode(i int) {
+	f.t.Helper()
+	s := settings.Default()
+	s.FailureDomain = fmt.Sprintf("local-%c", 'a'+i%2)
+	s.Bundle.TrustedKeys = map[string]ed25519.PublicKey{"author": publicOf(f.author)}
+	s.Bundle.ApproverKeys = map[string]ed25519.PublicKey{"approver": publicOf(f.approver)}
+	if len(f.nodes) > 0 {
+		s.Seeds = []string{f.nodes[0].Addrs().Peer}
+	}
+	n, err := node.New(node.Options{Settings: s, Store: f.store})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := n.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = n.Close() })
+	b, err := backendtest.Start(backendtest.Options{
+		ID: fmt.Sprintf("katalog-%d", i), Service: "katalog", Listen: "127.0.0.1:0", Slots: 12,
+		ServiceTime: backendtest.Distribution{Median: 2 * time.Millisecond}, Announce: n.Addrs().Announce, Log: f.log,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(b.Close)
+	f.nodes = append(f.nodes, n)
+	f.backends = append(f.backends, b)
+}
+
+func publicOf(k bundle.SigningKey) ed25519.PublicKey {
+	trusted, err := bundle.ParseTrusted([]string{k.Public()})
+	if err != nil {
+		panic(err)
+	}
+	return trusted[k.Name]
+}
+
+func (f *fleet) rollout(version uint64) {
+	f.t.Helper()
+	b, faults := bundle.Parse("test.toml", fmt.Appendf(nil, testBundle, version))
+	if len(faults) > 0 {
+		f.t.Fatal(faults)
+	}
+	e, err := bundle.NewEnvelope(b)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	trusted := bundle.Trusted{"author": publicOf(f.author), "approver": publicOf(f.approver)}
+	e.Sign(f.author)
+	if err := e.Approve(f.approver, trusted); err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := rollout.NewOperator(f.store, trusted).Rollout(f.t.Context(), e, nil); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// waitFor polls until ok or the limit, and reports how long it took.
+func (f *fleet) waitFor(limit time.Duration, what string, ok func() bool) time.Duration {
+	f.t.Helper()
+	started := time.Now()
+	for !ok() {
+		if time.Since(started) > limit {
+			f.t.Fatalf("%s: not within %v", what, limit)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+func (f *fleet) inForce(version uint64) func() bool {
+	return func() bool {
+		for _, n := range f.nodes {
+			if v, _ := n.BundleVersion(); v != version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// ready waits until each node serves the service through all endpoints.
+func (f *fleet) ready() {
+	f.t.Helper()
+	f.waitFor(10*time.Second, "bundle 1 in force", f.inForce(1))
+	f.waitFor(10*time.Second, "endpoints known", func() bool {
+		for _, n := range f.nodes {
+			if n.Endpoints("katalog") != len(f.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *fleet) get(n *node.Node, path string) (int, string) {
+	resp, err := http.Get("http://" + n.Addrs().Ingress + path)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+// Guards against a fleet that can't serve a request through every node, or that doesn't spread work.
+func TestFleetServesThroughEveryNode(t *testing.T) {
+	f := newFleet(t, 3)
+	f.ready()
+	for i := range 60 {
+		if status, body := f.get(f.nodes[i%3], "/preview"); status != http.StatusOK {
+			t.Fatalf("status %d: %s", status, body)
+		}
+	}
+	for i, n := range f.nodes {
+		if n.Metrics()["gate_ran"] == 0 {
+			t.Errorf("node %d ran nothing", i)
+		}
+	}
+}
+
+type failure struct {
+	status int
+	body   string
+	err    error
+}
+
+// Guards against a graceful shutdown that cuts off or loses requests, and against new work on a leaving node.
+func TestDrainUnderLoadCutsOffNothing(t *testing.T) {
+	f := newFleet(t, 3)
+	f.ready()
+	var stop atomic.Bool
+	var wg sync.WaitGroup
+	var sent, failed atomic.Int64
+	var firstFailure atomic.Pointer[failure]
+	for range 16 {
+		wg.Go(func() {
+			for !stop.Load() {
+				sent.Add(1)
+				req, _ := http.NewRequest("POST", "http://"+f.nodes[0].Addrs().Ingress+"/order", strings.NewReader("x"))
+				req.Header.Set(backendtest.RequestIDHeader, fmt.Sprint(sent.Load(), " ", rand.Uint64()))
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					failed.Add(1)
+					continue
+				}
+				if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+					failed.Add(1)
+					firstFailure.CompareAndSwap(nil, &failure{resp.StatusCode, string(body), err})
+				}
+				resp.Body.Close()
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := f.nodes[2].Drain(ctx); err != nil {
+		t.Errorf("drain: %v", err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	stop.Store(true)
+	wg.Wait()
+	if failed.Load() > 0 || sent.Load() < 100 {
+		t.Errorf("%d of %d requests failed; the first: %+v", failed.Load(), sent.Load(), firstFailure.Load())
+	}
+	if d := f.log.Duplicates(); len(d) > 0 {
+		t.Errorf("duplicate runs: %v", d)
+	}
+}
+
+// Guards against a bundle that does not reach nodes without direct store access, or that reverts.
+func TestBundleReachesAllNodes(t *testing.T) {
+	f := newFleet(t, 5)
+	f.ready()
+	f.rollout(2)
+	t.Logf("in force everywhere after %v", f.waitFor(5*time.Second, "bundle 2 in force", f.inForce(2)))
+}
--- /dev/null
+++ b/internal/node/store.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/rollout"
+	"dandelionspoke/internal/wire"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	membersPrefix     = "members/"
+	readersPerDomain  = 2
+	storeTimeout      = 3 * time.Second
+	joinRetryInterval = 500 * time.Millisecond
+	// rejoinInterval is the time between attempts while a node with seeds or a store knows no other node.
+	rejoinInterval = 3 * time.Second
+	// readerCheckInterval is the time between checks whether this node reads the store for its domain.
+	readerCheckInterval = 500 * time.Millisecond
+	// membersWriteInterval groups the announcements of a failure domain into one write.
+	membersWriteInterval = 2 * time.Second
+)
+
+// domainMembers is the object members/DOMAIN: the addresses through which a starting node can join.
+type domainMembers struct {
+	FailureDomain string   `json:"failure_domain"`
+	PeerAddresses []string `json:"peer_addresses"`
+}
+
+// join contacts seeds, and nodes listed in the store, until another node answers. It goes on while the
+// node is alone, so that a node that started first, or during a cut, joins later.
+func (n *Node) join() {
+	for n.ctx.Err() == nil {
+		wait := rejoinInterval
+		if n.alone() && !n.joinOnce() {
+			wait = joinRetryInterval
+		}
+		if !sleep(n.ctx, wait) {
+			return
+		}
+	}
+}
+
+func (n *Node) alone() bool {
+	for _, m := range n.engine.Members() {
+		if m.NodeId != n.settings.NodeID && m.State != wire.MemberState_DEAD {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) joinOnce() bool {
+	for _, addr := range append(n.settings.Seeds, n.storedAddresses()...) {
+		if addr == n.settings.Peer.Advertise {
+			continue
+		}
+		err := n.trySync(addr, n.engine.SyncRequest())
+		if err == nil {
+			n.logger.Info("joined", "event", "joined", "through", addr)
+			return true
+		}
+		n.logger.Debug("join failed", "event", "join_failed", "through", addr, "error", err)
+	}
+	return false
+}
+
+// maxStoredJoins bounds the stored addresses that one attempt to join tries.
+const maxStoredJoins = 8
+
+func (n *Node) storedAddresses() []string {
+	if n.store == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	objects, err := n.store.List(ctx, membersPrefix)
+	if err != nil {
+		n.logger.Info("members not read", "event", "store_read_failed", "error", err)
+		return nil
+	}
+	var addresses []string
+	for _, o := range objects {
+		d := domainMembers{}
+		if json.Unmarshal(o.Value, &d) != nil {
+			continue
+		}
+		addresses = append(addresses, d.PeerAddresses[:min(len(d.PeerAddresses), maxStoredJoins)]...)
+	}
+	return addresses
+}
+
+// followStore runs the work of a store reader while this node is one for its failure domain.
+func (n *Node) followStore() {
+	var stop context.CancelFunc
+	defer func() {
+		if stop != nil {
+			stop()
+		}
+	}()
+	for sleep(n.ctx, readerCheckInterval) {
+		reader := rollout.IsReader(n.settings.NodeID, n.liveMembers(), readersPerDomain)
+		if reader == (stop != nil) {
+			continue
+		}
+		n.reader.Store(reader)
+		n.logger.Info("store reader changed", "event", "store_reader", "reading", reader)
+		if !reader {
+			stop()
+			stop = nil
+			continue
+		}
+		ctx, cancel := context.WithCancel(n.ctx)
+		stop = cancel
+		r := &rollout.Reader{Store: n.store, Deliver: n.deliver, Log: n.logger}
+		n.background(func() { r.Run(ctx) })
+		n.background(func() { n.writeStatus(ctx) })
+	}
+}
+
+// liveMembers returns the members that are not dead or leaving.
+func (n *Node) liveMembers() []rollout.Member {
+	var live []rollout.Member
+	for _, m := range n.engine.Members() {
+		if m.State == wire.MemberState_ALIVE || m.State == wire.MemberState_SUSPECT {
+			live = append(live, rollout.Member{NodeID: m.NodeId, FailureDomain: m.FailureDomain, BundleVersion: m.BundleVersion})
+		}
+	}
+	return live
+}
+
+// writeStatus writes the domain's rollout progress and member addresses while this node is a reader.
+func (n *Node) writeStatus(ctx context.Context) {
+	status := rollout.StatusWriter{Store: n.store}
+	var written []string
+	for sleep(ctx, membersWriteInterval) {
+		s := rollout.Summarize(n.settings.FailureDomain, n.settings.NodeID, n.liveMembers(), time.Now())
+		if err := status.Publish(ctx, s); err != nil {
+			n.logger.Info("status not written", "event", "store_write_failed", "error", err)
+		}
+		addresses := n.domainAddresses()
+		if slices.Equal(addresses, written) {
+			continue
+		}
+		if err := n.writeMembers(ctx, addresses); err != nil {
+			n.logger.Info("members not written", "event", "store_write_failed", "error", err)
+			continue
+		}
+		written = addresses
+	}
+}
+
+// writeMembers replaces the domain's object. A conflict means that the domain's other reader wrote.
+func (n *Node) writeMembers(ctx context.Context, addresses []string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := membersPrefix + n.settings.FailureDomain
+	old, err := n.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	value, err := json.Marshal(domainMembers{FailureDomain: n.settings.FailureDomain, PeerAddresses: addresses})
+	if err != nil || string(value) == string(old.Value) {
+		return err
+	}
+	_, err = n.store.Put(ctx, key, value, old.Version)
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	return err
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -28,6 +28,8 @@
 type Options struct {
 	// BaseURL is the root of the object API, such as "http://192.0.2.7:8080".
 	BaseURL string
+	// Token is sent as a bearer token with each call; empty sends none.
+	Token string
 	// CallTimeout bounds each call but a watch, including the wait for the rate budget. Default 2 s.
 	CallTimeout time.Duration
 	// CallsPerSecond is the rate budget of this client over all kinds of calls. Default 20.
@@ -97,6 +99,12 @@
 // refuseRedirect keeps a write from being sent to another address.
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
+func (c *Client) authorize(r *http.Request) {
+	if c.options.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.options.Token)
+	}
+}
+
 // Close closes idle connections. Watches end with their contexts.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -209,6 +217,7 @@
 	if err != nil {
 		return r, false, errors.Wrap(err, "platform: build request")
 	}
+	c.authorize(request)
 	for name, values := range header {
 		request.Header[name] = values
 	}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -88,6 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
+	w.client.authorize(request)
 	response, err := w.client.http.Do(request)
 	if err != nil {
 		return nil, err
