Correct route classes at the ingress per service

Cause: an archive pull on a route declared short raises the latency average of its endpoint at every caller, so choice avoids good endpoints. Change: admission.Classes holds one Classifier per service for an ingress; the measurements use it; they can print a Markdown table.

--- a/internal/admission/classifier.go
+++ b/internal/admission/classifier.go
@@ -23,9 +23,8 @@
 
 // Classifier corrects the declared class of routes by the measured run times. A route declared short
 // whose median run time is many times that of the other short routes counts as long. A route declared
-// long stays long. The gate's Queue has one for its endpoint; an ingress can keep another, fed with the
-// latency of attempts, so that its choices and averages use the same class. The zero value is ready.
-// It is not safe for concurrent use.
+// long stays long. The gate's Queue has one for its endpoint; an ingress uses Classes. The zero value is
+// ready. It is not safe for concurrent use.
 type Classifier struct{ routes map[string]*routeTimes }
 
 type routeTimes struct {
--- a/internal/admission/classifier_test.go
+++ b/internal/admission/classifier_test.go
@@ -82,3 +82,37 @@
 		t.Fatalf("outcomes %+v, %+v", first, second)
 	}
 }
+
+// Guards against a slow service whose routes all count as long because other services are fast.
+func TestClassesCompareWithinOneService(t *testing.T) {
+	var c Classes
+	record := func(service, route string, took time.Duration) {
+		for range routeSamples {
+			c.Record(service, route, false, took)
+		}
+	}
+	record("farge", "check", 2*time.Millisecond)
+	record("katalog", "browse", 40*time.Millisecond)
+	record("katalog", "report", 2*time.Second)
+	if c.Long("katalog", "browse", false) || c.Long("farge", "check", false) {
+		t.Error("a route was compared with those of another service")
+	}
+	if !c.Long("katalog", "report", false) || !c.Long("farge", "check", true) {
+		t.Error("a long route counts as short")
+	}
+	c.Retain(func(service, _ string) bool { return service == "farge" })
+	if c.Long("katalog", "report", false) || len(c.services) != 1 {
+		t.Error("Retain kept a route that left the bundle")
+	}
+}
+
+// Guards against unbounded memory.
+func TestClassesAreBounded(t *testing.T) {
+	var c Classes
+	for i := range 2 * maxClassifiedServices {
+		c.Record(fmt.Sprint("service-", i), "route", false, time.Millisecond)
+	}
+	if len(c.services) != maxClassifiedServices {
+		t.Errorf("%d services kept, limit %d", len(c.services), maxClassifiedServices)
+	}
+}
--- a/internal/measure/caller.go
+++ b/internal/measure/caller.go
@@ -35,8 +35,8 @@
 
 	retries *retry.Budget
 	probes  *balance.ProbePlanner
-	classes admission.Classifier // corrects the declared class of routes for the product's choice
-	sent    int                  // attempts since the last probe pass
+	classes admission.Classes // corrects the declared class of routes for the product's choice
+	sent    int               // attempts since the last probe pass
 	// Probe messages in the current second of the run.
 	probeSecond           time.Duration
 	probeCount, linkCount int
@@ -135,7 +135,7 @@
 	if !c.sim.product {
 		return r.declaredLong
 	}
-	return c.classes.Long(r.name, r.declaredLong)
+	return c.classes.Long(serviceKey, r.name, r.declaredLong)
 }
 
 // answered handles an answer that reached the caller.
@@ -155,7 +155,7 @@
 	switch outcome {
 	case balance.Success:
 		r := a.request
-		c.classes.Record(r.route.name, r.route.declaredLong, time.Duration(c.sim.loop.now-a.sentAt))
+		c.classes.Record(serviceKey, r.route.name, r.route.declaredLong, time.Duration(c.sim.loop.now-a.sentAt))
 		r.complete(true)
 	case balance.Refused:
 		c.failed(a.request, a, verdict.NotRun, got.refused)
--- a/internal/measure/cmd/measure/main.go
+++ b/internal/measure/cmd/measure/main.go
@@ -24,6 +24,7 @@
 	Seed     uint64        `default:"1" help:"Seed of all random numbers."`
 	Scope    string        `default:"all" enum:"region,all" help:"Endpoints that the baselines use: all, or those of the caller's region."`
 	Parallel int           `default:"3" help:"Runs at once."`
+	Format   string        `default:"row" enum:"row,markdown" help:"row: lines of key=value pairs; markdown: a table."`
 	Plots    string        `help:"Directory for plots of latency over time; none when absent."`
 }
 
@@ -75,6 +76,19 @@
 	return results
 }
 
+func (o *options) print(results []*measure.Result) {
+	if o.Format == "markdown" {
+		fmt.Println(measure.TableHeader)
+	}
+	for _, r := range results {
+		if o.Format == "markdown" {
+			fmt.Println(r.TableRow())
+			continue
+		}
+		fmt.Println(r.Row())
+	}
+}
+
 func main() {
 	var o options
 	parsed := kong.Parse(&o, kong.Description("Compare endpoint choice policies in virtual time."))
@@ -84,9 +98,7 @@
 		parsed.Fatalf("no scenario, workload and policy of these names")
 	}
 	results := o.run(jobs)
-	for _, r := range results {
-		fmt.Println(r.Row())
-	}
+	o.print(results)
 	if o.Plots != "" {
 		parsed.FatalIfErrorf(measure.Plot(o.Plots, results))
 	}
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -151,3 +151,14 @@
 		r.GoodputRatio(), r.ProbesPerRequest(), r.LinkBytesPerSecond(), r.Failed,
 		r.Requests, r.Retries, r.LongP99MS(), r.Seed)
 }
+
+// TableHeader is the header of a Markdown table of TableRow lines. Times are in milliseconds.
+const TableHeader = "| scenario | workload | policy | p50 | p99 | short HOL p99 | goodput ratio | probe msgs/request " +
+	"| link control B/s | failed | requests | retries | long p99 |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|"
+
+// TableRow is the result as a row of a Markdown table.
+func (r *Result) TableRow() string {
+	return fmt.Sprintf("| %s | %s | %s | %.1f | %.1f | %.2f | %.3f | %.3f | %.0f | %d | %d | %d | %.0f |",
+		r.Scenario, r.Workload, r.Policy, r.P50MS(), r.P99MS(), r.ShortHOLP99MS(), r.GoodputRatio(),
+		r.ProbesPerRequest(), r.LinkBytesPerSecond(), r.Failed, r.Requests, r.Retries, r.LongP99MS())
+}
