--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -9,7 +9,7 @@
 // Tuning of the estimates.
 const (
 	// reportHalfWeight is the age at which a report counts half.
-	reportHalfWeight = 20 * time.Millisecond
+	reportHalfWeight = 10 * time.Millisecond
 	// reportReuse is the number of own requests after which a report loses weight, since the
 	// other nodes that hold the same report have sent about as many.
 	reportReuse = 8
