--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -147,9 +147,10 @@
 		{"deadline passed", 0, 0, short("x", 0, 0), Refused, verdict.DeadlineExceeded},
 		// 10 ms service time on 2 slots: two ahead need 15 ms, the request itself 10 ms.
 		{"deadline can be met", 2, 2, short("x", 4, 26), Queued, ""},
-		{"deadline cannot be met", 2, 2, short("x", 4, 24), Refused, verdict.DeadlineTooShort},
+		{"deadline cannot be met after the queue", 2, 2, short("x", 4, 24), Refused, verdict.Overloaded},
+		{"deadline below the service time", 2, 2, short("x", 4, 9), Refused, verdict.DeadlineTooShort},
 		{"high priority passes the waiters", 2, 2, short("x", 0, 16), Queued, ""},
-		{"long work that cannot finish", 2, 0, long("x", 300), Refused, verdict.DeadlineTooShort},
+		{"long work that cannot finish", 2, 0, long("x", 300), Refused, verdict.Overloaded},
 		{"no deadline", 2, 2, Request{Priority: 4}, Queued, ""},
 	}
 	for _, test := range tests {
@@ -271,3 +272,35 @@
 	}()
 	q.Release(at(2), ticket, 0)
 }
+
+// Guards against the bounded wait of long work being read as leave to take further slots from waiting short work.
+func TestSecondLongRequestYieldsToStandingShortQueue(t *testing.T) {
+	q := New(Limits{Slots: 4, LongSlots: 2, QueueShort: 10, QueueLong: 4})
+	offer(t, q, at(0), long("running", 9000), Admitted, "")
+	a := offer(t, q, at(0), short("a", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("b", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("c", 0, 9000), Admitted, "")
+	offer(t, q, at(0), short("d", 0, 9000), Queued, "")
+	offer(t, q, at(0), long("second", 9000), Queued, "")
+	expectDecisions(t, q.Release(at(500), a, 0), "d admitted")
+}
+
+// BenchmarkOfferRelease measures one request through a gate with a full queue.
+func BenchmarkOfferRelease(b *testing.B) {
+	q := measured(Limits{Slots: 12, LongSlots: 4, QueueShort: 96, QueueLong: 48}, 5, 200)
+	far := start.Add(time.Hour)
+	var running []Ticket
+	for i := range 60 {
+		ticket, outcome := q.Offer(start, Request{Route: "browse", Priority: i % 4, Deadline: far})
+		if outcome.State == Admitted {
+			running = append(running, ticket)
+		}
+	}
+	next := 0
+	for b.Loop() {
+		q.Offer(start, Request{Route: "browse", Priority: 3, Deadline: far})
+		grants := q.Release(start, running[next], 5*time.Millisecond)
+		running[next] = grants[0].Ticket
+		next = (next + 1) % len(running)
+	}
+}
