Add at-most-once claims of idempotency keys

Cause: a licence order or reservation that is sent again must not run twice, while the store loses answers, writes arrive late and a holder may be paused beyond the retention of its claim.

Change: claims are records in 1,024 shard objects for each service, written conditionally; claims that arrive while a shard's write is in flight share the next write. A run is permitted only after the write is confirmed, and only for 30 s by both clocks. A claim ends by a release of its own attempt or by expiry; there is no lease. When the outcome of a claim's write stays unknown, the attempt gets no permit, and the claimer removes the claim in the background: it writes the object once more even if the claim is not there, so that a late copy of the first write fails by version. Full shards drop stored answers, never claims, and then refuse new claims as not run. Final outcomes are answered from memory. PutResolved now documents that it may return a later writer's value: the random test found one failure in about 12,000 trials, in which a claimer overwrote later claims after a read-back (TestOvertakenWrite).

A full shard held 6,791 claims in 992,922 bytes. With one mechanism removed at a time these tests fail: TestAtMostOnce: writer token, resending of an unchanged write, fence against late writes, removal of claims without a permit, refusal after an unknown outcome, release for a caller that gave up, condition on the version; TestPausedHolder: permit; TestRepeats: clock skew, background release, retried completion, repeated completion, reading again before Held, one run of a key at a time in a process; TestFullTable: dropping answers, room for outcomes; TestGroupCommit: groups; TestOvertakenWrite: comparison after a read-back.

Groups save writes only where one claimer has many claims of one shard at once; otherwise a keyed request costs two writes, so that about 150 keyed requests/s use 300 writes/s.

--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,445 @@
+package claim
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/verdict"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// newClaimer returns a claimer with one shard, so that all keys contend.
+func newClaimer(store platform.Store) *Claimer {
+	c := New(Config{
+		Store:     store,
+		Service:   "ordre",
+		Retention: func() time.Duration { return MinRetention },
+		Log:       slog.New(slog.DiscardHandler),
+	})
+	c.shards = 1
+	return c
+}
+
+func ranOutcome(body string) Outcome {
+	return Outcome{Verdict: verdict.Ran, Status: 201, Header: http.Header{"A": {"b"}}, Body: []byte(body)}
+}
+
+func wantReason(t *testing.T, err error, want verdict.Reason) {
+	t.Helper()
+	if e := verdict.As(err); err == nil || e.Verdict != verdict.NotRun || e.Reason != want {
+		t.Fatalf("error %v, want %s (not-run)", err, want)
+	}
+}
+
+func wantKind(t *testing.T, c *Claimer, attempt string, want Kind) Result {
+	t.Helper()
+	r, err := c.Acquire(t.Context(), "key", []byte("digest"), []byte(attempt))
+	if err != nil || r.Kind != want {
+		t.Fatalf("attempt %s: %+v, error %v, want kind %d", attempt, r, err, want)
+	}
+	return r
+}
+
+func complete(t *testing.T, c *Claimer, o Outcome) {
+	t.Helper()
+	if err := c.Complete(t.Context(), "key", o); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRepeats guards against a repeat of a keyed request that gets anything but the state of the first attempt.
+func TestRepeats(t *testing.T) {
+	cases := map[string]func(t *testing.T, a, b *Claimer, store *platformtest.Store){
+		"in progress": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+			for _, c := range []*Claimer{a, b} {
+				if r := wantKind(t, c, "2", Held); r.Verdict != verdict.MayHaveRun {
+					t.Fatalf("%+v", r)
+				}
+			}
+		},
+		"done": func(t *testing.T, a, b *Claimer, store *platformtest.Store) {
+			complete(t, a, ranOutcome("x"))
+			for _, c := range []*Claimer{a, b} {
+				if diff := cmp.Diff(ranOutcome("x"), wantKind(t, c, "2", Replay).Outcome); diff != "" {
+					t.Fatal(diff)
+				}
+			}
+			store.SetDown(true)
+			wantKind(t, b, "3", Replay) // a final outcome is answered from memory
+		},
+		"large answer": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+			complete(t, a, ranOutcome(string(make([]byte, MaxOutcomeBytes))))
+			if r := wantKind(t, b, "2", Held); r.Verdict != verdict.Ran {
+				t.Fatalf("%+v", r)
+			}
+		},
+		"unknown": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+			complete(t, a, Outcome{Verdict: verdict.MayHaveRun})
+			if r := wantKind(t, b, "2", Held); r.Verdict != verdict.MayHaveRun {
+				t.Fatalf("%+v", r)
+			}
+		},
+		"released": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+			wantKind(t, b, "0", Held) // b now has the claim in memory
+			if err := a.Release(t.Context(), "key"); err != nil {
+				t.Fatal(err)
+			}
+			wantKind(t, b, "2", Run)
+			if err := a.Complete(t.Context(), "key", ranOutcome("x")); !errors.Is(err, ErrFenced) {
+				t.Fatalf("completed after the release: %v", err)
+			}
+		},
+		"released during an outage": func(t *testing.T, a, b *Claimer, store *platformtest.Store) {
+			store.SetDown(true)
+			if err := a.Release(t.Context(), "key"); err == nil {
+				t.Fatal("released without the store")
+			}
+			store.SetDown(false)
+			time.Sleep(time.Minute)
+			wantKind(t, b, "2", Run)
+		},
+		"completed during an outage": func(t *testing.T, a, b *Claimer, store *platformtest.Store) {
+			store.SetDown(true)
+			time.AfterFunc(time.Minute, func() { store.SetDown(false) })
+			complete(t, a, ranOutcome("x"))
+			wantKind(t, b, "2", Replay)
+		},
+		"completed by a late write": func(t *testing.T, a, b *Claimer, store *platformtest.Store) {
+			store.DelayWrites(1000, writeTimeout+time.Second)
+			complete(t, a, ranOutcome("x"))
+			store.DelayWrites(0, 0)
+			wantKind(t, b, "2", Replay)
+		},
+		"another request": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+			for _, c := range []*Claimer{a, b} {
+				_, err := c.Acquire(t.Context(), "key", []byte("other"), []byte("2"))
+				wantReason(t, err, verdict.ClaimMismatch)
+			}
+		},
+		"store down": func(t *testing.T, _, b *Claimer, store *platformtest.Store) {
+			store.SetDown(true)
+			start := time.Now()
+			_, err := b.Acquire(t.Context(), "key", []byte("digest"), []byte("2"))
+			wantReason(t, err, verdict.ClaimUnavailable)
+			if waited := time.Since(start); waited != 0 {
+				t.Fatalf("refused after %v", waited)
+			}
+		},
+		"store slow": func(t *testing.T, _, b *Claimer, store *platformtest.Store) {
+			store.SetSlow(time.Hour)
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			_, err := b.Acquire(ctx, "key", []byte("digest"), []byte("2"))
+			wantReason(t, err, verdict.DeadlineExceeded)
+		},
+		"expired": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+			time.Sleep(MinRetention + MaxClockSkew/2)
+			wantKind(t, b, "2", Held) // a node's clock may be ahead
+			time.Sleep(MaxClockSkew)
+			wantKind(t, a, "3", Held) // the run may still go on here
+			wantKind(t, b, "4", Run)
+			if err := a.Complete(t.Context(), "key", ranOutcome("x")); !errors.Is(err, ErrFenced) {
+				t.Fatalf("completed after another attempt took the key: %v", err)
+			}
+		},
+	}
+	for name, check := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := platformtest.New()
+				a, b := newClaimer(store), newClaimer(store)
+				defer a.Close()
+				defer b.Close()
+				wantKind(t, a, "1", Run)
+				check(t, a, b, store)
+			})
+		})
+	}
+}
+
+// TestPausedHolder guards against a holder that runs after a pause in which its claim expired and another ran.
+func TestPausedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		a, b := newClaimer(store), newClaimer(store)
+		defer a.Close()
+		defer b.Close()
+		first := wantKind(t, a, "1", Run)
+		time.Sleep(MinRetention + 2*MaxClockSkew)
+		second := wantKind(t, b, "2", Run)
+		if first.Permit.MayStart(time.Now()) || !second.Permit.MayStart(time.Now()) {
+			t.Fatal("the paused holder may start")
+		}
+		if (Permit{}).MayStart(time.Now()) {
+			t.Fatal("the zero permit permits a run")
+		}
+	})
+}
+
+// overtaken is a store whose answer to a write is lost and that has a later write when it is read back.
+type overtaken struct {
+	platform.Store
+	then func()
+}
+
+func (s *overtaken) Put(ctx context.Context, key string, value []byte, ifVersion int64) (platform.Object, error) {
+	o, err := s.Store.Put(ctx, key, value, ifVersion)
+	if s.then == nil {
+		return o, err
+	}
+	s.then()
+	s.then = nil
+	return platform.Object{}, platform.ErrUnknownOutcome
+}
+
+// TestOvertakenWrite guards against a claimer that takes its own write for the newest one after a
+// read-back and then overwrites the claims of others.
+func TestOvertakenWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		front := &overtaken{Store: store}
+		a, b := newClaimer(front), newClaimer(store)
+		defer a.Close()
+		defer b.Close()
+		front.then = func() { wantKind(t, b, "1", Run) }
+		for _, key := range []string{"other", "third"} {
+			if r, err := a.Acquire(t.Context(), key, nil, []byte("2")); err != nil || r.Kind != Run {
+				t.Fatalf("%+v, error %v", r, err)
+			}
+		}
+		wantKind(t, a, "3", Held)
+	})
+}
+
+// attempt is one try of a caller at a key.
+type attempt struct {
+	claimer, key   int
+	start          time.Duration
+	patience       time.Duration // until the caller gives up
+	pause          time.Duration // between the claim and the run
+	complete, sure bool          // sure: not run for certain, so that the claim is released
+}
+
+type fault struct {
+	at   time.Duration
+	kind int
+}
+
+// TestAtMostOnce guards against two runs of one key, a wrong replay, and a key that stays claimed though
+// no attempt has run or may run, with all faults of the store and paused holders.
+func TestAtMostOnce(t *testing.T) {
+	milliseconds := func(limit int) *rapid.Generator[time.Duration] {
+		return rapid.Custom(func(rt *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(0, limit).Draw(rt, "ms")) * time.Millisecond
+		})
+	}
+	attempts := rapid.Custom(func(rt *rapid.T) attempt {
+		return attempt{
+			claimer:  rapid.IntRange(0, 2).Draw(rt, "claimer"),
+			key:      rapid.IntRange(0, 3).Draw(rt, "key"),
+			start:    milliseconds(300).Draw(rt, "start"),
+			patience: milliseconds(4000).Draw(rt, "patience"),
+			pause:    rapid.SampledFrom([]time.Duration{0, 0, time.Second, StartWithin, time.Hour}).Draw(rt, "pause"),
+			complete: rapid.Bool().Draw(rt, "complete"),
+			sure:     rapid.Bool().Draw(rt, "sure"),
+		}
+	})
+	faults := rapid.Custom(func(rt *rapid.T) fault {
+		return fault{at: milliseconds(300).Draw(rt, "at"), kind: rapid.IntRange(0, 5).Draw(rt, "kind")}
+	})
+	rapid.Check(t, func(rt *rapid.T) {
+		script := rapid.SliceOfN(attempts, 1, 25).Draw(rt, "attempts")
+		trouble := rapid.SliceOfN(faults, 0, 8).Draw(rt, "faults")
+		synctest.Test(t, func(t *testing.T) { newTrial(t).play(script, trouble) })
+	})
+}
+
+type trial struct {
+	t        *testing.T
+	store    *platformtest.Store
+	claimers []*Claimer
+	mu       sync.Mutex
+	runs     map[int]string // body of the run by key
+	taken    map[int]bool   // keys whose claim was not released
+}
+
+func newTrial(t *testing.T) *trial {
+	tr := &trial{t: t, store: platformtest.New(), runs: map[int]string{}, taken: map[int]bool{}}
+	for range 3 {
+		tr.claimers = append(tr.claimers, newClaimer(tr.store))
+	}
+	return tr
+}
+
+func (tr *trial) play(script []attempt, trouble []fault) {
+	tr.store.SetSlow(3 * time.Millisecond)
+	var group sync.WaitGroup
+	for i, a := range script {
+		group.Go(func() { tr.attempt(i, a) })
+	}
+	for _, f := range trouble {
+		group.Go(func() { tr.inject(f) })
+	}
+	group.Wait()
+	tr.store.DropWrites(0)
+	tr.store.DelayWrites(0, 0)
+	time.Sleep(time.Minute)
+	for key := range 4 {
+		tr.checkFree(key)
+	}
+	for _, c := range tr.claimers {
+		c.Close()
+	}
+}
+
+func (tr *trial) inject(f fault) {
+	time.Sleep(f.at)
+	switch f.kind {
+	case 0:
+		tr.store.LoseAnswers(3)
+	case 1:
+		tr.store.DropWrites(200)
+	case 2:
+		tr.store.DelayWrites(200, 4*time.Second)
+	case 3:
+		tr.store.ConflictNext(3)
+	case 4:
+		tr.store.SetDown(true)
+		time.Sleep(5 * time.Second)
+		tr.store.SetDown(false)
+	case 5:
+		tr.store.SetSlow(3 * time.Second)
+		time.Sleep(5 * time.Second)
+		tr.store.SetSlow(3 * time.Millisecond)
+	}
+}
+
+func keyName(key int) string { return fmt.Sprintf("key-%d", key) }
+
+func (tr *trial) attempt(i int, a attempt) {
+	time.Sleep(a.start)
+	ctx, cancel := context.WithTimeout(tr.t.Context(), a.patience)
+	defer cancel()
+	c := tr.claimers[a.claimer]
+	r, err := c.Acquire(ctx, keyName(a.key), []byte("digest"), fmt.Append(nil, i))
+	switch {
+	case err != nil && verdict.Of(err) != verdict.NotRun:
+		tr.t.Errorf("attempt %d: %v", i, err)
+	case err != nil:
+	case r.Kind == Replay:
+		tr.checkReplay(a.key, r.Outcome)
+	case r.Kind == Run && a.sure:
+		_ = c.Release(tr.t.Context(), keyName(a.key)) // continues in the background
+	case r.Kind == Run:
+		tr.run(c, r.Permit, fmt.Sprint(i), a)
+	}
+}
+
+func (tr *trial) run(c *Claimer, p Permit, body string, a attempt) {
+	tr.mu.Lock()
+	tr.taken[a.key] = true
+	tr.mu.Unlock()
+	time.Sleep(a.pause)
+	if !p.MayStart(time.Now()) {
+		return
+	}
+	tr.mu.Lock()
+	if other, ran := tr.runs[a.key]; ran {
+		tr.t.Errorf("key %d: attempt %s ran after attempt %s", a.key, body, other)
+	}
+	tr.runs[a.key] = body
+	tr.mu.Unlock()
+	if a.complete {
+		_ = c.Complete(tr.t.Context(), keyName(a.key), ranOutcome(body)) // may be fenced
+	}
+}
+
+func (tr *trial) checkReplay(key int, o Outcome) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if string(o.Body) != tr.runs[key] {
+		tr.t.Errorf("key %d: replay of %q, ran %q", key, o.Body, tr.runs[key])
+	}
+}
+
+// checkFree requires that a key without a run can be claimed.
+func (tr *trial) checkFree(key int) {
+	if tr.taken[key] {
+		return
+	}
+	r, err := tr.claimers[0].Acquire(tr.t.Context(), keyName(key), []byte("digest"), []byte("last"))
+	if err != nil || r.Kind != Run {
+		tr.t.Errorf("key %d stays claimed: %+v, error %v", key, r, err)
+	}
+}
+
+// TestFullTable guards against a shard that outgrows the store's limit, or that forgets claims to stay below it.
+func TestFullTable(t *testing.T) {
+	table := &table{records: map[string]record{}}
+	now := time.Unix(0, 0)
+	var ids []identity
+	for {
+		id := identity{key: short(fmt.Sprint(len(ids))), digest: short("d"), attempt: short("a")}
+		if _, _, err := table.acquire(id, now, MinRetention); err != nil {
+			wantReason(t, err, verdict.ClaimUnavailable)
+			break
+		}
+		ids = append(ids, id)
+	}
+	for _, id := range ids {
+		if _, err := table.complete(id, ranOutcome("an answer of some bytes"), now, MinRetention); err != nil {
+			t.Fatal(err)
+		}
+		if table.size > maxTableBytes {
+			t.Fatalf("%d bytes, limit %d", table.size, maxTableBytes)
+		}
+	}
+	decoded, err := decodeTable(table.encode())
+	if err != nil || len(decoded.records) != len(ids) || decoded.size != table.size {
+		t.Fatalf("%d of %d claims, %d of %d bytes, error %v", len(decoded.records), len(ids), decoded.size, table.size, err)
+	}
+	t.Logf("claims=%d bytes=%d", len(ids), table.size)
+}
+
+// TestGroupCommit guards against a write for each claim.
+func TestGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		store.SetSlow(3 * time.Millisecond)
+		c := newClaimer(store)
+		defer c.Close()
+		var group sync.WaitGroup
+		for i := range 200 {
+			group.Go(func() {
+				r, err := c.Acquire(t.Context(), keyName(i), nil, fmt.Append(nil, i))
+				if err != nil || r.Kind != Run {
+					t.Errorf("%+v, error %v", r, err)
+				}
+			})
+		}
+		group.Wait()
+		if counts, _ := store.Counts(); counts.Put > 3 {
+			t.Fatalf("%d writes for 200 concurrent claims", counts.Put)
+		}
+	})
+}
--- /dev/null
+++ b/internal/claim/claimer.go
@@ -0,0 +1,208 @@
+package claim
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/verdict"
+)
+
+const (
+	// shardCount is the number of shards of a service. All nodes must agree on it: with two numbers in
+	// the fleet, one key would have two shards and could run twice.
+	shardCount = 1024
+	// writeTimeout bounds one group of claims, with its retries after conflicts and its read-back.
+	writeTimeout = 2 * time.Second
+	// maxCacheBytes bounds the shards that a claimer keeps in memory between writes.
+	maxCacheBytes = 32 << 20
+)
+
+// ErrFenced reports that the attempt no longer holds the claim.
+var ErrFenced = errors.New("claim: the attempt does not hold the claim")
+
+// Config configures a Claimer.
+type Config struct {
+	Store platform.Store
+	// Service separates the keys of services from one another.
+	Service string
+	// Retention returns the time for which a key is kept; it is read at each claim.
+	Retention func() time.Duration
+	Log       *slog.Logger
+}
+
+// Claimer claims idempotency keys of one service. It is safe for concurrent use.
+type Claimer struct {
+	config Config
+	shards int
+	cached atomic.Int64 // bytes of all cached tables
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu     sync.Mutex
+	closed bool
+	open   map[int]*shard
+	held   map[string]identity // claims of runs in progress here, by idempotency key
+}
+
+// New returns a Claimer. Close ends its goroutines.
+func New(config Config) *Claimer {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Claimer{
+		config: config,
+		shards: shardCount,
+		ctx:    ctx,
+		cancel: cancel,
+		open:   map[int]*shard{},
+		held:   map[string]identity{},
+	}
+}
+
+// Close ends writes in progress and waits for the goroutines. Later calls fail.
+func (c *Claimer) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.cancel()
+	c.group.Wait()
+}
+
+// Acquire claims the key for one attempt. After Run, the caller calls Complete or Release exactly once. digest identifies the request's content; attemptID is unique
+// to the attempt. An error carries a verdict.Error with NotRun: this attempt has no permit and must not
+// run. That is true also when the outcome of the claim's write stayed unknown; the claimer then removes
+// the claim in the background, and a repeat that comes first gets Held.
+func (c *Claimer) Acquire(ctx context.Context, key string, digest, attemptID []byte) (Result, error) {
+	id := identity{key: short(key), digest: short(string(digest)), attempt: short(string(attemptID))}
+	if holder, found := c.holder(key); found {
+		r, err := record{Digest: holder.digest, State: claimed}.answer(id)
+		return r, err
+	}
+	started := time.Now()
+	r, err := c.submit(ctx, &op{kind: opAcquire, id: id})
+	if err != nil {
+		return Result{}, notRun(err)
+	}
+	if r.Kind == Run {
+		r.Permit = Permit{startBefore: started.Add(StartWithin)}
+		c.hold(key, id)
+	}
+	return r, nil
+}
+
+// Complete stores the outcome of the run that Acquire permitted. It retries while the store is
+// unavailable until ctx ends; the claim then stays, and repeats get Held. ErrFenced means that the claim
+// has expired. The answer to the caller need not wait for Complete.
+func (c *Claimer) Complete(ctx context.Context, key string, o Outcome) error {
+	if o.Verdict == verdict.NotRun {
+		return errors.New("claim: an attempt that was not run is released, not completed")
+	}
+	id, found := c.drop(key)
+	if !found {
+		return errors.Wrapf(ErrFenced, "no claim of the key is held here")
+	}
+	_, err := c.submit(ctx, &op{kind: opComplete, id: id, outcome: o.bounded(), persistent: true})
+	return err
+}
+
+// Release gives up a claim whose attempt was not run and never will be, so that a retry may claim the
+// key. When the store is unavailable, Release returns an error and continues in the background until Close.
+func (c *Claimer) Release(ctx context.Context, key string) error {
+	id, found := c.drop(key)
+	if !found {
+		return errors.Wrapf(ErrFenced, "no claim of the key is held here")
+	}
+	_, err := c.submit(ctx, &op{kind: opRelease, id: id})
+	return err
+}
+
+// holder returns the claim of a run in progress here.
+func (c *Claimer) holder(key string) (identity, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id, found := c.held[key]
+	return id, found
+}
+
+func (c *Claimer) hold(key string, id identity) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held[key] = id
+}
+
+func (c *Claimer) drop(key string) (identity, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id, found := c.held[key]
+	delete(c.held, key)
+	return id, found
+}
+
+// submit hands the operation to the key's shard and waits for its reply.
+func (c *Claimer) submit(ctx context.Context, o *op) (Result, error) {
+	o.replies = make(chan reply, 1)
+	if err := c.enqueue(o); err != nil {
+		return Result{}, err
+	}
+	select {
+	case r := <-o.replies:
+		return r.result, r.err
+	case <-ctx.Done():
+	}
+	if o.abandon() {
+		return Result{}, errors.Wrap(ctx.Err(), "claim")
+	}
+	r := <-o.replies
+	return r.result, r.err
+}
+
+func (c *Claimer) enqueue(o *op) error {
+	n := c.shardNumber(o.id.key)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return errors.New("claim: closed")
+	}
+	s, found := c.open[n]
+	if !found {
+		s = newShard(c, fmt.Sprintf("claims/%s/%d", c.config.Service, n))
+		c.open[n] = s
+	}
+	s.add(o)
+	return nil
+}
+
+func (c *Claimer) shardNumber(key string) int {
+	digest := sha256.Sum256([]byte(key))
+	return int(binary.BigEndian.Uint32(digest[:]) % uint32(c.shards))
+}
+
+// short returns a fixed-size digest, so that the size of a record does not depend on the caller's key.
+func short(text string) string {
+	digest := sha256.Sum256([]byte(text))
+	return base64.RawURLEncoding.EncodeToString(digest[:16])
+}
+
+// notRun gives err the verdict NotRun unless it has one.
+func notRun(err error) error {
+	var known *verdict.Error
+	switch {
+	case errors.As(err, &known):
+		return err
+	case errors.Is(err, context.Canceled):
+		return verdict.New(verdict.NotRun, verdict.Canceled, "%v", err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "%v", err)
+	default:
+		return verdict.New(verdict.NotRun, verdict.ClaimUnavailable, "%v", err)
+	}
+}
--- a/internal/platform/resolve.go
+++ b/internal/platform/resolve.go
@@ -69,7 +69,8 @@
 // write is unknown, it reads the object back: the token of this write among the writers means that it
 // took effect; another successor of base means ErrConflict. While the object is still at base, the
 // write may yet arrive, so the same write is sent again: the condition lets at most one copy take
-// effect. ErrUnknownOutcome remains when ctx ends first or maxWriters writes have followed.
+// effect. The result is the newest value that was seen: after a read-back it may be that of a later
+// writer, with another payload. ErrUnknownOutcome remains when ctx ends first or maxWriters writes have followed.
 func PutResolved(ctx context.Context, s Store, key string, base Sealed, payload []byte) (Sealed, error) {
 	token := rand.Text()
 	writers := append(slices.Clone(base.Writers), token)
