cli: add bundle commands and the stand-in store

Operators make keys, sign, approve and roll out bundles, see where a version is in force, and write an earlier version as the next one. check accepts bundles as well as settings. The hidden store command serves the stand-in object API for the quick start and for tests with separate processes.

Result: go test ./internal/cli passes, with a refused second rollout of version 1 that names the winner.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -27,9 +27,11 @@
 type commands struct {
 	Node       nodeCommand       `cmd:"" help:"Run a node beside a backend server."`
 	Check      checkCommand      `cmd:"" help:"Check a settings or bundle file and report each fault."`
+	Bundle     bundleCommand     `cmd:"" help:"Make, approve and roll out bundles."`
 	Version    versionCommand    `cmd:"" help:"Print the version and build information."`
 	Completion completionCommand `cmd:"" help:"Print a completion script for bash."`
 	Backend    backendCommand    `cmd:"" hidden:"" help:"Run a stand-in backend server."`
+	Store      storeCommand      `cmd:"" hidden:"" help:"Run a stand-in object API."`
 }
 
 // output is where commands write. Results go to out; progress, logs and errors go to err.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
+
+	"dandelionspoke/internal/platformtest"
 )
 
 func run(t *testing.T, args ...string) (code int, stdout, stderr string) {
@@ -92,3 +95,51 @@
 		t.Errorf("hidden command offered: %q", got)
 	}
 }
+
+// Guards against a rollout that ignores the expected version, the second signature, or the winner of a race.
+func TestBundleCommands(t *testing.T) {
+	server := httptest.NewServer(platformtest.New())
+	defer server.Close()
+	dir := t.TempDir()
+	path := func(name string) string { return filepath.Join(dir, name) }
+	text := "version = 1\n[services.katalog]\nslots = 8\n[[routes]]\nname = \"katalog\"\nservice = \"katalog\"\npath_prefix = \"/katalog\"\n"
+	for name, content := range map[string]string{"b.toml": text, "other.toml": strings.Replace(text, "8", "9", 1), "bad.toml": strings.Replace(text, "slots", "slotts", 1)} {
+		if err := os.WriteFile(path(name), []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	trusted := []string{"--trusted", path("ann.key.pub"), "--trusted", path("bo.key.pub")}
+	rollout := func(file string) []string {
+		return append([]string{"bundle", "rollout", path(file), "--store", server.URL, "--expect-version", "0"}, trusted...)
+	}
+	steps := []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"bundle", "keygen", "ann", "--out", path("ann.key")}, ExitOK, "ann ed25519 "},
+		{[]string{"bundle", "keygen", "ann", "--out", path("ann.key")}, ExitFailed, "file exists"},
+		{[]string{"bundle", "keygen", "bo", "--out", path("bo.key")}, ExitOK, "bo ed25519 "},
+		{[]string{"check", path("b.toml")}, ExitOK, "ok"},
+		{[]string{"check", path("bad.toml")}, ExitFailed, "bad.toml:3: services.katalog.slotts"},
+		{[]string{"bundle", "sign", path("bad.toml"), "--key", path("ann.key"), "--out", path("bad")}, ExitFailed, "slotts"},
+		{[]string{"bundle", "sign", path("b.toml"), "--key", path("ann.key"), "--out", path("b")}, ExitOK, "version=1 author=ann"},
+		{rollout("b"), ExitFailed, "approver"},
+		{[]string{"bundle", "approve", path("b"), "--key", path("ann.key"), "--trusted", path("ann.key.pub")}, ExitFailed, "another key"},
+		{[]string{"bundle", "approve", path("b"), "--key", path("bo.key"), "--trusted", path("ann.key.pub")}, ExitOK, "approver=bo"},
+		{[]string{"bundle", "status", "--store", server.URL}, ExitOK, "version=0"},
+		{rollout("b"), ExitOK, "msg=rolled_out version=1"},
+		{[]string{"bundle", "sign", path("other.toml"), "--key", path("ann.key"), "--out", path("other")}, ExitOK, "version=1"},
+		{[]string{"bundle", "approve", path("other"), "--key", path("bo.key"), "--trusted", path("ann.key.pub")}, ExitOK, "approver=bo"},
+		{rollout("other"), ExitFailed, "version 1 by ann"},
+		{[]string{"bundle", "history", "--store", server.URL}, ExitOK, "version=1 previous=0"},
+		{[]string{"bundle", "restore", "1", "--store", server.URL, "--out", path("restored")}, ExitOK, "from=1 version=2"},
+		{[]string{"bundle", "sign", path("restored"), "--key", path("ann.key"), "--out", path("restored")}, ExitOK, "version=2"},
+	}
+	for _, step := range steps {
+		code, out, errText := run(t, step.args...)
+		if code != step.code || !strings.Contains(out+errText, step.want) {
+			t.Errorf("%v: exit code %d, want %d with %q; got\n%s%s", step.args, code, step.code, step.want, out, errText)
+		}
+	}
+}
