demo: compare the run log with what callers were told

The summary counts operations that callers were told were not run but ran, and those answered without a run; it names the first broken operations.

--- a/internal/demo/callers_test.go
+++ b/internal/demo/callers_test.go
@@ -111,11 +111,10 @@
 	}
 	tl.add(ran, RefusedNotRun)
 	tl.add(absent, OK)
-	if notRun, ok := tl.contradictions(server.Log()); notRun != 1 || ok != 1 {
-		t.Errorf("%d refused but run, %d answered without a run; want 1 and 1", notRun, ok)
-	}
-	if n := len(server.Log().Duplicates()); n != 1 {
-		t.Errorf("%d duplicates, want 1", n)
+	s := &Summary{}
+	s.addRuns(tl, server.Log())
+	if s.NotRunButRan != 1 || s.OKWithoutRun != 1 || s.DuplicateRuns != 1 || !s.Failed() {
+		t.Errorf("%d refused but run, %d answered without a run, %d duplicates; want 1 of each", s.NotRunButRan, s.OKWithoutRun, s.DuplicateRuns)
 	}
 }
 
--- a/internal/demo/lightload.go
+++ b/internal/demo/lightload.go
@@ -26,10 +26,13 @@
 // warmUpRounds open the connections and are not recorded.
 const warmUpRounds = 50
 
+// lightKindName names the requests of the light load in the tally.
+const lightKindName = "light"
+
 // lightKind is the request of the light load. It has no service time, so that the difference is that of the path.
 func lightKind(w Workload) Kind {
 	first := w.Kinds[0]
-	return Kind{Name: "light", Class: bundle.Short, Method: first.Method, Path: first.Path, ReplyBytes: pageBytes}
+	return Kind{Name: lightKindName, Class: bundle.Short, Method: first.Method, Path: first.Path, ReplyBytes: pageBytes}
 }
 
 // way is one of the compared paths.
@@ -58,11 +61,12 @@
 			o := newOperation(fmt.Sprintf("light-%d-%d-%d", seed, n, i), kind, rng)
 			started := time.Now()
 			outcome, _ := c.sendTo(ctx, way.address(rng), o, 0)
+			took := time.Since(started)
 			if n >= warmUpRounds && outcome == OK {
-				way.latency.record(time.Since(started))
+				way.latency.record(took)
 			}
 			if way.latency == l.system {
-				t.add(o, outcome)
+				t.finish(o, outcome, took)
 			}
 		}
 	}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -94,10 +94,7 @@
 	work := o.kind.Work.Sample(rng.NormFloat64())
 	started := time.Now()
 	outcome := g.callers.send(ctx, o, work, rng)
-	g.tally.add(o, outcome)
-	if outcome == OK {
-		g.tally.answered(o.kind, time.Since(started))
-	}
+	g.tally.finish(o, outcome, time.Since(started))
 	if !o.kind.Keyed {
 		return
 	}
--- a/internal/demo/summary.go
+++ b/internal/demo/summary.go
@@ -3,10 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"slices"
+
+	"dandelionspoke/internal/backendtest"
 )
 
-// Summary is the result of one run. Latencies are in milliseconds and cover answered requests.
+// Summary is the result of one run. Latencies are in milliseconds and cover answered
+// requests; p50_ms and p99_ms leave out those of the light load.
 type Summary struct {
 	Workload string  `json:"workload"`
 	Seed     uint64  `json:"seed"`
@@ -44,7 +48,7 @@
 	Classes map[string]ClassSummary `json:"classes"`
 	// Faults are those that were injected, in order.
 	Faults []string `json:"faults"`
-	// Broken names the first operations with a wrong body or without a whole answer.
+	// Broken names the first operations with a wrong body, without a whole answer or with a duplicate run.
 	Broken []string `json:"broken"`
 }
 
@@ -70,28 +74,43 @@
 	s.BackendErrors = t.count(BackendError)
 	s.WrongBody = t.count(WrongBody)
 	s.CutOff = t.count(CutOff)
-	s.Broken = t.broken
+	s.Broken = append([]string{}, t.broken...)
 	s.Classes = map[string]ClassSummary{}
 	overall := newLatencies()
 	for name, k := range t.kinds {
-		c := ClassSummary{AnsweredOK: k.counts[OK], P50: k.latency.ms(50), P99: k.latency.ms(99)}
+		c := ClassSummary{AnsweredOK: k.counts[OK], P50: milli(k.latency.ms(50)), P99: milli(k.latency.ms(99))}
 		for _, n := range k.counts {
 			c.Sent += n
 		}
 		s.Classes[name] = c
-		overall.hist.Merge(k.latency.hist)
+		if name != lightKindName {
+			overall.hist.Merge(k.latency.hist)
+		}
+	}
+	s.P50, s.P99 = milli(overall.ms(50)), milli(overall.ms(99))
+}
+
+// addRuns compares the run log with what callers were told.
+func (s *Summary) addRuns(t *tally, log *backendtest.RunLog) {
+	duplicates := log.Duplicates()
+	s.DuplicateRuns = int64(len(duplicates))
+	s.NotRunButRan, s.OKWithoutRun = t.contradictions(log)
+	for _, id := range duplicates[:min(len(duplicates), maxBroken)] {
+		s.Broken = append(s.Broken, "duplicate run "+id)
 	}
-	s.P50, s.P99 = overall.ms(50), overall.ms(99)
 }
 
+// milli rounds to three decimals.
+func milli(v float64) float64 { return math.Round(v*1000) / 1000 }
+
 func (s *Summary) addLight(l *lightLoad) {
 	s.LightSamples = l.system.count()
-	s.DirectP99 = l.direct.ms(99)
-	s.SystemP99 = l.system.ms(99)
-	s.BareHopP99 = l.bareHop.ms(99)
-	s.AddedP50 = l.system.ms(50) - l.direct.ms(50)
-	s.AddedP99 = s.SystemP99 - s.DirectP99
-	s.BareHopAddedP99 = s.BareHopP99 - s.DirectP99
+	s.DirectP99 = milli(l.direct.ms(99))
+	s.SystemP99 = milli(l.system.ms(99))
+	s.BareHopP99 = milli(l.bareHop.ms(99))
+	s.AddedP50 = milli(l.system.ms(50) - l.direct.ms(50))
+	s.AddedP99 = milli(s.SystemP99 - s.DirectP99)
+	s.BareHopAddedP99 = milli(s.BareHopP99 - s.DirectP99)
 }
 
 // Print writes the summary as text.
--- a/internal/demo/summary_test.go
+++ b/internal/demo/summary_test.go
@@ -13,10 +13,9 @@
 	tl := newTally([]Kind{testRead, testOrder})
 	for n, outcome := range []Outcome{OK, RefusedNotRun, MayHaveRun, RanFailed, BackendError, WrongBody, CutOff} {
 		for range n + 1 {
-			tl.add(operation{id: "a", kind: testOrder}, outcome)
+			tl.finish(operation{id: "a", kind: testOrder}, outcome, 10*time.Millisecond)
 		}
 	}
-	tl.answered(testOrder, 10*time.Millisecond)
 	light := &lightLoad{direct: newLatencies(), system: newLatencies(), bareHop: newLatencies()}
 	light.direct.record(time.Millisecond)
 	light.system.record(3 * time.Millisecond)
--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -40,12 +40,16 @@
 	t.kinds[k.Name] = &kindTally{latency: newLatencies()}
 }
 
-// answered records the latency of an answered request.
-func (t *tally) answered(k Kind, d time.Duration) {
+// finish adds an outcome and, for an answered request, its latency.
+func (t *tally) finish(o operation, outcome Outcome, took time.Duration) {
+	t.add(o, outcome)
+	if outcome != OK {
+		return
+	}
 	t.mu.Lock()
-	kind := t.kinds[k.Name]
+	kind := t.kinds[o.kind.Name]
 	t.mu.Unlock()
-	kind.latency.record(d)
+	kind.latency.record(took)
 }
 
 func (t *tally) add(o operation, outcome Outcome) {
