Clear requests that were answered after a crash from the quarantine

Cause: when a backend server dies, every request it was running loses its connection. Popular requests would collect two deaths next to the one that crashes servers, and be refused everywhere. Nodes that each saw one death also lost each other's victim when their entries were merged. Change: an answer clears an entry, and the clearing spreads; merged entries hold the union of victims.

--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -28,7 +28,6 @@
 type path struct {
 	caller  *httptest.Server
 	gate    *gate.Gate
-	relay   *net.TCPListener
 	pool    *peer.Pool
 	ingress *ingress.Ingress
 }
--- a/internal/membership/quarantine.go
+++ b/internal/membership/quarantine.go
@@ -15,6 +15,8 @@
 	maxQuarantine = 1024
 	// maxFingerprintBytes bounds one fingerprint.
 	maxFingerprintBytes = 64
+	// maxVictims bounds the victims that an entry names.
+	maxVictims = 8
 	// maxQuarantineTime bounds the expiry that another node may ask for.
 	maxQuarantineTime = 24 * time.Hour
 )
@@ -34,7 +36,7 @@
 	return &quarantine{entries: map[string]*quarantined{}, unsent: map[string]*quarantined{}}
 }
 
-// add keeps the later expiry and the higher death count, and reports whether anything changed.
+// add keeps the later expiry, the higher death count and all victims, and reports whether anything changed.
 func (q *quarantine) add(now time.Time, e *wire.QuarantineEntry) bool {
 	if !validQuarantine(now, e) {
 		return false
@@ -48,6 +50,8 @@
 	if known != nil {
 		merged.Deaths = max(e.Deaths, known.entry.Deaths)
 		merged.ExpiresUnixMs = max(e.ExpiresUnixMs, known.entry.ExpiresUnixMs)
+		merged.Victims = unionVictims(known.entry.Victims, e.Victims)
+		merged.Cleared = e.Cleared || known.entry.Cleared
 		if proto.Equal(merged, known.entry) {
 			return false
 		}
@@ -57,6 +61,15 @@
 	return true
 }
 
+// unionVictims returns the sorted union, of which at most maxVictims are kept. Two nodes that each saw one
+// death of the same request must end up with both.
+func unionVictims(a, b []uint64) []uint64 {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return all[:min(len(all), maxVictims)]
+}
+
 func validQuarantine(now time.Time, e *wire.QuarantineEntry) bool {
 	size := len(e.GetFingerprint())
 	return size > 0 && size <= maxFingerprintBytes &&
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -193,6 +193,13 @@
 	n.engine.AddQuarantine(n.quarantine.Entries(now, maxQuarantineGossip)...)
 }
 
+// answered clears a request that was suspected of crashing backend servers.
+func (n *Node) answered(fingerprint []byte) {
+	if f, ok := retry.ParseFingerprint(fingerprint); ok && n.quarantine.Succeeded(f) {
+		n.engine.AddQuarantine(n.quarantine.Entries(time.Now(), maxQuarantineGossip)...)
+	}
+}
+
 // maxQuarantineGossip bounds the entries sent after a death; the newest are sent.
 const maxQuarantineGossip = 8
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,7 +125,7 @@
 	n.registry.OnChange = n.backendChanged
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget,
-		Logger: n.logger, IsQuarantined: n.isQuarantined, OnStale: n.freshen,
+		Logger: n.logger, IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered,
 	})
 }
 
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -8,6 +8,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -87,12 +88,17 @@
 	deaths  int
 	keep    time.Duration
 	entries map[Fingerprint]*entry
+	// size is len(entries), so that the usual case of an empty table takes no lock.
+	size atomic.Int32
 }
 
 type entry struct {
 	victims []uint64 // hashes of the IDs of the endpoints that died
 	stated  uint32   // deaths stated by other nodes, which may name fewer victims
 	expires time.Time
+	// cleared is set when the request is answered after a death. Requests that only happened to run
+	// beside the one that crashes a server are answered elsewhere; that one never is.
+	cleared bool
 }
 
 // count is the number of distinct deaths. Those that other nodes state without naming the victims may
@@ -123,7 +129,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := q.entries[f]
-	return e != nil && now.Before(e.expires) && e.count() >= q.deaths
+	return e != nil && !e.cleared && now.Before(e.expires) && e.count() >= q.deaths
 }
 
 // Died records that an endpoint's backend server died while it ran the request. It returns true when
@@ -135,7 +141,23 @@
 	before := e.count()
 	e.addVictim(xxhash.Sum64String(endpointID))
 	e.expires = now.Add(q.keep)
-	return before < q.deaths && e.count() >= q.deaths
+	return !e.cleared && before < q.deaths && e.count() >= q.deaths
+}
+
+// Succeeded records that a backend server answered the request. It returns true when the request was
+// suspected before, so that other nodes should be told.
+func (q *Quarantine) Succeeded(f Fingerprint) bool {
+	if q.size.Load() == 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.entries[f]
+	if e == nil || e.cleared {
+		return false
+	}
+	e.cleared = true
+	return true
 }
 
 // Merge takes over entries of other nodes. A malformed or expired entry has no effect, and an expiry
@@ -154,6 +176,7 @@
 		for _, v := range m.GetVictims() {
 			e.addVictim(v)
 		}
+		e.cleared = e.cleared || m.GetCleared()
 		if expires.After(e.expires) {
 			e.expires = expires
 		}
@@ -172,6 +195,7 @@
 			ExpiresUnixMs: uint64(e.expires.UnixMilli()),
 			Deaths:        uint32(e.count()),
 			Victims:       slices.Clone(e.victims),
+			Cleared:       e.cleared,
 		})
 	}
 	slices.SortFunc(out, func(a, b *wire.QuarantineEntry) int {
@@ -186,7 +210,7 @@
 	defer q.mu.Unlock()
 	q.expire(now)
 	for _, e := range q.entries {
-		if e.count() >= q.deaths {
+		if !e.cleared && e.count() >= q.deaths {
 			refused++
 		}
 	}
@@ -209,6 +233,7 @@
 	}
 	e := &entry{}
 	q.entries[f] = e
+	q.size.Store(int32(len(q.entries)))
 	return e
 }
 
@@ -218,6 +243,7 @@
 			delete(q.entries, f)
 		}
 	}
+	q.size.Store(int32(len(q.entries)))
 }
 
 // evict removes the entry with the fewest deaths, the earliest to expire among equals.
