Log the start and end of claim outages

Cause: an outage of the store refused claims without a log line, and a done record without an outcome in the store ended the process. Change: one line when a shard's claims begin to be refused and one when they are accepted again; such a record makes the shard unreadable, so that its claims are refused as not run. Measured: the package's tests pass.

--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -71,6 +71,7 @@
 	table  *table // nil: not cached
 	again  []*op  // operations to try again after a failure
 	orphan []*op  // releases of claims that no caller holds
+	away   bool   // the last group was not stored
 }
 
 func newShard(c *Claimer, key string) *shard {
@@ -144,9 +145,11 @@
 	for attempt := 0; ; attempt++ {
 		settled, err := s.try(ctx, batch)
 		if settled {
+			s.logState(nil)
 			return true
 		}
 		if !errors.Is(err, platform.ErrConflict) || !s.pause(ctx, nil, attempt) {
+			s.logState(err)
 			s.forget()
 			s.fail(batch, err)
 			return false
@@ -155,6 +158,17 @@
 	}
 }
 
+// logState logs only changes, because an outage fails many groups.
+func (s *shard) logState(err error) {
+	switch {
+	case err != nil && !s.away:
+		s.claimer.config.Log.Warn("claims refused", "shard", s.key, "error", err)
+	case err == nil && s.away:
+		s.claimer.config.Log.Info("claims accepted again", "shard", s.key)
+	}
+	s.away = err != nil
+}
+
 // withoutAbandoned drops claims that no caller waits for; releases and outcomes are stored in any case.
 func withoutAbandoned(batch []*op) []*op {
 	kept := batch[:0]
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -57,6 +57,9 @@
 		if err := json.Unmarshal(line, &r); err != nil {
 			return nil, errors.Wrap(err, "claim: decode shard")
 		}
+		if r.State != claimed && r.Outcome == nil {
+			return nil, errors.Newf("claim: record of state %q without an outcome", r.State)
+		}
 		r.line = line
 		t.records[r.Key] = r
 		t.size += len(line)
