--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,145 @@
+package cli
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"dandelionspoke/internal/platformtest"
+)
+
+func run(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, err bytes.Buffer
+	code = Run(args, &out, &err)
+	return code, out.String(), err.String()
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "n.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against exit codes that differ from the documented ones.
+func TestExitCodes(t *testing.T) {
+	bad := write(t, "colour = 1\n")
+	tests := []struct {
+		name string
+		args []string
+		want int
+	}{
+		{"help", []string{"--help"}, ExitOK},
+		{"help of a command", []string{"check", "--help"}, ExitOK},
+		{"version", []string{"version"}, ExitOK},
+		{"no command", nil, ExitUsage},
+		{"unknown command", []string{"frobnicate"}, ExitUsage},
+		{"unknown flag", []string{"version", "--frobnicate"}, ExitUsage},
+		{"missing argument", []string{"check"}, ExitUsage},
+		{"missing flag", []string{"node"}, ExitUsage},
+		{"missing file", []string{"check", bad + ".none"}, ExitFailed},
+		{"faulty settings", []string{"check", bad}, ExitFailed},
+		{"node with faulty settings", []string{"node", "--settings", bad}, ExitFailed},
+		{"node with missing settings", []string{"node", "--settings", bad + ".none"}, ExitFailed},
+		{"unsupported shell", []string{"completion", "fish"}, ExitUsage},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got, out, errText := run(t, tt.args...); got != tt.want {
+				t.Errorf("exit code %d, want %d\n%s%s", got, tt.want, out, errText)
+			}
+		})
+	}
+}
+
+// Guards against faults without place or remedy.
+func TestCheckReportsFaults(t *testing.T) {
+	path := write(t, "region = \"r\"\ncolour = 1\n[log]\nlevel = \"loud\"\n")
+	code, _, stderr := run(t, "check", path)
+	if code != ExitFailed {
+		t.Errorf("exit code %d", code)
+	}
+	for _, want := range []string{path + ":2: colour: ", path + ":4: log.level: ", "allowed: \"debug\", \"info\", \"warn\" or \"error\""} {
+		if !strings.Contains(stderr, want) {
+			t.Errorf("no %q in\n%s", want, stderr)
+		}
+	}
+}
+
+// Guards against a completion script that bash rejects or that offers nothing.
+func TestCompletion(t *testing.T) {
+	_, script, _ := run(t, "completion")
+	complete := func(words string) string {
+		cmd := exec.Command("bash", "-c", script+"\nCOMP_WORDS=("+words+"); COMP_CWORD=$((${#COMP_WORDS[@]}-1)); _dandelionspoke; echo ${COMPREPLY[@]}")
+		out, err := cmd.CombinedOutput()
+		if err != nil {
+			t.Fatalf("%v: %s", err, out)
+		}
+		return strings.TrimSpace(string(out))
+	}
+	if got := complete("dandelionspoke ver"); got != "version" {
+		t.Errorf("completed ver to %q", got)
+	}
+	if got := complete("dandelionspoke node --set"); got != "--settings" {
+		t.Errorf("completed node --set to %q", got)
+	}
+	if got := complete("dandelionspoke backe"); slices.Contains(strings.Fields(got), "backend") {
+		t.Errorf("hidden command offered: %q", got)
+	}
+}
+
+// Guards against a rollout that ignores the expected version, the second signature, or the winner of a race.
+func TestBundleCommands(t *testing.T) {
+	server := httptest.NewServer(platformtest.New())
+	defer server.Close()
+	dir := t.TempDir()
+	path := func(name string) string { return filepath.Join(dir, name) }
+	text := "version = 1\n[services.katalog]\nslots = 8\n[[routes]]\nname = \"katalog\"\nservice = \"katalog\"\npath_prefix = \"/katalog\"\n"
+	for name, content := range map[string]string{"b.toml": text, "other.toml": strings.Replace(text, "8", "9", 1), "bad.toml": strings.Replace(text, "slots", "slotts", 1)} {
+		if err := os.WriteFile(path(name), []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	trusted := []string{"--trusted", path("ann.key.pub"), "--trusted", path("bo.key.pub")}
+	rollout := func(file string) []string {
+		return append([]string{"bundle", "rollout", path(file), "--store", server.URL, "--expect-version", "0"}, trusted...)
+	}
+	steps := []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"bundle", "keygen", "ann", "--out", path("ann.key")}, ExitOK, "ann ed25519 "},
+		{[]string{"bundle", "keygen", "ann", "--out", path("ann.key")}, ExitFailed, "file exists"},
+		{[]string{"bundle", "keygen", "bo", "--out", path("bo.key")}, ExitOK, "bo ed25519 "},
+		{[]string{"check", path("b.toml")}, ExitOK, "ok"},
+		{[]string{"check", path("bad.toml")}, ExitFailed, "bad.toml:3: services.katalog.slotts"},
+		{[]string{"bundle", "sign", path("bad.toml"), "--key", path("ann.key"), "--out", path("bad")}, ExitFailed, "slotts"},
+		{[]string{"bundle", "sign", path("b.toml"), "--key", path("ann.key"), "--out", path("b")}, ExitOK, "version=1 author=ann"},
+		{rollout("b"), ExitFailed, "approver"},
+		{[]string{"bundle", "approve", path("b"), "--key", path("ann.key"), "--trusted", path("ann.key.pub")}, ExitFailed, "another key"},
+		{[]string{"bundle", "approve", path("b"), "--key", path("bo.key"), "--trusted", path("ann.key.pub")}, ExitOK, "approver=bo"},
+		{[]string{"bundle", "status", "--store", server.URL}, ExitOK, "version=0"},
+		{rollout("b"), ExitOK, "msg=rolled_out version=1"},
+		{[]string{"bundle", "sign", path("other.toml"), "--key", path("ann.key"), "--out", path("other")}, ExitOK, "version=1"},
+		{[]string{"bundle", "approve", path("other"), "--key", path("bo.key"), "--trusted", path("ann.key.pub")}, ExitOK, "approver=bo"},
+		{rollout("other"), ExitFailed, "version 1 by ann"},
+		{[]string{"bundle", "history", "--store", server.URL}, ExitOK, "version=1 previous=0"},
+		{[]string{"bundle", "restore", "1", "--store", server.URL, "--out", path("restored")}, ExitOK, "from=1 version=2"},
+		{[]string{"bundle", "sign", path("restored"), "--key", path("ann.key"), "--out", path("restored")}, ExitOK, "version=2"},
+	}
+	for _, step := range steps {
+		code, out, errText := run(t, step.args...)
+		if code != step.code || !strings.Contains(out+errText, step.want) {
+			t.Errorf("%v: exit code %d, want %d with %q; got\n%s%s", step.args, code, step.code, step.want, out, errText)
+		}
+	}
+}
