Let an acceptor tell authors' keys from approvers' keys

Cause: the settings list keys of authors and of approvers, but the acceptor took any trusted key in either role, so that two authors could roll out without an approver. Change: NewAcceptorByRole; NewAcceptor keeps one list for both roles. Measured: TestAcceptorByRole fails when both roles are checked against the authors' keys.

--- a/internal/bundle/accept.go
+++ b/internal/bundle/accept.go
@@ -20,14 +20,21 @@
 // the store or a peer offers. After a restart it starts from nothing, because VMs keep no state; it
 // then takes the first verified envelope and rises from there. It is not safe for concurrent use.
 type Acceptor struct {
-	trusted Trusted
-	inForce *Envelope
-	root    Hash
-	bundle  *Bundle
+	authors   Trusted
+	approvers Trusted
+	inForce   *Envelope
+	root      Hash
+	bundle    *Bundle
 }
 
-// NewAcceptor returns an Acceptor with nothing in force.
-func NewAcceptor(trusted Trusted) *Acceptor { return &Acceptor{trusted: trusted} }
+// NewAcceptor returns an Acceptor with nothing in force. Each trusted key may be of author or approver.
+func NewAcceptor(trusted Trusted) *Acceptor { return NewAcceptorByRole(trusted, trusted) }
+
+// NewAcceptorByRole returns an Acceptor with nothing in force that takes the signature of an author
+// only from authors and that of an approver only from approvers.
+func NewAcceptorByRole(authors, approvers Trusted) *Acceptor {
+	return &Acceptor{authors: authors, approvers: approvers}
+}
 
 // InForce returns the envelope in force, or nil. The caller must not modify it.
 func (a *Acceptor) InForce() *Envelope { return a.inForce }
@@ -50,7 +57,7 @@
 	if a.inForce != nil && e.Version == a.Version() && root == a.root {
 		return nil, ErrUnchanged
 	}
-	if err := e.verify(a.trusted, root); err != nil {
+	if err := e.verify(a.authors, a.approvers, root); err != nil {
 		return nil, err
 	}
 	if a.inForce != nil && e.Version == a.Version() {
--- a/internal/bundle/envelope.go
+++ b/internal/bundle/envelope.go
@@ -95,14 +95,14 @@
 }
 
 // Verify returns ErrUntrusted unless two different trusted keys signed the content as author and approver.
-func (e *Envelope) Verify(trusted Trusted) error { return e.verify(trusted, e.Root()) }
+func (e *Envelope) Verify(trusted Trusted) error { return e.verify(trusted, trusted, e.Root()) }
 
-func (e *Envelope) verify(trusted Trusted, root Hash) error {
-	author, err := e.verifyRole(authorRole, e.Author, trusted, root)
+func (e *Envelope) verify(authors, approvers Trusted, root Hash) error {
+	author, err := e.verifyRole(authorRole, e.Author, authors, root)
 	if err != nil {
 		return err
 	}
-	approver, err := e.verifyRole(approverRole, e.Approver, trusted, root)
+	approver, err := e.verifyRole(approverRole, e.Approver, approvers, root)
 	if err != nil {
 		return err
 	}
--- a/internal/bundle/envelope_test.go
+++ b/internal/bundle/envelope_test.go
@@ -198,6 +198,22 @@
 	}
 }
 
+// TestAcceptorByRole guards against two authors who sign and approve without an approver.
+func TestAcceptorByRole(t *testing.T) {
+	s := newSigners(t)
+	author := Trusted{s.author.Name: s.trusted[s.author.Name]}
+	approver := Trusted{s.approver.Name: s.trusted[s.approver.Name]}
+	e := s.envelope(t, sample(1, 1, 0))
+	for _, roles := range [][2]Trusted{{author, author}, {approver, approver}, {approver, author}} {
+		if _, err := NewAcceptorByRole(roles[0], roles[1]).Offer(e); !errors.Is(err, ErrUntrusted) {
+			t.Fatalf("accepted with keys of another role: %v", err)
+		}
+	}
+	if _, err := NewAcceptorByRole(author, approver).Offer(e); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestDelta guards against deltas that lose or keep a section.
 func TestDelta(t *testing.T) {
 	s := newSigners(t)
@@ -275,7 +291,7 @@
 	}
 	root := base.Root()
 	for b.Loop() {
-		a := &Acceptor{trusted: s.trusted, inForce: base, root: root, bundle: inForce}
+		a := &Acceptor{authors: s.trusted, approvers: s.trusted, inForce: base, root: root, bundle: inForce}
 		d, err := DecodeDelta(delta)
 		if err != nil {
 			b.Fatal(err)
