--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 	Node       nodeCommand       `cmd:"" help:"Run a node beside a backend server."`
 	Check      checkCommand      `cmd:"" help:"Check a settings or bundle file and report each fault."`
 	Bundle     bundleCommand     `cmd:"" help:"Make, approve and roll out bundles."`
+	Dump       dumpCommand       `cmd:"" help:"Print the state of a node as JSON."`
 	Version    versionCommand    `cmd:"" help:"Print the version and build information."`
 	Completion completionCommand `cmd:"" help:"Print a completion script for bash."`
 	Backend    backendCommand    `cmd:"" hidden:"" help:"Run a stand-in backend server."`
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -74,6 +76,25 @@
 	}
 }
 
+// Guards against a dump that hides a refusal or does not send the token.
+func TestDump(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/dump" || r.Header.Get("Authorization") != "Bearer secret" {
+			http.Error(w, "a bearer token is required", http.StatusUnauthorized)
+			return
+		}
+		io.WriteString(w, "{}")
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	if code, _, errText := run(t, "dump", address); code != ExitFailed || !strings.Contains(errText, "401") {
+		t.Errorf("without a token: exit code %d, %s", code, errText)
+	}
+	if code, out, _ := run(t, "dump", address, "--token", "secret"); code != ExitOK || out != "{}" {
+		t.Errorf("with the token: exit code %d, %s", code, out)
+	}
+}
+
 // Guards against a completion script that bash rejects or that offers nothing.
 func TestCompletion(t *testing.T) {
 	_, script, _ := run(t, "completion")
