Run keyed requests under a claim in the store

Cause: a repeat with the same Idempotency-Key through another node must not run again. Change: the ingress claims the key before the first attempt, releases it after not-run, stores the outcome otherwise, and replays it. The fingerprint leaves out the host: it differs between nodes, and repeats through another node were refused as a reused key. During a store outage keyed requests are refused not-run with 0 runs.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"dandelionspoke/internal/balance"
+	"dandelionspoke/internal/claim"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/retry"
@@ -34,9 +35,10 @@
 	Snapshots *table.Publisher
 	Opener    Opener
 	Chooser   *Chooser
-	Claims    Claims        // nil: keyed requests are refused
-	Budget    *retry.Budget // of retries and hedges
-	Logger    *slog.Logger
+	// Claimer returns the claims of a service; nil, or a nil result, refuses keyed requests.
+	Claimer func(service string) *claim.Claimer
+	Budget  *retry.Budget // of retries and hedges
+	Logger  *slog.Logger
 	// IsQuarantined reports whether a fingerprint is refused; nil means that none is.
 	IsQuarantined func(fingerprint []byte) bool
 	// OnStale is told of each request's service, so that stale load figures are refreshed; nil means no report.
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +9,7 @@
 	"time"
 
 	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/claim"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
@@ -42,6 +42,7 @@
 	snapshot   *table.Snapshot
 	idempotent bool
 	key        string
+	permit     *claim.Permit // of a keyed request's run; nil without a claim
 	depth      int
 	priority   int
 	deadline   time.Time
@@ -133,7 +134,8 @@
 	if q.http.ContentLength > limit {
 		return verdict.New(verdict.NotRun, verdict.BodyTooLarge, "body of %d bytes, limit %d", q.http.ContentLength, limit)
 	}
-	digest := retry.NewDigest(q.http.Method, q.http.Host+q.http.URL.RequestURI())
+	// The host is left out: a repeat through another node may name that node's address.
+	digest := retry.NewDigest(q.http.Method, q.route.Service+" "+q.http.URL.RequestURI())
 	if q.http.Body != nil && q.http.Body != http.NoBody {
 		body := http.MaxBytesReader(w, q.http.Body, limit)
 		_ = http.NewResponseController(w).SetReadDeadline(q.deadline)
@@ -173,6 +175,3 @@
 	}
 	return q.http.ContentLength
 }
-
-// digest identifies the request's content for idempotency keys.
-func (q *request) digest() string { return hex.EncodeToString(q.fingerprint) }
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -70,6 +70,9 @@
 
 // start picks an endpoint and begins an attempt there.
 func (in *Ingress) start(ctx context.Context, q *request, t *tries) error {
+	if q.permit != nil && !q.permit.MayStart(time.Now()) {
+		return verdict.New(verdict.NotRun, verdict.ClaimUnavailable, "the permit of the claim has ended")
+	}
 	i, ep := in.Chooser.pick(q.service, t.exclude, q.route.Class == bundle.Long)
 	if ep == nil && t.exclude != 0 {
 		// All endpoints have been tried; a busy one may have room by now.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,17 +3,17 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"dandelionspoke/internal/announce"
 	"dandelionspoke/internal/balance"
-	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/claim"
 	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/retry"
-	"dandelionspoke/internal/settings"
 	"dandelionspoke/internal/system"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/wire"
@@ -27,17 +27,6 @@
 	probeExchangeBytes = 200
 )
 
-func trustedKeys(s settings.Bundle) bundle.Trusted {
-	trusted := bundle.Trusted{}
-	for name, key := range s.TrustedKeys {
-		trusted[name] = key
-	}
-	for name, key := range s.ApproverKeys {
-		trusted[name] = key
-	}
-	return trusted
-}
-
 func (n *Node) engineConfig() engine.Config {
 	s := n.settings
 	listen := s.Gossip.Listen
@@ -249,3 +238,45 @@
 	requests    atomic.Int64
 	probeCounts atomic.Pointer[balance.ProbeCounts]
 }
+
+// claimers holds the claims of each service; nil without direct access to the store.
+type claimers struct {
+	mu        sync.Mutex
+	byService map[string]*claim.Claimer
+	closed    bool
+}
+
+// claimer returns the claims of a service, or nil without direct access to the store.
+func (n *Node) claimer(service string) *claim.Claimer {
+	if n.store == nil {
+		return nil
+	}
+	n.claims.mu.Lock()
+	defer n.claims.mu.Unlock()
+	if c := n.claims.byService[service]; c != nil || n.claims.closed {
+		return c
+	}
+	if n.claims.byService == nil {
+		n.claims.byService = make(map[string]*claim.Claimer)
+	}
+	c := claim.New(claim.Config{Store: n.store, Service: service, Retention: n.claimRetention, Log: n.logger})
+	n.claims.byService[service] = c
+	return c
+}
+
+func (n *Node) claimRetention() time.Duration {
+	if b := n.bundles.inForce.Load(); b != nil {
+		return b.Policy.ClaimRetention.D()
+	}
+	return claim.MinRetention
+}
+
+func (n *Node) closeClaims() {
+	n.claims.mu.Lock()
+	n.claims.closed = true
+	open := n.claims.byService
+	n.claims.mu.Unlock()
+	for _, c := range open {
+		c.Close()
+	}
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -64,6 +64,7 @@
 	if n.engine != nil {
 		n.engine.Stop()
 	}
+	n.closeClaims()
 	n.gate.Close()
 	n.wg.Wait()
 	n.logger.Info("node stopped", "event", "node_stopped", "node", n.settings.NodeID)
--- /dev/null
+++ b/internal/node/keyed_test.go
@@ -0,0 +1,108 @@
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dandelionspoke/internal/backendtest"
+	"dandelionspoke/internal/node"
+	"dandelionspoke/internal/verdict"
+)
+
+// order sends a keyed order through n. id identifies the run in the log.
+func (f *fleet) order(n *node.Node, key, id, body string) *http.Response {
+	f.t.Helper()
+	req, _ := http.NewRequest("POST", "http://"+n.Addrs().Ingress+"/order", strings.NewReader(body))
+	req.Header.Set("Idempotency-Key", key)
+	req.Header.Set(backendtest.RequestIDHeader, id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		f.t.Fatal(err)
+	}
+	return resp
+}
+
+// Guards against a second run when a request with the same key arrives through other nodes, at the same
+// time or later.
+func TestKeyRunsAtMostOnceThroughAnyNode(t *testing.T) {
+	f := newFleet(t, 3)
+	f.ready()
+	for round := range 5 {
+		key := fmt.Sprint("order-", round)
+		var wg sync.WaitGroup
+		var answered atomic.Int64
+		for i := range 6 {
+			wg.Go(func() {
+				resp := f.order(f.nodes[i%3], key, key, "bike 7")
+				switch {
+				case resp.StatusCode == http.StatusOK:
+					answered.Add(1)
+				case resp.StatusCode != http.StatusConflict:
+					t.Errorf("status %d, reason %s", resp.StatusCode, resp.Header.Get(verdict.ReasonHeader))
+				}
+			})
+		}
+		wg.Wait()
+		if answered.Load() == 0 {
+			t.Errorf("%s: no request was answered", key)
+		}
+		f.waitFor(5*time.Second, "stored outcome", func() bool {
+			resp := f.order(f.nodes[(round+1)%3], key, key, "bike 7")
+			return resp.StatusCode == http.StatusOK && resp.Header.Get("Idempotent-Replayed") == "true"
+		})
+	}
+	if d := f.log.Duplicates(); len(d) > 0 {
+		t.Errorf("duplicate runs: %q", d)
+	}
+	resp := f.order(f.nodes[0], "order-0", "reused", "bike 8")
+	if resp.StatusCode != http.StatusUnprocessableEntity {
+		t.Errorf("a reused key with another body got status %d", resp.StatusCode)
+	}
+}
+
+// Guards against a keyed run without a claim, and against a false verdict, while the store is down; and
+// against an outage that stops other requests.
+func TestStoreOutage(t *testing.T) {
+	f := newFleet(t, 2)
+	f.ready()
+	f.store.SetDown(true)
+	resp := f.order(f.nodes[0], "during-outage", "during-outage", "bike 7")
+	if v := resp.Header.Get(verdict.Header); v != "not-run" || f.log.Len() != 0 {
+		t.Errorf("verdict %q with %d runs, want not-run without a run", v, f.log.Len())
+	}
+	for i := range 20 {
+		if status, body := f.get(f.nodes[i%2], "/preview"); status != http.StatusOK {
+			t.Fatalf("status %d during the outage: %s", status, body)
+		}
+	}
+	f.store.SetDown(false)
+	f.waitFor(5*time.Second, "keyed request after the outage", func() bool {
+		resp := f.order(f.nodes[0], "during-outage", "during-outage", "bike 7")
+		return resp.StatusCode == http.StatusOK
+	})
+	if d := f.log.Duplicates(); len(d) > 0 {
+		t.Errorf("duplicate runs: %q", d)
+	}
+}
+
+// Guards against a node that can't join, or has no bundle, when it starts while the store is down.
+func TestJoinDuringStoreOutage(t *testing.T) {
+	f := newFleet(t, 2)
+	f.ready()
+	f.store.SetDown(true)
+	f.addNode(2)
+	f.ready()
+	if status, body := f.get(f.nodes[2], "/preview"); status != http.StatusOK {
+		t.Fatalf("status %d through the new node: %s", status, body)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	provider   rollout.Provider
 	bundles    bundleState
 	counters   requestCounters
+	claims     claimers
 	reader     atomic.Bool // this node reads the store for its failure domain
 	// probePolicy and probeRand belong to the engine loop.
 	probePolicy uint64
@@ -99,7 +100,7 @@
 		}
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.bundles.acceptor = bundle.NewAcceptor(trustedKeys(o.Settings.Bundle))
+	n.bundles.acceptor = bundle.NewAcceptorByRole(o.Settings.Bundle.TrustedKeys, o.Settings.Bundle.ApproverKeys)
 	n.assemble(picker)
 	return n, nil
 }
@@ -125,7 +126,7 @@
 	n.registry.OnChange = n.backendChanged
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget,
-		Logger: n.logger, IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered,
+		Logger: n.logger, IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered, Claimer: n.claimer,
 	})
 }
 
