Choose hedges by their own rule

Cause: a second attempt sent by the ordinary policy went to the other region or to a full endpoint when the first choice was excluded. Change: PickHedge takes only endpoints of the own region with a load up to 0.9.

--- a/internal/balance/dandelionspoke.go
+++ b/internal/balance/dandelionspoke.go
@@ -36,6 +36,8 @@
 	// fullFarBias is the factor by which the cost of another region without free capacity must be
 	// lower, since sending work there crosses a paid link.
 	fullFarBias = 2
+	// hedgeLoad is the load per slot up to which an endpoint takes hedges.
+	hedgeLoad = 0.9
 	// unknownLoad caps the load assumed for an endpoint that has never reported.
 	unknownLoad = 0.5
 	// minSlowStart is the share of its draws that a newly admitted endpoint starts with.
@@ -59,10 +61,7 @@
 // chosen.
 func (dandelionspoke) Pick(now int64, rng *rand.Rand, svc *table.Service, exclude uint64, long bool) int {
 	var near sample
-	domainEnd, regionEnd := svc.LocalityEnd[table.SameDomain], svc.LocalityEnd[table.SameRegion]
-	near.draw(now, rng, svc, 0, domainEnd, exclude)
-	near.draw(now, rng, svc, domainEnd, regionEnd, exclude)
-	near.rate(now, rng, svc, long, 0)
+	near.drawNear(now, rng, svc, exclude, long)
 	if i := near.trial(rng, exclude); i != None {
 		return i
 	}
@@ -70,7 +69,7 @@
 		return near.c[i].index
 	}
 	var far sample
-	far.draw(now, rng, svc, regionEnd, svc.LocalityEnd[table.OtherRegion], exclude)
+	far.draw(now, rng, svc, svc.LocalityEnd[table.SameRegion], svc.LocalityEnd[table.OtherRegion], exclude)
 	far.rate(now, rng, svc, long, float64(farLatency))
 	if i := far.trial(rng, exclude); i != None {
 		return i
@@ -81,6 +80,27 @@
 	return lastResort(rng, svc, exclude)
 }
 
+// PickHedge returns the position of an endpoint for a second attempt while the first one runs, or
+// None. A hedge must not add to an overload or use the paid link: only endpoints of the own region
+// with a load up to hedgeLoad are chosen. The arguments are those of Picker.Pick.
+func PickHedge(now int64, rng *rand.Rand, svc *table.Service, exclude uint64, long bool) int {
+	var near sample
+	near.drawNear(now, rng, svc, exclude, long)
+	i := near.best()
+	if i == None || near.c[i].load > hedgeLoad {
+		return None
+	}
+	return near.c[i].index
+}
+
+// drawNear fills the sample from the own failure domain and the own region, and rates it.
+func (s *sample) drawNear(now int64, rng *rand.Rand, svc *table.Service, exclude uint64, long bool) {
+	domainEnd, regionEnd := svc.LocalityEnd[table.SameDomain], svc.LocalityEnd[table.SameRegion]
+	s.draw(now, rng, svc, 0, domainEnd, exclude)
+	s.draw(now, rng, svc, domainEnd, regionEnd, exclude)
+	s.rate(now, rng, svc, long, 0)
+}
+
 // overflow chooses between regions when the own one has no free capacity: another region when it has
 // and its answer is expected sooner, or when it has not and its answer is expected much sooner.
 func overflow(near, far *sample) int {
--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -322,3 +322,22 @@
 		t.Errorf("in flight %d, long %d, start sum %d", s.OwnInFlight.Load(), s.OwnLong.Load(), s.StartSum.Load())
 	}
 }
+
+// Guards against hedges to another region, to a busy endpoint, and to the one that the first attempt
+// waits for.
+func TestPickHedge(t *testing.T) {
+	svc := newService(1, 1, 2)
+	rng := newRNG(1)
+	for range 100 {
+		if i := PickHedge(testNow, rng, svc, 1, false); i != 1 {
+			t.Fatalf("hedge to position %d, want 1", i)
+		}
+		if i := PickHedge(testNow, rng, svc, 3, false); i != None {
+			t.Fatalf("hedge to position %d of another region", i)
+		}
+	}
+	ObserveReport(svc.Endpoints[1].Stats, testNow, &wire.Load{InFlight: 11, ServiceTimeUs: 5000})
+	if i := PickHedge(testNow, rng, svc, 1, false); i != None {
+		t.Errorf("hedge to the busy position %d", i)
+	}
+}
