membership: converge quickly after the start of a fleet

With gossip alone, 300 nodes that start together agree after 63 s in the in-memory fleet (the check for convergence held for an empty fleet before and hid this). The gossip queue is a pair of lists in place of a map that was sorted for each datagram.

A death heard of before the suspicion leaves the member 3 periods to refute.

Tested: go test ./internal/...

--- /dev/null
+++ b/internal/capacity/capacity.go
@@ -0,0 +1,109 @@
+// Package capacity measures what the control work of a node costs at growing numbers of nodes. It
+// runs the code of the node itself: in memory under virtual time for messages and convergence, on
+// loopback sockets for processor time and memory, and on one large table for the costs that grow with
+// the number of members. Each result is one row of key=value pairs.
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Options bound a run. The zero value of a slice skips its measurements.
+type Options struct {
+	// FleetSizes are the numbers of nodes of the in-memory fleets. Seeds is the number of runs of each
+	// with at most largeFleet nodes; larger ones run once.
+	FleetSizes []int
+	Seeds      int
+	// TableSizes are the numbers of members of the tables that one node is measured with.
+	TableSizes []int
+	// Engines is the number of engines on loopback, Idle the time that they are measured for; 0 skips it.
+	Engines int
+	Idle    time.Duration
+}
+
+const largeFleet = 300
+
+// Default returns the options of scripts/capacity, which take well below 5 minutes.
+func Default() Options {
+	return Options{
+		FleetSizes: []int{10, 30, 100, 300, 1000},
+		Seeds:      3,
+		TableSizes: []int{1000, 5000, 23000},
+		Engines:    100,
+		Idle:       20 * time.Second,
+	}
+}
+
+// Run prints the rows. It returns an error when a fleet does not converge or a write fails.
+func Run(w io.Writer, o Options) error {
+	for _, n := range o.FleetSizes {
+		seeds := o.Seeds
+		if n > largeFleet {
+			seeds = 1
+		}
+		for seed := range seeds {
+			rows, err := fleetRows(n, uint64(seed+1))
+			if err := errorOr(err, printRows(w, rows)); err != nil {
+				return err
+			}
+		}
+	}
+	for _, n := range o.TableSizes {
+		rows, err := tableRows(n)
+		if err := errorOr(err, printRows(w, rows)); err != nil {
+			return err
+		}
+	}
+	if o.Engines == 0 {
+		return nil
+	}
+	rows, err := engineRows(o.Engines, o.Idle)
+	return errorOr(err, printRows(w, rows))
+}
+
+func errorOr(first, second error) error {
+	if first != nil {
+		return first
+	}
+	return second
+}
+
+// row is one line of output.
+type row []string
+
+func newRow(measure string, n int) row {
+	return row{"measure=" + measure, fmt.Sprintf("nodes=%d", n)}
+}
+
+func (r row) with(key string, value any) row {
+	switch v := value.(type) {
+	case float64:
+		return append(r, fmt.Sprintf("%s=%.4g", key, v))
+	case time.Duration:
+		return append(r, fmt.Sprintf("%s=%d", key, v.Milliseconds()))
+	default:
+		return append(r, fmt.Sprintf("%s=%v", key, v))
+	}
+}
+
+func printRows(w io.Writer, rows []row) error {
+	for _, r := range rows {
+		if _, err := fmt.Fprintln(w, strings.Join(r, " ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// quantile returns the value at share q of the sorted values, 0 without values.
+func quantile[T int64 | float64 | time.Duration](values []T, q float64) T {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[int(q*float64(len(sorted)-1))]
+}
--- /dev/null
+++ b/internal/capacity/table.go
@@ -0,0 +1,121 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dandelionspoke/internal/membership"
+	"dandelionspoke/internal/system"
+	"dandelionspoke/internal/table"
+	"dandelionspoke/internal/wire"
+)
+
+const (
+	// services is the number of services at the design scale.
+	services = 720
+	domains  = 15
+	regions  = 7
+	// subsetSize is the default of the bundle.
+	subsetSize = 24
+	// tableTicks is the number of ticks over which the time of one is averaged.
+	tableTicks = 2000
+	builds     = 5
+)
+
+// discard is a membership.Output that drops everything.
+type discard struct{}
+
+func (discard) SendDatagram(string, []byte)         {}
+func (discard) NewerBundle(uint64, string)          {}
+func (discard) Changed(_, _ *wire.Member)           {}
+func (discard) Quarantined([]*wire.QuarantineEntry) {}
+func (discard) Sync(string, *wire.SyncRequest)      {}
+
+func tableMember(i int, now time.Time) *wire.Member {
+	service := fmt.Sprintf("service-%03d", i%services)
+	return &wire.Member{
+		NodeId: fmt.Sprintf("node-%05d", i), Incarnation: uint64(membership.NewIncarnation(now)),
+		PeerAddr:      fmt.Sprintf("10.%d.%d.%d:7947", i>>16, i>>8&0xff, i&0xff),
+		UdpAddr:       fmt.Sprintf("10.%d.%d.%d:7946", i>>16, i>>8&0xff, i&0xff),
+		FailureDomain: fmt.Sprintf("domain-%02d", i%domains), Region: fmt.Sprintf("region-%d", i%domains%regions),
+		Endpoints: []*wire.EndpointRecord{{Id: fmt.Sprintf("endpoint-%05d", i), Service: service, Slots: 12, Connections: 200}},
+	}
+}
+
+// firstOf keeps the first endpoints, at the cost of the copy that any subset makes.
+func firstOf(_ system.Self, _ string, candidates []*table.Endpoint, _ int) []*table.Endpoint {
+	return candidates[:min(subsetSize, len(candidates))]
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// tableRows measures one node that knows n members: memory, ticks, snapshots and full-state exchanges.
+func tableRows(n int) ([]row, error) {
+	now := time.UnixMilli(1_700_000_000_000)
+	before := heapBytes()
+	node, err := fullNode(n, now)
+	if err != nil {
+		return nil, err
+	}
+	r := newRow("table", n).with("heap_bytes", heapBytes()-before)
+
+	request := node.SyncRequest()
+	r = r.with("sync_request_bytes", proto.Size(request))
+	full := &wire.SyncRequest{Digests: make([]uint64, len(request.Digests))}
+	r = r.with("sync_full_reply_bytes", proto.Size(node.HandleSync(now, full)))
+	r = r.with("snapshot_build_us", buildMicros(node, now))
+	r = r.with("tick_us", tickMicros(node, now))
+	return []row{r}, nil
+}
+
+func fullNode(n int, now time.Time) (*membership.Node, error) {
+	self := tableMember(0, now)
+	cfg := membership.Config{
+		NodeID: self.NodeId, UDPAddr: self.UdpAddr, PeerAddr: self.PeerAddr,
+		FailureDomain: self.FailureDomain, Region: self.Region,
+	}
+	node, err := membership.NewNode(cfg, now, rand.New(rand.NewPCG(1, 1)), discard{}, &membership.Counters{})
+	if err != nil {
+		return nil, err
+	}
+	members := make([]*wire.Member, 0, n-1)
+	for i := 1; i < n; i++ {
+		members = append(members, tableMember(i, now))
+	}
+	node.Merge(now, members)
+	return node, nil
+}
+
+// buildMicros returns the median time of a snapshot that follows another one.
+func buildMicros(node *membership.Node, now time.Time) float64 {
+	self := system.Self{NodeID: node.Self().NodeId, FailureDomain: node.Self().FailureDomain, Region: node.Self().Region}
+	var snapshot *table.Snapshot
+	var times []float64
+	for i := range builds {
+		start := time.Now()
+		snapshot = system.BuildSnapshot(uint64(i), self, node.Records(), nil, snapshot, now, firstOf)
+		times = append(times, micros(time.Since(start)))
+	}
+	return quantile(times, 0.5)
+}
+
+// tickMicros returns the mean time of a tick in which no message arrives.
+func tickMicros(node *membership.Node, now time.Time) float64 {
+	start := time.Now()
+	for range tableTicks {
+		now = now.Add(50 * time.Millisecond)
+		node.Tick(now)
+	}
+	return micros(time.Since(start)) / tableTicks
+}
+
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -141,7 +141,7 @@
 	}
 	all("every node sees all endpoints", func(n *testNode) bool { return n.endpoints() == count })
 
-	// Probes share the byte budget with the gossip of the joins, so some are not sent the first time.
+	// A node that has not heard of the prober yet drops its probe.
 	eventually(t, "a report from each endpoint", func() bool {
 		nodes[4].Freshen("katalog")
 		for _, n := range nodes {
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -58,7 +58,7 @@
 	if merged == nil {
 		return
 	}
-	n.store(now, known, merged, via)
+	n.store(now, known, heard, merged, via)
 }
 
 // tempered turns a report of failure about a member that counts as ALIVE here into something the
@@ -78,6 +78,16 @@
 	return merged
 }
 
+// lastChancePeriods is the time to refute for a member whose death is heard of before its suspicion.
+const lastChancePeriods = 3
+
+// shortenSuspicion leaves a member lastChancePeriods, and tells it what it has to refute.
+func (n *Node) shortenSuspicion(now time.Time, e *entry) {
+	timeout := SuspicionTimeout(n.cfg.Period, n.list.live)
+	e.since = now.Add(min(timeout, lastChancePeriods*n.cfg.Period) - timeout)
+	n.detector.verify(e.record.NodeId)
+}
+
 // verifyDisagreement pings a member that is DEAD here but live in the state of another node, so that
 // the member refutes its death.
 func (n *Node) verifyDisagreement(known *entry, heard *wire.Member, via origin) {
@@ -98,13 +108,16 @@
 	}
 }
 
-func (n *Node) store(now time.Time, known *entry, merged *wire.Member, via origin) {
+func (n *Node) store(now time.Time, known *entry, heard, merged *wire.Member, via origin) {
 	before := known.record
 	if sameExceptBundle(before, merged) {
 		known.bundle = max(known.bundle, merged.BundleVersion)
 		return
 	}
-	n.set(now, merged)
+	e := n.set(now, merged)
+	if heard.State == wire.MemberState_DEAD && merged.State == wire.MemberState_SUSPECT {
+		n.shortenSuspicion(now, e)
+	}
 	restarted := Incarnation(merged.Incarnation).Process() != Incarnation(before.Incarnation).Process()
 	leaving := merged.State == wire.MemberState_LEAVING && before.State != wire.MemberState_LEAVING
 	undrained := before.State == wire.MemberState_LEAVING && merged.State == wire.MemberState_ALIVE
@@ -144,6 +157,9 @@
 
 // expireSuspicions turns members that did not refute a suspicion in time into DEAD ones.
 func (n *Node) expireSuspicions(now time.Time) {
+	if len(n.list.suspects) == 0 {
+		return
+	}
 	timeout := SuspicionTimeout(n.cfg.Period, n.list.live)
 	var expired []string
 	for nodeID, e := range n.list.suspects {
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -1,9 +1,8 @@
 package membership
 
 import (
-	"cmp"
+	"container/list"
 	"math"
-	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -15,6 +14,8 @@
 	retransmitFactor = 4
 	// maxQueuedUpdates bounds the memory of the queue; the oldest updates are dropped first.
 	maxQueuedUpdates = 4096
+	// maxSkipped bounds the search for a record that still fits into a datagram.
+	maxSkipped = 4
 	// fieldOverheadBytes is the tag and the length of an embedded record of up to MaxRecordBytes.
 	fieldOverheadBytes = 3
 )
@@ -25,71 +26,74 @@
 }
 
 type update struct {
-	member   *wire.Member
-	bytes    int
-	sent     int
-	sequence uint64
+	member *wire.Member
+	bytes  int
+	sent   int
 }
 
-// gossipQueue holds the updates that still have to be spread, one for each node.
+// gossipQueue holds the updates that still have to be spread, one for each node, in two lists with the
+// newest in front. A backlog, as after the restart of many nodes, must not delay the news of the
+// moment; anti-entropy repairs what the backlog loses.
 type gossipQueue struct {
-	updates  map[string]*update
-	sequence uint64
+	leaving *list.List
+	others  *list.List
+	byNode  map[string]*list.Element
 }
 
-func newGossipQueue() *gossipQueue { return &gossipQueue{updates: map[string]*update{}} }
+func newGossipQueue() *gossipQueue {
+	return &gossipQueue{leaving: list.New(), others: list.New(), byNode: map[string]*list.Element{}}
+}
 
 // add queues a record in place of an older one of the same node.
 func (q *gossipQueue) add(m *wire.Member) {
-	q.sequence++
-	q.updates[m.NodeId] = &update{member: m, bytes: proto.Size(m) + fieldOverheadBytes, sequence: q.sequence}
-	if len(q.updates) > maxQueuedUpdates {
-		ordered := q.ordered()
-		delete(q.updates, ordered[len(ordered)-1].member.NodeId)
+	q.remove(m.NodeId)
+	queue := q.others
+	if m.State == wire.MemberState_LEAVING {
+		queue = q.leaving
 	}
-}
-
-func (q *gossipQueue) len() int { return len(q.updates) }
-
-// ordered returns the updates with LEAVING first, then the newest. A backlog, as after the restart of
-// many nodes, must not delay the news of the moment; anti-entropy repairs what the backlog loses.
-func (q *gossipQueue) ordered() []*update {
-	ordered := make([]*update, 0, len(q.updates))
-	for _, u := range q.updates {
-		ordered = append(ordered, u)
+	q.byNode[m.NodeId] = queue.PushFront(&update{member: m, bytes: proto.Size(m) + fieldOverheadBytes})
+	if q.len() <= maxQueuedUpdates {
+		return
 	}
-	slices.SortFunc(ordered, func(a, b *update) int {
-		return cmp.Or(
-			cmp.Compare(leavingRank(a), leavingRank(b)),
-			cmp.Compare(b.sequence, a.sequence),
-		)
-	})
-	return ordered
+	oldest := q.others.Back()
+	if oldest == nil {
+		oldest = q.leaving.Back()
+	}
+	q.remove(oldest.Value.(*update).member.NodeId)
 }
 
-func leavingRank(u *update) int {
-	if u.member.State == wire.MemberState_LEAVING {
-		return 0
+func (q *gossipQueue) remove(nodeID string) {
+	e := q.byNode[nodeID]
+	if e == nil {
+		return
 	}
-	return 1
+	delete(q.byNode, nodeID)
+	// Remove does nothing on the list that the element is not in.
+	q.leaving.Remove(e)
+	q.others.Remove(e)
 }
 
-// take returns records of at most limitBytes in total and counts them as sent once more. Records that
-// have been sent retransmits times leave the queue.
+func (q *gossipQueue) len() int { return len(q.byNode) }
+
+// take returns records of at most limitBytes in total, LEAVING first, and counts them as sent once
+// more. Records that have been sent retransmits times leave the queue.
 func (q *gossipQueue) take(limitBytes, retransmits int) []*wire.Member {
-	if len(q.updates) == 0 {
-		return nil
-	}
 	var chosen []*wire.Member
-	for _, u := range q.ordered() {
-		if u.bytes > limitBytes {
-			continue
-		}
-		limitBytes -= u.bytes
-		chosen = append(chosen, u.member)
-		u.sent++
-		if u.sent >= retransmits {
-			delete(q.updates, u.member.NodeId)
+	for _, queue := range []*list.List{q.leaving, q.others} {
+		skipped := 0
+		for e := queue.Front(); e != nil && skipped < maxSkipped; {
+			u := e.Value.(*update)
+			e = e.Next()
+			if u.bytes > limitBytes {
+				skipped++
+				continue
+			}
+			limitBytes -= u.bytes
+			chosen = append(chosen, u.member)
+			u.sent++
+			if u.sent >= retransmits {
+				q.remove(u.member.NodeId)
+			}
 		}
 	}
 	return chosen
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -28,11 +28,11 @@
 	secondhand bool
 	heard      time.Time
 	bundle     uint64 // newest bundle version in a datagram of the node
-	position   int    // in list.order
+	position   int    // in memberList.order
 }
 
-// list is the table of members. It keeps the random order, the digests and the counts up to date.
-type list struct {
+// memberList is the table of members. It keeps the random order, the digests and the counts up to date.
+type memberList struct {
 	entries map[string]*entry
 	order   []*entry
 	next    int // position in order of the next ping
@@ -44,8 +44,8 @@
 	dead     int
 }
 
-func newList() *list {
-	return &list{entries: map[string]*entry{}, suspects: map[string]*entry{}}
+func newList() *memberList {
+	return &memberList{entries: map[string]*entry{}, suspects: map[string]*entry{}}
 }
 
 func bucketOf(nodeID string) int { return int(xxhash.Sum64String(nodeID) % maxDigests) }
@@ -68,7 +68,7 @@
 }
 
 // set stores a record and returns its entry, or nil when the list is full.
-func (l *list) set(m *wire.Member, now time.Time, rng *rand.Rand) *entry {
+func (l *memberList) set(m *wire.Member, now time.Time, rng *rand.Rand) *entry {
 	e := l.entries[m.NodeId]
 	if e == nil {
 		if len(l.entries) >= maxMembers {
@@ -95,7 +95,7 @@
 	return e
 }
 
-func (l *list) count(m *wire.Member, sign int) {
+func (l *memberList) count(m *wire.Member, sign int) {
 	if Live(m.State) {
 		l.live += sign
 	}
@@ -105,7 +105,7 @@
 	l.digests[bucketOf(m.NodeId)] ^= digestOf(m)
 }
 
-func (l *list) remove(e *entry) {
+func (l *memberList) remove(e *entry) {
 	l.count(e.record, -1)
 	delete(l.entries, e.record.NodeId)
 	delete(l.suspects, e.record.NodeId)
@@ -116,7 +116,7 @@
 	l.version++
 }
 
-func (l *list) swap(i, j int) {
+func (l *memberList) swap(i, j int) {
 	l.order[i], l.order[j] = l.order[j], l.order[i]
 	l.order[i].position = i
 	l.order[j].position = j
@@ -124,7 +124,7 @@
 
 // nextInOrder returns the next entry of the shuffled order that meets the condition, or nil. Going
 // round the order bounds the time until each member has been pinged.
-func (l *list) nextInOrder(rng *rand.Rand, ok func(*entry) bool) *entry {
+func (l *memberList) nextInOrder(rng *rand.Rand, ok func(*entry) bool) *entry {
 	for range l.order {
 		if l.next >= len(l.order) {
 			l.next = 0
@@ -140,7 +140,7 @@
 }
 
 // sample returns up to k different random entries that meet the condition.
-func (l *list) sample(k int, rng *rand.Rand, ok func(*entry) bool) []*entry {
+func (l *memberList) sample(k int, rng *rand.Rand, ok func(*entry) bool) []*entry {
 	chosen := make([]*entry, 0, k)
 	for attempt := 0; len(l.order) > 0 && len(chosen) < k && attempt < sampleAttempts*k; attempt++ {
 		e := l.order[rng.IntN(len(l.order))]
@@ -161,7 +161,7 @@
 }
 
 // folded returns the digests combined into n buckets, a power of two of at most maxDigests.
-func (l *list) folded(n int) []uint64 {
+func (l *memberList) folded(n int) []uint64 {
 	out := make([]uint64, n)
 	for i, d := range l.digests {
 		out[i%n] ^= d
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -87,7 +87,7 @@
 	counters *Counters
 
 	self     *wire.Member
-	list     *list
+	list     *memberList
 	gossip   *gossipQueue
 	quarant  *quarantine
 	detector detector
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -4,6 +4,8 @@
 	"math/bits"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"dandelionspoke/internal/wire"
 )
 
@@ -66,6 +68,7 @@
 
 // HandleSyncReply merges the answer of the node at peerAddr and sends it back what is newer here.
 func (n *Node) HandleSyncReply(now time.Time, peerAddr string, reply *wire.SyncReply) {
+	before := n.list.version
 	theirs := make(map[string]*wire.Member, len(reply.GetMembers()))
 	via := syncOrigin(reply.GetMembers())
 	for _, m := range reply.GetMembers() {
@@ -76,6 +79,20 @@
 	if newer := n.newerThan(reply, theirs); len(newer) > 0 {
 		n.out.Sync(peerAddr, &wire.SyncRequest{Members: newer, BundleVersion: n.bundleVersion})
 	}
+	if n.list.version != before {
+		n.syncSoon(now, proto.Size(reply))
+	}
+}
+
+// syncSoon brings the next exchange forward after one that taught this node something: after the start
+// of a fleet or the end of a cut, gossip alone takes over a minute at 300 nodes. The time that the
+// reply takes within the byte budget is kept.
+func (n *Node) syncSoon(now time.Time, replyBytes int) {
+	cost := time.Duration(float64(replyBytes) / float64(n.cfg.BytesPerSecond) * float64(time.Second))
+	next := now.Add(n.cfg.Period + jitter(n.rng, 2*n.cfg.Period) + cost)
+	if next.Before(n.nextSync) {
+		n.nextSync = next
+	}
 }
 
 func (n *Node) newerThan(reply *wire.SyncReply, theirs map[string]*wire.Member) []*wire.Member {
@@ -116,7 +133,9 @@
 	if now.Before(n.nextSync) {
 		return
 	}
-	n.nextSync = now.Add(n.cfg.SyncInterval/2 + jitter(n.rng, n.cfg.SyncInterval))
+	// The interval grows with the age of the process, so that a fleet that starts together agrees soon.
+	interval := min(n.cfg.SyncInterval, max(2*n.cfg.Period, now.Sub(n.started)))
+	n.nextSync = now.Add(interval/2 + jitter(n.rng, interval))
 	anywhere := n.rng.IntN(crossRegionSyncs) == 0
 	peers := n.list.sample(1, n.rng, func(e *entry) bool {
 		return n.isPeer(e) && (anywhere || e.record.Region == n.self.Region)
--- a/internal/membershiptest/fleet.go
+++ b/internal/membershiptest/fleet.go
@@ -262,19 +262,24 @@
 
 // Converged reports whether every running host sees all running hosts ALIVE and no other host live.
 func (f *Fleet) Converged() bool {
+	if len(f.Nodes) < f.options.Nodes {
+		return false
+	}
 	running := 0
 	for _, h := range f.Nodes {
 		if !h.Down {
 			running++
 		}
 	}
+	for _, h := range f.Nodes {
+		if !h.Down && h.Live() != running {
+			return false
+		}
+	}
 	for _, h := range f.Nodes {
 		if h.Down {
 			continue
 		}
-		if h.Live() != running || len(f.Nodes) < f.options.Nodes {
-			return false
-		}
 		for _, other := range f.Nodes {
 			if r := h.Record(other.id); !other.Down && (r == nil || r.State != wire.MemberState_ALIVE) {
 				return false
