--- a/internal/platformtest/store_test.go
+++ b/internal/platformtest/store_test.go
@@ -1,7 +1,9 @@
 package platformtest_test
 
 import (
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,7 +31,12 @@
 
 func newClient(t *testing.T, backing *platformtest.Store, options platform.Options) *platform.Client {
 	t.Helper()
-	server := httptest.NewServer(backing)
+	return serve(t, backing, options)
+}
+
+func serve(t *testing.T, handler http.Handler, options platform.Options) *platform.Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
 	options.BaseURL = server.URL
 	client, err := platform.NewClient(options)
 	if err != nil {
@@ -82,3 +89,28 @@
 		t.Fatal("the deletion was not reported")
 	}
 }
+
+// TestSilentWatch guards against a client that waits for ever on a watch whose server has frozen.
+func TestSilentWatch(t *testing.T) {
+	backing := platformtest.New()
+	var frozen atomic.Bool
+	client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == platform.WatchPath && frozen.CompareAndSwap(false, true) {
+			<-r.Context().Done()
+			return
+		}
+		backing.ServeHTTP(w, r)
+	}), platform.Options{CallsPerSecond: 10000, WatchIdle: 50 * time.Millisecond})
+	events, err := client.Watch(t.Context(), "w/", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Put(t.Context(), "w/a", []byte("1"), platform.MustNotExist); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-events:
+	case <-time.After(20 * time.Second):
+		t.Fatal("no event after the watch froze")
+	}
+}
