--- /dev/null
+++ b/cmd/dandelionspoke/process_test.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"debug/elf"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// binary is the path of the command under test, built once by TestMain.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "dandelionspoke")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "dandelionspoke")
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", binary, ".")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is a running command.
+type process struct {
+	t      *testing.T
+	name   string
+	cmd    *exec.Cmd
+	stderr lockedBuffer
+	// fields are the key=value pairs of the line that the command prints when it listens.
+	fields map[string]string
+	exited chan struct{}
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// String returns what was written so far.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// processTimeout bounds the start and the end of a process.
+const processTimeout = 40 * time.Second
+
+// start runs the command and returns when it prints that it listens.
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: strings.Join(args, " "), cmd: exec.Command(binary, args...), exited: make(chan struct{})}
+	p.cmd.Stderr = &p.stderr
+	stdout, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.kill)
+	listening := make(chan string, 1)
+	go func() {
+		lines := bufio.NewScanner(stdout)
+		for lines.Scan() {
+			if strings.HasPrefix(lines.Text(), "msg=listening ") {
+				listening <- lines.Text()
+			}
+		}
+		_ = p.cmd.Wait()
+		close(p.exited)
+	}()
+	select {
+	case line := <-listening:
+		p.fields = parseFields(line)
+	case <-p.exited:
+		t.Fatalf("%s exited: %s", p.name, p.stderr.String())
+	case <-time.After(processTimeout):
+		t.Fatalf("%s does not listen: %s", p.name, p.stderr.String())
+	}
+	return p
+}
+
+func parseFields(line string) map[string]string {
+	fields := map[string]string{}
+	for _, word := range strings.Fields(line) {
+		key, value, _ := strings.Cut(word, "=")
+		fields[key] = value
+	}
+	return fields
+}
+
+func (p *process) kill() {
+	select {
+	case <-p.exited:
+	default:
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+	}
+	if p.t.Failed() {
+		p.t.Logf("%s: stderr:\n%s", p.name, tail(p.stderr.String()))
+	}
+}
+
+// tail returns the last part of a log.
+func tail(text string) string {
+	const limit = 4000 // bytes
+	return text[max(0, len(text)-limit):]
+}
+
+func (p *process) signal(s os.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Errorf("%s: signal %v: %v", p.name, s, err)
+	}
+}
+
+// wait returns the exit code.
+func (p *process) wait() int {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(processTimeout):
+		p.t.Fatalf("%s does not exit: %s", p.name, p.stderr.String())
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// terminate sends SIGTERM and returns the exit code.
+func (p *process) terminate() int {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	return p.wait()
+}
+
+// run executes a command to its end.
+func run(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, err bytes.Buffer
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout, cmd.Stderr = &out, &err
+	if e := cmd.Run(); cmd.ProcessState == nil {
+		t.Fatal(e)
+	}
+	return cmd.ProcessState.ExitCode(), out.String(), err.String()
+}
+
+// must executes a command that has to succeed and returns its output.
+func must(t *testing.T, args ...string) string {
+	t.Helper()
+	code, out, errText := run(t, args...)
+	if code != 0 {
+		t.Fatalf("%v: exit code %d: %s", args, code, errText)
+	}
+	return out
+}
+
+// Guards against a static binary.
+func TestLinkedToLibc(t *testing.T) {
+	f, err := elf.Open(binary)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	libraries, err := f.ImportedLibraries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.ContainsFunc(libraries, func(l string) bool { return strings.HasPrefix(l, "libc.so") }) {
+		t.Errorf("linked to %v, want libc", libraries)
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,6 +29,7 @@
 	Check      checkCommand      `cmd:"" help:"Check a settings or bundle file and report each fault."`
 	Bundle     bundleCommand     `cmd:"" help:"Make, approve and roll out bundles."`
 	Dump       dumpCommand       `cmd:"" help:"Print the state of a node as JSON."`
+	Demo       demoCommand       `cmd:"" help:"Run the whole path on loopback in one process and report what callers saw."`
 	Version    versionCommand    `cmd:"" help:"Print the version and build information."`
 	Completion completionCommand `cmd:"" help:"Print a completion script for bash."`
 	Backend    backendCommand    `cmd:"" hidden:"" help:"Run a stand-in backend server."`
--- a/internal/cli/signals.go
+++ b/internal/cli/signals.go
@@ -47,3 +47,16 @@
 	s.cancel()
 	s.done.Wait()
 }
+
+// untilFirst returns a context that ends at the first signal.
+func (s *stopSignals) untilFirst() context.Context {
+	ctx, cancel := context.WithCancel(s.now)
+	s.done.Go(func() {
+		defer cancel()
+		select {
+		case <-s.drain:
+		case <-s.now.Done():
+		}
+	})
+	return ctx
+}
--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,67 @@
+package demo
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+// The default worker pool of ants, which gnet imports, keeps two goroutines for the life of the process.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreTopFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
+		goleak.IgnoreTopFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"))
+}
+
+// Guards against a whole path that answers wrongly, runs orders twice, cuts off answers, or leaves a kind of request
+// without any answer, with and without faults.
+func TestRun(t *testing.T) {
+	tests := []struct {
+		workload string
+		faults   bool
+	}{
+		{"nordlys", false},
+		{"prairie", false},
+		{"nordlys", true},
+		{"prairie", true},
+	}
+	for _, tt := range tests {
+		name := tt.workload
+		if tt.faults {
+			name += " with faults"
+		}
+		t.Run(name, func(t *testing.T) {
+			s, err := Run(context.Background(), Options{
+				Workload: tt.workload, Duration: 4 * time.Second, Seed: 1, Rate: 150, Faults: tt.faults,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if s.Failed() {
+				t.Errorf("promises to callers were broken: %+v", s)
+			}
+			if s.LightSamples == 0 || s.P99 <= 0 {
+				t.Errorf("nothing was measured: %+v", s)
+			}
+			if tt.faults && len(s.Faults) != 5 {
+				t.Errorf("injected %v, want 5 faults", s.Faults)
+			}
+			w, _ := Find(tt.workload)
+			for _, k := range w.Kinds {
+				if c := s.Classes[k.Name]; c.AnsweredOK == 0 && !k.Keyed {
+					t.Errorf("no %s was answered: %+v", k.Name, c)
+				}
+			}
+			t.Logf("%+v", s)
+		})
+	}
+}
+
+// Guards against an unknown workload that runs nothing and succeeds.
+func TestRunUnknownWorkload(t *testing.T) {
+	if _, err := Run(context.Background(), Options{Workload: "other", Duration: time.Second}); err == nil {
+		t.Error("no error")
+	}
+}
