Refuse short work that would wait, and prefer the own region by a margin

Cause: a trace of archive_pulls showed short requests queueing behind a stale choice while the other endpoint of the region had free slots; in swing, requests crossed the 40 ms link although the local queue drained sooner. Nested calls also failed when their endpoint was leaving, since nothing below depth 0 was tried elsewhere. Change: a first attempt accepts 1 ms of expected wait; a longer queue refuses it as busy, and the choice is made again with the load in the refusal, outside the retry budget. Another region must be cheaper by a factor of 1.5.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -57,6 +57,9 @@
 	Priority int
 	// Deadline is when the caller gives up. The zero value means defaultPatience after the offer.
 	Deadline time.Time
+	// MaxWait is the longest expected wait that the request accepts; a longer one refuses it with the
+	// reason Busy. Zero accepts any wait.
+	MaxWait time.Duration
 }
 
 // Ticket identifies an offered request that was admitted or queued. The zero value is never issued.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -167,6 +167,9 @@
 	if wait+estimate.duration() > remaining {
 		return verdict.Overloaded
 	}
+	if maxWait := e.request.MaxWait; maxWait > 0 && wait > maxWait {
+		return verdict.Busy
+	}
 	if !e.long && q.standing(now) && wait > q.standingWait() {
 		return verdict.Overloaded
 	}
--- a/internal/balance/dandelionspoke.go
+++ b/internal/balance/dandelionspoke.go
@@ -33,8 +33,10 @@
 	unknownLatency = 5 * time.Millisecond
 	// farLatency is the latency added for another region until an answer from there is known.
 	farLatency = 40 * time.Millisecond
-	// fullFarBias is the factor by which the cost of another region without free capacity must be
-	// lower, since sending work there crosses a paid link.
+	// farBias is the factor by which the cost of another region must be lower than that of the own one:
+	// the link is paid, and queues in the own region often drain before an answer crosses it.
+	farBias = 1.5
+	// fullFarBias applies instead when the other region has no free capacity either.
 	fullFarBias = 2
 	// hedgeLoad is the load per slot up to which an endpoint takes hedges.
 	hedgeLoad = 0.9
@@ -57,8 +59,8 @@
 
 // Pick implements Picker. It compares endpoints of the own failure domain and the own region, the
 // former with an advantage. It considers another region only when none of these has free capacity.
-// When the other region would take longer, it stays in the own region. Ejected endpoints, then suspect ones, are the last resort. A draining endpoint is never
-// chosen.
+// When the other region would take longer, it stays in the own region. Ejected endpoints, then suspect
+// ones, are the last resort. A draining endpoint is never chosen.
 func (dandelionspoke) Pick(now int64, rng *rand.Rand, svc *table.Service, exclude uint64, long bool) int {
 	var near sample
 	near.drawNear(now, rng, svc, exclude, long)
@@ -102,9 +104,9 @@
 }
 
 // overflow chooses between regions when the own one has no free capacity: another region when it has
-// and its answer is expected sooner, or when it has not and its answer is expected much sooner.
+// and its answer is expected sooner by farBias, or when it has not and by fullFarBias.
 func overflow(near, far *sample) int {
-	n, f, factor := near.cheapest(), far.best(), 1.0
+	n, f, factor := near.cheapest(), far.best(), farBias
 	if f == None {
 		f, factor = far.cheapest(), fullFarBias
 	}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -68,6 +68,7 @@
 	}
 	ticket, backend, err := c.gate.admit(ctx.Done(), admission.Request{
 		Route: c.head.Service + " " + c.head.Route, Long: c.head.Long, Priority: int(c.head.Priority), Deadline: deadline,
+		MaxWait: time.Duration(c.head.MaxWaitUs) * time.Microsecond,
 	})
 	if err != nil {
 		_ = bodyReader.CloseWithError(err)
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -23,7 +23,7 @@
 
 // attempt sends the request to one endpoint and returns the answer once its head has arrived.
 // Errors carry a verdict.
-func (in *Ingress) attempt(ctx context.Context, q *request, ep *table.Endpoint) (*answer, error) {
+func (in *Ingress) attempt(ctx context.Context, q *request, ep *table.Endpoint, maxWait time.Duration) (*answer, error) {
 	in.Counters.Attempts.Add(1)
 	seen := observe(ep, q.route)
 	conn, err := in.Opener.Open(ctx, ep, laneOf(q.route))
@@ -35,6 +35,7 @@
 	// The context ends shortly after the deadline; closing the stream cancels the work at the gate.
 	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	head := q.head(ep, conn.Remote())
+	head.MaxWaitUs = uint32(maxWait.Microseconds())
 	if err := in.exchange(ctx, q, a, head); err != nil {
 		a.close()
 		return in.resolve(ctx, a, head, err)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -49,7 +49,7 @@
 
 // Counters are totals since start. All are safe for concurrent use.
 type Counters struct {
-	Requests, Answered, Failed, Aborted, Attempts, Retries, Hedges, Queries, Replays atomic.Int64
+	Requests, Answered, Failed, Aborted, Attempts, Moved, Retries, Hedges, Queries, Replays atomic.Int64
 }
 
 // Ingress is an http.Handler. It is safe for concurrent use.
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -33,7 +33,9 @@
 // tries is the state of one request's attempts.
 type tries struct {
 	number  int
+	placed  bool // refused as busy once; later attempts accept any wait
 	exclude uint64
+	before  uint64 // exclude before the newest attempt
 	results chan result
 	pending int
 }
@@ -82,6 +84,7 @@
 	if ep == nil {
 		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "no endpoint of service %s can be used", q.route.Service)
 	}
+	t.before = t.exclude
 	if i < 64 {
 		t.exclude |= 1 << i
 	}
@@ -89,19 +92,27 @@
 	t.pending++
 	attemptCtx, cancel := context.WithCancel(ctx)
 	if !in.mayHedge(q) {
-		a, err := in.attempt(attemptCtx, q, ep)
+		a, err := in.attempt(attemptCtx, q, ep, t.maxWait(q))
 		t.results <- result{a, err, cancel}
 		return nil
 	}
-	go in.attemptAsync(attemptCtx, cancel, q, ep, t.results)
+	go in.attemptAsync(attemptCtx, cancel, q, ep, t.maxWait(q), t.results)
 	return nil
 }
 
-func (in *Ingress) attemptAsync(ctx context.Context, cancel context.CancelFunc, q *request, ep *table.Endpoint, results chan<- result) {
-	a, err := in.attempt(ctx, q, ep)
+func (in *Ingress) attemptAsync(ctx context.Context, cancel context.CancelFunc, q *request, ep *table.Endpoint, maxWait time.Duration, results chan<- result) {
+	a, err := in.attempt(ctx, q, ep, maxWait)
 	results <- result{a, err, cancel}
 }
 
+// maxWait is the expected wait that the next attempt accepts; 0 accepts any.
+func (t *tries) maxWait(q *request) time.Duration {
+	if t.placed || q.route.Class == bundle.Long {
+		return 0
+	}
+	return retry.PlacementWait
+}
+
 func (in *Ingress) mayHedge(q *request) bool {
 	return q.route.Hedge && q.idempotent && q.rest == nil && q.depth == 0
 }
@@ -178,6 +189,15 @@
 // retryAfter decides on another attempt after err and waits before it if need be.
 func (in *Ingress) retryAfter(ctx context.Context, q *request, t *tries, err error) bool {
 	e := verdict.As(err)
+	if e.Reason == verdict.Busy && !t.placed && !q.restUsed {
+		// The choice was stale; moving the request is part of choosing and needs no budget.
+		// Its endpoint stays a candidate: the next choice knows its load exactly.
+		t.placed = true
+		t.number--
+		t.exclude = t.before
+		in.Counters.Moved.Add(1)
+		return true
+	}
 	d := in.policy(q).Next(retry.Attempt{
 		Idempotent: q.idempotent, Keyed: q.key != "", Number: t.number, Depth: q.depth, Verdict: e.Verdict,
 		Reason: e.Reason, Remaining: time.Until(q.deadline), Streamed: q.restUsed,
--- a/internal/measure/caller.go
+++ b/internal/measure/caller.go
@@ -123,6 +123,9 @@
 	e := svc.Endpoints[i]
 	r.tried = append(r.tried, e)
 	a := &attempt{request: r, endpoint: e, sentAt: l.now, long: long, remaining: time.Duration(r.deadline - l.now)}
+	if c.sim.product && !long && !r.placed {
+		a.maxWait = retry.PlacementWait
+	}
 	r.current = a
 	c.sent++
 	balance.ObserveStart(e.Stats, l.now, long)
@@ -158,6 +161,11 @@
 		c.classes.Record(serviceKey, r.route.name, r.route.declaredLong, time.Duration(c.sim.loop.now-a.sentAt))
 		r.complete(true)
 	case balance.Refused:
+		if got.refused == verdict.Busy {
+			a.request.moved()
+			c.attempt(a.request)
+			return
+		}
 		c.failed(a.request, a, verdict.NotRun, got.refused)
 	default:
 		c.failed(a.request, a, verdict.Ran, "")
--- a/internal/measure/gate.go
+++ b/internal/measure/gate.go
@@ -76,7 +76,7 @@
 	now := g.backend.sim.loop.time()
 	r := a.request.route
 	ticket, outcome := g.queue.Offer(now, admission.Request{
-		Route: r.name, Long: r.declaredLong, Priority: r.priority, Deadline: now.Add(a.remaining),
+		Route: r.name, Long: r.declaredLong, Priority: r.priority, Deadline: now.Add(a.remaining), MaxWait: a.maxWait,
 	})
 	g.decide(outcome.Others)
 	switch outcome.State {
--- a/internal/measure/request.go
+++ b/internal/measure/request.go
@@ -17,6 +17,7 @@
 	tried    []*table.Endpoint
 	current  *attempt
 	done     bool
+	placed   bool // refused as busy once; later attempts accept any wait
 	// blocked is the time that its attempts waited while an archive pull held a slot of the endpoint.
 	blocked time.Duration
 }
@@ -30,9 +31,18 @@
 	remaining time.Duration // to the deadline when it was sent
 	finished  bool
 	waiting   bool
+	maxWait   time.Duration
 	longHeld  time.Duration // backend.longHeld when the wait began
 }
 
+// moved takes back an attempt that was refused as busy. Its endpoint stays a candidate: the choice that
+// follows knows its load exactly.
+func (r *request) moved() {
+	r.placed = true
+	r.attempts--
+	r.tried = r.tried[:len(r.tried)-1]
+}
+
 // excluded is the mask of the endpoints already tried.
 func (r *request) excluded(svc *table.Service) uint64 {
 	var mask uint64
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -79,7 +79,7 @@
 	load := n.gate.Load()
 	m := map[string]int64{
 		"ingress_requests": in.Requests.Load(), "ingress_answered": in.Answered.Load(), "ingress_failed": in.Failed.Load(),
-		"ingress_aborted": in.Aborted.Load(), "ingress_attempts": in.Attempts.Load(), "ingress_retries": in.Retries.Load(),
+		"ingress_aborted": in.Aborted.Load(), "ingress_attempts": in.Attempts.Load(), "ingress_moved": in.Moved.Load(), "ingress_retries": in.Retries.Load(),
 		"ingress_hedges": in.Hedges.Load(), "ingress_attempt_queries": in.Queries.Load(), "ingress_replays": in.Replays.Load(),
 		"gate_admitted": g.Admitted.Load(), "gate_queued": g.Queued.Load(), "gate_refused": g.Refused.Load(),
 		"gate_ran": g.Ran.Load(), "gate_broken": g.Broken.Load(), "gate_canceled": g.Canceled.Load(),
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -17,6 +17,9 @@
 	// doubles with each attempt up to maxBackoff.
 	firstBackoff = time.Millisecond
 	maxBackoff   = 50 * time.Millisecond
+	// PlacementWait is the expected wait above which a gate passes on the first attempt of a short
+	// request. Another endpoint of the region is reached in about this time.
+	PlacementWait = time.Millisecond
 	// minHedgeDelay keeps hedges of fast services from following noise.
 	minHedgeDelay = time.Millisecond
 )
@@ -30,7 +33,8 @@
 	Keyed bool
 	// Number of attempts so far, at least 1.
 	Number int
-	// Depth of the call chain; only depth 0 retries.
+	// Depth of the call chain. Only depth 0 retries; below, another attempt follows only when the
+	// endpoint could not take the request at all, which adds no load to a chain that is overloaded.
 	Depth   int
 	Verdict verdict.Verdict
 	Reason  verdict.Reason
@@ -88,7 +92,7 @@
 	}
 	wait := a.wait(random)
 	switch {
-	case a.Depth > 0:
+	case a.Depth > 0 && !a.misplaced():
 		return Decision{Why: NoRetryDepth}
 	case a.Number >= p.MaxAttempts:
 		return Decision{Why: NoRetryMax}
@@ -138,6 +142,15 @@
 	return status >= http.StatusInternalServerError
 }
 
+// misplaced reports whether the endpoint could not take any request, as while it leaves.
+func (a Attempt) misplaced() bool {
+	switch a.Reason {
+	case verdict.Draining, verdict.WrongGate, verdict.BackendDown, verdict.PeerUnreachable, verdict.AttemptRefused:
+		return a.Verdict == verdict.NotRun
+	}
+	return false
+}
+
 // busy reports whether the endpoint refused for its load, which its peers may share.
 func (a Attempt) busy() bool {
 	switch a.Reason {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -74,6 +74,8 @@
 	Canceled         Reason = "canceled"
 	AttemptRefused   Reason = "attempt-refused"
 	Overloaded       Reason = "overloaded"
+	// Busy refuses a request whose expected wait exceeds what it accepts, so that another endpoint can take it.
+	Busy Reason = "busy"
 )
 
 // Header names of failed answers.
