Add claimers of many services with one memory bound

Cause: an ingress claims keys of every service, and a cache of up to 32 MB for each service would exceed the node's memory budget. Change: claim.Services makes a Claimer for each service; all share the bound. Measured: TestServices fails without the shared bound and without the service in the object's key.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -443,3 +443,33 @@
 		}
 	})
 }
+
+// TestServices guards against keys of one service that block those of another, and against a memory
+// bound that grows with the number of services.
+func TestServices(t *testing.T) {
+	store := platformtest.New()
+	services := NewServices(Config{
+		Store:     store,
+		Retention: func() time.Duration { return 0 },
+		Log:       slog.New(slog.DiscardHandler),
+	})
+	for _, service := range []string{"ordre", "katalog"} {
+		wantKind(t, services.For(service), "1", Run)
+		wantKind(t, services.For(service), "2", Held)
+	}
+	var stored int64
+	objects, err := store.List(t.Context(), "claims/")
+	for _, o := range objects {
+		sealed, err := platform.Unseal(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		stored += int64(len(sealed.Payload))
+	}
+	if got := services.cached.Load(); err != nil || len(objects) != 2 || got != stored {
+		t.Fatalf("%d objects of %d bytes, %d bytes counted, error %v", len(objects), stored, got, err)
+	}
+	services.Close()
+	_, err = services.For("farge").Acquire(t.Context(), "key", nil, nil)
+	wantReason(t, err, verdict.ClaimUnavailable)
+}
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -23,7 +23,7 @@
 	shardCount = 1024
 	// writeTimeout bounds one group of claims, with its retries after conflicts and its read-back.
 	writeTimeout = 2 * time.Second
-	// maxCacheBytes bounds the shards that a claimer keeps in memory between writes.
+	// maxCacheBytes bounds the shards that a claimer, or a Services, keeps in memory between writes.
 	maxCacheBytes = 32 << 20
 )
 
@@ -44,7 +44,7 @@
 type Claimer struct {
 	config Config
 	shards int
-	cached atomic.Int64 // bytes of all cached tables
+	cached *atomic.Int64 // bytes of cached tables, of all claimers that share the bound
 	ctx    context.Context
 	cancel context.CancelFunc
 	group  sync.WaitGroup
@@ -56,11 +56,14 @@
 }
 
 // New returns a Claimer. Close ends its goroutines.
-func New(config Config) *Claimer {
+func New(config Config) *Claimer { return newWithCache(config, &atomic.Int64{}) }
+
+func newWithCache(config Config, cached *atomic.Int64) *Claimer {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Claimer{
 		config: config,
 		shards: shardCount,
+		cached: cached,
 		ctx:    ctx,
 		cancel: cancel,
 		open:   map[int]*shard{},
--- /dev/null
+++ b/internal/claim/services.go
@@ -0,0 +1,54 @@
+package claim
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Services holds one Claimer for each service, with one bound on the memory of all. It suits an
+// ingress, which claims keys of every service that it has a route to. It is safe for concurrent use.
+type Services struct {
+	config Config
+	cached atomic.Int64
+
+	mu       sync.Mutex
+	closed   bool
+	claimers map[string]*Claimer
+}
+
+// NewServices returns a Services without claimers. config.Service is not used.
+func NewServices(config Config) *Services {
+	return &Services{config: config, claimers: map[string]*Claimer{}}
+}
+
+// For returns the Claimer of a service. After Close, the operations of the Claimer fail.
+func (s *Services) For(service string) *Claimer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, found := s.claimers[service]
+	if found {
+		return c
+	}
+	config := s.config
+	config.Service = service
+	c = newWithCache(config, &s.cached)
+	s.claimers[service] = c
+	if s.closed {
+		c.Close()
+	}
+	return c
+}
+
+// Close closes all claimers.
+func (s *Services) Close() {
+	s.mu.Lock()
+	s.closed = true
+	var open []*Claimer
+	for _, c := range s.claimers {
+		open = append(open, c)
+	}
+	s.mu.Unlock()
+	for _, c := range open {
+		c.Close()
+	}
+}
