--- a/internal/claim/atmostonce_test.go
+++ b/internal/claim/atmostonce_test.go
@@ -175,4 +175,3 @@
 		tr.t.Errorf("key %d stays claimed: %+v, error %v", key, r, err)
 	}
 }
-
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -228,4 +228,3 @@
 	}
 	checkHistory(t, store, c, 3)
 }
-
