Bound the memory of claims over all services

Cause: one claimer for each service had its own memory bound. Change: the node uses claim.Services, with one bound for all. Measured: the tests of package node pass.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -239,29 +238,12 @@
 	probeCounts atomic.Pointer[balance.ProbeCounts]
 }
 
-// claimers holds the claims of each service; nil without direct access to the store.
-type claimers struct {
-	mu        sync.Mutex
-	byService map[string]*claim.Claimer
-	closed    bool
-}
-
 // claimer returns the claims of a service, or nil without direct access to the store.
 func (n *Node) claimer(service string) *claim.Claimer {
-	if n.store == nil {
+	if n.claims == nil {
 		return nil
 	}
-	n.claims.mu.Lock()
-	defer n.claims.mu.Unlock()
-	if c := n.claims.byService[service]; c != nil || n.claims.closed {
-		return c
-	}
-	if n.claims.byService == nil {
-		n.claims.byService = make(map[string]*claim.Claimer)
-	}
-	c := claim.New(claim.Config{Store: n.store, Service: service, Retention: n.claimRetention, Log: n.logger})
-	n.claims.byService[service] = c
-	return c
+	return n.claims.For(service)
 }
 
 func (n *Node) claimRetention() time.Duration {
@@ -270,13 +252,3 @@
 	}
 	return claim.MinRetention
 }
-
-func (n *Node) closeClaims() {
-	n.claims.mu.Lock()
-	n.claims.closed = true
-	open := n.claims.byService
-	n.claims.mu.Unlock()
-	for _, c := range open {
-		c.Close()
-	}
-}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -64,7 +64,9 @@
 	if n.engine != nil {
 		n.engine.Stop()
 	}
-	n.closeClaims()
+	if n.claims != nil {
+		n.claims.Close()
+	}
 	n.gate.Close()
 	n.wg.Wait()
 	n.logger.Info("node stopped", "event", "node_stopped", "node", n.settings.NodeID)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"dandelionspoke/internal/announce"
 	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/claim"
 	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/ingress"
@@ -63,8 +64,8 @@
 	provider   rollout.Provider
 	bundles    bundleState
 	counters   requestCounters
-	claims     claimers
-	reader     atomic.Bool // this node reads the store for its failure domain
+	claims     *claim.Services // nil without direct access to the store
+	reader     atomic.Bool     // this node reads the store for its failure domain
 	// probePolicy and probeRand belong to the engine loop.
 	probePolicy uint64
 	probeRand   *rand.Rand
@@ -99,6 +100,9 @@
 			return nil, err
 		}
 	}
+	if n.store != nil {
+		n.claims = claim.NewServices(claim.Config{Store: n.store, Retention: n.claimRetention, Log: n.logger})
+	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.bundles.acceptor = bundle.NewAcceptorByRole(o.Settings.Bundle.TrustedKeys, o.Settings.Bundle.ApproverKeys)
 	n.assemble(picker)
