Bound the writes of claims and fix the number of shards of a store

Cause: with 1,024 shards per service group commit hardly groups, and two numbers of shards in one fleet would allow a second run of a key. Change: 64 shards per service. The first claimer stores the number in claim-layout; a claimer with another number, or a store with claims of a version without it, refuses claims with not-run. A claimer may have a bound on its writes; operations above it wait and share writes.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -303,7 +303,7 @@
 		}
 		stored += int64(len(sealed.Payload))
 	}
-	if got := services.cached.Load(); err != nil || len(objects) != 2 || got != stored {
+	if got := services.shared.cached.Load(); err != nil || len(objects) != 2 || got != stored {
 		t.Fatalf("%d objects of %d bytes, %d bytes counted, error %v", len(objects), stored, got, err)
 	}
 	services.Close()
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -12,15 +12,17 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"dandelionspoke/internal/platform"
 	"dandelionspoke/internal/verdict"
 )
 
 const (
-	// shardCount is the number of shards of a service. All nodes must agree on it: with two numbers in
-	// the fleet, one key would have two shards and could run twice.
-	shardCount = 1024
+	// shardCount is the number of shards of a service. All nodes must agree on it, because with two
+	// numbers in the fleet one key would have two shards and could run twice; see layout. Fewer shards
+	// put more claims into a write, more shards keep more claims (see docs/design.md).
+	shardCount = 64
 	// writeTimeout bounds one group of claims, with its retries after conflicts and its read-back.
 	writeTimeout = 2 * time.Second
 	// maxCacheBytes bounds the shards that a claimer, or a Services, keeps in memory between writes.
@@ -37,14 +39,28 @@
 	Service string
 	// Retention returns the time for which a key is kept; it is read at each claim.
 	Retention func() time.Duration
-	Log       *slog.Logger
+	// WritesPerSecond bounds the writes of all shards together; claims that exceed it wait and share
+	// writes. Zero means no bound.
+	WritesPerSecond float64
+	Log             *slog.Logger
+}
+
+// pacingBurst is the time whose writes may be made at once after a quiet time.
+const pacingBurst = 200 * time.Millisecond
+
+func (c Config) limiter() *rate.Limiter {
+	if c.WritesPerSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	burst := max(1, int(c.WritesPerSecond*pacingBurst.Seconds()))
+	return rate.NewLimiter(rate.Limit(c.WritesPerSecond), burst)
 }
 
 // Claimer claims idempotency keys of one service. It is safe for concurrent use.
 type Claimer struct {
 	config Config
 	shards int
-	cached *atomic.Int64 // bytes of cached tables, of all claimers that share the bound
+	shared *shared // by all claimers of a Services
 	ctx    context.Context
 	cancel context.CancelFunc
 	group  sync.WaitGroup
@@ -52,22 +68,32 @@
 	mu     sync.Mutex
 	closed bool
 	open   map[int]*shard
-	held   map[string]identity // claims of runs in progress here, by idempotency key
+	held   holds
+}
+
+// shared is what claimers of several services have in common.
+type shared struct {
+	cached  atomic.Int64 // bytes of cached tables
+	limiter *rate.Limiter
+	layout  layout
+}
+
+func newShared(config Config) *shared {
+	return &shared{limiter: config.limiter(), layout: layout{store: config.Store}}
 }
 
 // New returns a Claimer. Close ends its goroutines.
-func New(config Config) *Claimer { return newWithCache(config, &atomic.Int64{}) }
+func New(config Config) *Claimer { return newSharing(config, newShared(config)) }
 
-func newWithCache(config Config, cached *atomic.Int64) *Claimer {
+func newSharing(config Config, common *shared) *Claimer {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Claimer{
 		config: config,
 		shards: shardCount,
-		cached: cached,
+		shared: common,
 		ctx:    ctx,
 		cancel: cancel,
 		open:   map[int]*shard{},
-		held:   map[string]identity{},
 	}
 }
 
@@ -85,20 +111,25 @@
 // run. That is true also when the outcome of the claim's write stayed unknown; the claimer then removes
 // the claim in the background, and a repeat that comes first gets Held.
 func (c *Claimer) Acquire(ctx context.Context, key string, digest, attemptID []byte) (Result, error) {
-	id := identity{key: short(key), digest: short(string(digest)), attempt: short(string(attemptID))}
-	if holder, found := c.holder(key); found {
-		r, err := record{Digest: holder.digest, State: claimed}.answer(id)
-		return r, err
+	id := newIdentity(key, digest, attemptID)
+	if holder, found := c.held.holder(c.config.Service, key); found {
+		return record{Digest: holder.digest, State: claimed}.answer(id)
 	}
 	started := time.Now()
+	r, err := c.acquire(ctx, id)
+	if err == nil && r.Kind == Run {
+		r.Permit = Permit{startBefore: started.Add(StartWithin)}
+		c.held.hold(c.config.Service, key, id)
+	}
+	return r, err
+}
+
+// acquire returns no permit, because its time starts where the run is.
+func (c *Claimer) acquire(ctx context.Context, id identity) (Result, error) {
 	r, err := c.submit(ctx, &op{kind: opAcquire, id: id})
 	if err != nil {
 		return Result{}, notRun(err)
 	}
-	if r.Kind == Run {
-		r.Permit = Permit{startBefore: started.Add(StartWithin)}
-		c.hold(key, id)
-	}
 	return r, nil
 }
 
@@ -106,13 +137,17 @@
 // unavailable until ctx ends; the claim then stays, and repeats get Held. ErrFenced means that the claim
 // has expired. The answer to the caller need not wait for Complete.
 func (c *Claimer) Complete(ctx context.Context, key string, o Outcome) error {
-	if o.Verdict == verdict.NotRun {
-		return errors.New("claim: an attempt that was not run is released, not completed")
-	}
-	id, found := c.drop(key)
+	id, found := c.held.drop(c.config.Service, key)
 	if !found {
 		return errors.Wrapf(ErrFenced, "no claim of the key is held here")
 	}
+	return c.complete(ctx, id, o)
+}
+
+func (c *Claimer) complete(ctx context.Context, id identity, o Outcome) error {
+	if o.Verdict == verdict.NotRun {
+		return errors.New("claim: an attempt that was not run is released, not completed")
+	}
 	_, err := c.submit(ctx, &op{kind: opComplete, id: id, outcome: o.bounded(), persistent: true})
 	return err
 }
@@ -120,34 +155,16 @@
 // Release gives up a claim whose attempt was not run and never will be, so that a retry may claim the
 // key. When the store is unavailable, Release returns an error and continues in the background until Close.
 func (c *Claimer) Release(ctx context.Context, key string) error {
-	id, found := c.drop(key)
+	id, found := c.held.drop(c.config.Service, key)
 	if !found {
 		return errors.Wrapf(ErrFenced, "no claim of the key is held here")
 	}
-	_, err := c.submit(ctx, &op{kind: opRelease, id: id})
-	return err
+	return c.release(ctx, id)
 }
 
-// holder returns the claim of a run in progress here.
-func (c *Claimer) holder(key string) (identity, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	id, found := c.held[key]
-	return id, found
-}
-
-func (c *Claimer) hold(key string, id identity) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.held[key] = id
-}
-
-func (c *Claimer) drop(key string) (identity, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	id, found := c.held[key]
-	delete(c.held, key)
-	return id, found
+func (c *Claimer) release(ctx context.Context, id identity) error {
+	_, err := c.submit(ctx, &op{kind: opRelease, id: id})
+	return err
 }
 
 // submit hands the operation to the key's shard and waits for its reply.
@@ -169,7 +186,7 @@
 }
 
 func (c *Claimer) enqueue(o *op) error {
-	n := c.shardNumber(o.id.key)
+	n := shardNumber(o.id.key, c.shards)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -184,9 +201,13 @@
 	return nil
 }
 
-func (c *Claimer) shardNumber(key string) int {
+func shardNumber(key string, shards int) int {
 	digest := sha256.Sum256([]byte(key))
-	return int(binary.BigEndian.Uint32(digest[:]) % uint32(c.shards))
+	return int(binary.BigEndian.Uint32(digest[:]) % uint32(shards))
+}
+
+func newIdentity(key string, digest, attemptID []byte) identity {
+	return identity{key: short(key), digest: short(string(digest)), attempt: short(string(attemptID))}
 }
 
 // short returns a fixed-size digest, so that the size of a record does not depend on the caller's key.
--- a/internal/claim/services.go
+++ b/internal/claim/services.go
@@ -1,15 +1,12 @@
 package claim
 
-import (
-	"sync"
-	"sync/atomic"
-)
+import "sync"
 
 // Services holds one Claimer for each service, with one bound on the memory of all. It suits an
 // ingress, which claims keys of every service that it has a route to. It is safe for concurrent use.
 type Services struct {
 	config Config
-	cached atomic.Int64
+	shared *shared
 
 	mu       sync.Mutex
 	closed   bool
@@ -18,7 +15,7 @@
 
 // NewServices returns a Services without claimers. config.Service is not used.
 func NewServices(config Config) *Services {
-	return &Services{config: config, claimers: map[string]*Claimer{}}
+	return &Services{config: config, shared: newShared(config), claimers: map[string]*Claimer{}}
 }
 
 // For returns the Claimer of a service. After Close, the operations of the Claimer fail.
@@ -31,7 +28,7 @@
 	}
 	config := s.config
 	config.Service = service
-	c = newWithCache(config, &s.cached)
+	c = newSharing(config, s.shared)
 	s.claimers[service] = c
 	if s.closed {
 		c.Close()
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -96,12 +96,11 @@
 // operation, so that a claim is refused at once while the store is away.
 func (s *shard) run() {
 	failures := 0
-	for {
-		batch, more := s.next()
+	for s.hasWork() {
+		// Operations that arrive during the wait join the group. The only error is the end of the claimer.
+		_ = s.claimer.shared.limiter.Wait(s.claimer.ctx)
 		switch {
-		case !more:
-			return
-		case s.commit(batch):
+		case s.commit(s.take()):
 			failures = 0
 		case s.claimer.ctx.Err() != nil:
 			s.orphan = nil // the claims stay until they expire; repeats get Held
@@ -112,15 +111,22 @@
 	}
 }
 
-// next takes all waiting operations. It returns false, and the shard stops, when none is left.
-func (s *shard) next() ([]*op, bool) {
+// hasWork returns false, and the shard stops, when no operation is left.
+func (s *shard) hasWork() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = len(s.pending) > 0 || len(s.again) > 0 || len(s.orphan) > 0
+	return s.running
+}
+
+// take returns all waiting operations.
+func (s *shard) take() []*op {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	batch := append(s.again, s.pending...)
 	s.again = nil
 	s.pending = nil
-	s.running = len(batch) > 0 || len(s.orphan) > 0
-	return batch, s.running
+	return batch
 }
 
 // pause waits with jitter until the next attempt. It returns false when ctx ended or wake was signalled first.
@@ -148,7 +154,7 @@
 			s.logState(nil)
 			return true
 		}
-		if !errors.Is(err, platform.ErrConflict) || !s.pause(ctx, nil, attempt) {
+		if !errors.Is(err, platform.ErrConflict) || !s.pause(ctx, nil, attempt) || s.claimer.shared.limiter.Wait(ctx) != nil {
 			s.logState(err)
 			s.forget()
 			s.fail(batch, err)
@@ -253,6 +259,9 @@
 	if s.table != nil {
 		return nil
 	}
+	if err := s.claimer.shared.layout.check(ctx, s.claimer.shards); err != nil {
+		return err
+	}
 	sealed, err := platform.GetSealed(ctx, s.claimer.config.Store, s.key)
 	if err != nil {
 		return err
@@ -270,12 +279,12 @@
 func (s *shard) remember(t *table) {
 	s.forget()
 	s.table = t
-	s.claimer.cached.Add(int64(t.size))
+	s.claimer.shared.cached.Add(int64(t.size))
 }
 
 func (s *shard) forget() {
 	if s.table != nil {
-		s.claimer.cached.Add(-int64(s.table.size))
+		s.claimer.shared.cached.Add(-int64(s.table.size))
 	}
 	s.table = nil
 }
@@ -287,7 +296,7 @@
 			s.orphan = append(s.orphan, &op{kind: opRelease, id: o.id})
 		}
 	}
-	if s.claimer.cached.Load() > maxCacheBytes {
+	if s.claimer.shared.cached.Load() > maxCacheBytes {
 		s.forget()
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -54,6 +54,7 @@
 	// AdvertisePeer is the TCP address of the node's peer listener.
 	AdvertisePeer         string
 	FailureDomain, Region string
+	StoreAccess           wire.StoreAccess
 	Tick                  time.Duration
 	Period                time.Duration // between two pings
 	SyncInterval          time.Duration // between two anti-entropy exchanges
@@ -171,7 +172,7 @@
 	now := time.Now()
 	c := membership.Config{
 		NodeID: e.cfg.NodeID, UDPAddr: advertised, PeerAddr: e.cfg.AdvertisePeer,
-		FailureDomain: e.cfg.FailureDomain, Region: e.cfg.Region,
+		FailureDomain: e.cfg.FailureDomain, Region: e.cfg.Region, StoreAccess: e.cfg.StoreAccess,
 		Period: e.cfg.Period, SyncInterval: e.cfg.SyncInterval, BytesPerSecond: e.cfg.BytesPerSecond,
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -43,6 +43,7 @@
 type Config struct {
 	NodeID, UDPAddr, PeerAddr string
 	FailureDomain, Region     string
+	StoreAccess               wire.StoreAccess
 	Period                    time.Duration
 	SyncInterval              time.Duration
 	Retention                 time.Duration
@@ -112,7 +113,7 @@
 		budget: rate.NewLimiter(rate.Limit(cfg.BytesPerSecond), cfg.BytesPerSecond),
 		self: &wire.Member{
 			NodeId: cfg.NodeID, Incarnation: uint64(NewIncarnation(now)), PeerAddr: cfg.PeerAddr, UdpAddr: cfg.UDPAddr,
-			FailureDomain: cfg.FailureDomain, Region: cfg.Region,
+			FailureDomain: cfg.FailureDomain, Region: cfg.Region, StoreAccess: cfg.StoreAccess,
 		},
 		started: now, lastTick: now,
 		nextSync: now.Add(2 * cfg.Period), nextCleanup: now.Add(cleanupInterval),
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -72,7 +72,7 @@
 // incarnation disagree only when two processes use the same node ID.
 func sameDetails(a, b *wire.Member) bool {
 	return a.NodeId == b.NodeId && a.PeerAddr == b.PeerAddr && a.UdpAddr == b.UdpAddr &&
-		a.FailureDomain == b.FailureDomain && a.Region == b.Region &&
+		a.FailureDomain == b.FailureDomain && a.Region == b.Region && a.StoreAccess == b.StoreAccess &&
 		slices.EqualFunc(a.Endpoints, b.Endpoints, func(x, y *wire.EndpointRecord) bool {
 			return x.Id == y.Id && x.Service == y.Service && x.Slots == y.Slots && x.Connections == y.Connections
 		})
@@ -81,7 +81,7 @@
 func encodeDetails(m *wire.Member) []byte {
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(&wire.Member{
 		NodeId: m.NodeId, PeerAddr: m.PeerAddr, UdpAddr: m.UdpAddr,
-		FailureDomain: m.FailureDomain, Region: m.Region, Endpoints: m.Endpoints,
+		FailureDomain: m.FailureDomain, Region: m.Region, Endpoints: m.Endpoints, StoreAccess: m.StoreAccess,
 	})
 	if err != nil {
 		return nil
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -62,6 +62,7 @@
 		{Name: "announce.listen", Allowed: announceAllowed, Default: DefaultAnnounceListen, set: loopbackAddress(func(s *Settings) *string { return &s.Announce.Listen })},
 
 		{Name: "store.url", Allowed: "an http or https URL with a host", Default: "no direct store access", set: setStoreURL},
+		{Name: "store.region", Allowed: nameAllowed, Default: "unknown", set: name(func(s *Settings) *string { return &s.Store.Region })},
 		{Name: "store.token", Allowed: "printable ASCII text without spaces", Default: "none", set: token(func(s *Settings) *string { return &s.Store.Token })},
 		{Name: "store.timeout", Allowed: "a duration from \"10ms\" to \"1m\"", Default: "2s", set: duration(10*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Store.Timeout })},
 		{Name: "store.calls_per_second", Allowed: "a number from 0.1 to 2000", Default: "20", set: setCallsPerSecond},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,8 +65,10 @@
 
 // Store configures the client of the platform's object API.
 type Store struct {
-	// URL is empty when the node has no direct access; bundles then come from peers and keyed requests are refused.
-	URL            string
+	// URL is empty when the node has no direct access; bundles and claims of keys then go through peers.
+	URL string
+	// Region is the region of the store. Nodes in it own the claims of keys. Empty means unknown.
+	Region         string
 	Token          string
 	Timeout        time.Duration
 	CallsPerSecond float64
