Route the claims of a shard to one owner node

Cause: claims were made by whatever node got the request, so that claims of one shard on several nodes conflicted and seldom shared a write, and nodes without the store refused keyed requests. Change: at most four owners, two of each failure domain, in the store's region if it is known. A node asks the owners of the key's shard by rank, then itself if it has the store, else refuses not-run. Each try has its own attempt identity; after a lost answer the attempt has no permit and its claim is released in the background.

--- a/internal/claim/atmostonce_test.go
+++ b/internal/claim/atmostonce_test.go
@@ -28,17 +28,19 @@
 	kind int
 }
 
-// TestAtMostOnce guards against two runs of one key, a wrong replay, and a key that stays claimed though
-// no attempt has run or may run, with all faults of the store and paused holders.
-func TestAtMostOnce(t *testing.T) {
-	milliseconds := func(limit int) *rapid.Generator[time.Duration] {
-		return rapid.Custom(func(rt *rapid.T) time.Duration {
-			return time.Duration(rapid.IntRange(0, limit).Draw(rt, "ms")) * time.Millisecond
-		})
-	}
-	attempts := rapid.Custom(func(rt *rapid.T) attempt {
+// storeFaults is the number of kinds of faults of the store.
+const storeFaults = 6
+
+func milliseconds(limit int) *rapid.Generator[time.Duration] {
+	return rapid.Custom(func(rt *rapid.T) time.Duration {
+		return time.Duration(rapid.IntRange(0, limit).Draw(rt, "ms")) * time.Millisecond
+	})
+}
+
+func attempts(claimers int) *rapid.Generator[attempt] {
+	return rapid.Custom(func(rt *rapid.T) attempt {
 		return attempt{
-			claimer:  rapid.IntRange(0, 2).Draw(rt, "claimer"),
+			claimer:  rapid.IntRange(0, claimers-1).Draw(rt, "claimer"),
 			key:      rapid.IntRange(0, 3).Draw(rt, "key"),
 			start:    milliseconds(300).Draw(rt, "start"),
 			patience: milliseconds(4000).Draw(rt, "patience"),
@@ -47,29 +49,42 @@
 			sure:     rapid.Bool().Draw(rt, "sure"),
 		}
 	})
-	faults := rapid.Custom(func(rt *rapid.T) fault {
-		return fault{at: milliseconds(300).Draw(rt, "at"), kind: rapid.IntRange(0, 5).Draw(rt, "kind")}
+}
+
+func faults(kinds int) *rapid.Generator[fault] {
+	return rapid.Custom(func(rt *rapid.T) fault {
+		return fault{at: milliseconds(300).Draw(rt, "at"), kind: rapid.IntRange(0, kinds-1).Draw(rt, "kind")}
 	})
+}
+
+// TestAtMostOnce guards against two runs of one key, a wrong replay, and a key that stays claimed though
+// no attempt has run or may run, with all faults of the store and paused holders.
+func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		script := rapid.SliceOfN(attempts, 1, 25).Draw(rt, "attempts")
-		trouble := rapid.SliceOfN(faults, 0, 8).Draw(rt, "faults")
+		script := rapid.SliceOfN(attempts(3), 1, 25).Draw(rt, "attempts")
+		trouble := rapid.SliceOfN(faults(storeFaults), 0, 8).Draw(rt, "faults")
 		synctest.Test(t, func(t *testing.T) { newTrial(t).play(script, trouble) })
 	})
 }
 
 type trial struct {
-	t        *testing.T
-	store    *platformtest.Store
-	claimers []*Claimer
-	mu       sync.Mutex
-	runs     map[int]string // body of the run by key
-	taken    map[int]bool   // keys whose claim was not released
+	t       *testing.T
+	store   *platformtest.Store
+	keys    []Keys
+	close   []func()
+	calm    func()         // ends them
+	network func(kind int) // injects the faults beyond storeFaults
+	mu      sync.Mutex
+	runs    map[int]string // body of the run by key
+	taken   map[int]bool   // keys whose claim was not released
 }
 
 func newTrial(t *testing.T) *trial {
-	tr := &trial{t: t, store: platformtest.New(), runs: map[int]string{}, taken: map[int]bool{}}
+	tr := &trial{t: t, store: platformtest.New(), runs: map[int]string{}, taken: map[int]bool{}, calm: func() {}}
 	for range 3 {
-		tr.claimers = append(tr.claimers, newClaimer(tr.store))
+		c := newClaimer(tr.store)
+		tr.keys = append(tr.keys, c)
+		tr.close = append(tr.close, c.Close)
 	}
 	return tr
 }
@@ -86,12 +101,13 @@
 	group.Wait()
 	tr.store.DropWrites(0)
 	tr.store.DelayWrites(0, 0)
-	time.Sleep(time.Minute)
+	tr.calm()
+	time.Sleep(2 * time.Minute)
 	for key := range 4 {
 		tr.checkFree(key)
 	}
-	for _, c := range tr.claimers {
-		c.Close()
+	for _, end := range tr.close {
+		end()
 	}
 }
 
@@ -114,6 +130,8 @@
 		tr.store.SetSlow(3 * time.Second)
 		time.Sleep(5 * time.Second)
 		tr.store.SetSlow(3 * time.Millisecond)
+	default:
+		tr.network(f.kind - storeFaults)
 	}
 }
 
@@ -123,7 +141,7 @@
 	time.Sleep(a.start)
 	ctx, cancel := context.WithTimeout(tr.t.Context(), a.patience)
 	defer cancel()
-	c := tr.claimers[a.claimer]
+	c := tr.keys[a.claimer]
 	r, err := c.Acquire(ctx, keyName(a.key), []byte("digest"), fmt.Append(nil, i))
 	switch {
 	case err != nil && verdict.Of(err) != verdict.NotRun:
@@ -138,7 +156,7 @@
 	}
 }
 
-func (tr *trial) run(c *Claimer, p Permit, body string, a attempt) {
+func (tr *trial) run(c Keys, p Permit, body string, a attempt) {
 	tr.mu.Lock()
 	tr.taken[a.key] = true
 	tr.mu.Unlock()
@@ -170,7 +188,7 @@
 	if tr.taken[key] {
 		return
 	}
-	r, err := tr.claimers[0].Acquire(tr.t.Context(), keyName(key), []byte("digest"), []byte("last"))
+	r, err := tr.keys[0].Acquire(tr.t.Context(), keyName(key), []byte("digest"), []byte("last"))
 	if err != nil || r.Kind != Run {
 		tr.t.Errorf("key %d stays claimed: %+v, error %v", key, r, err)
 	}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -45,7 +45,10 @@
 
 func wantReason(t *testing.T, err error, want verdict.Reason) {
 	t.Helper()
-	if e := verdict.As(err); err == nil || e.Verdict != verdict.NotRun || e.Reason != want {
+	if err == nil {
+		t.Fatalf("no error, want %s (not-run)", want)
+	}
+	if e := verdict.As(err); e.Verdict != verdict.NotRun || e.Reason != want {
 		t.Fatalf("error %v, want %s (not-run)", err, want)
 	}
 }
--- /dev/null
+++ b/internal/claim/message.go
@@ -0,0 +1,143 @@
+package claim
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/verdict"
+	"dandelionspoke/internal/wire"
+)
+
+// maxDigestBytes bounds the key, digest and attempt of a request from a peer; see short.
+const maxDigestBytes = 32
+
+// errLost reports that a request was sent and not answered; it may take effect at any later time.
+var errLost = errors.New("claim: the owner did not answer")
+
+// errNotTaken reports that a node did not take a request; it has no effect.
+var errNotTaken = errors.New("claim: the owner did not take the request")
+
+func newRequest(op wire.ClaimOp, service string, id identity) *wire.ClaimRequest {
+	return &wire.ClaimRequest{Op: op, Service: service, Key: id.key, Digest: id.digest, Attempt: id.attempt}
+}
+
+// identityOf checks a request from a peer.
+func identityOf(r *wire.ClaimRequest) (identity, error) {
+	for _, text := range []string{r.Key, r.Digest, r.Attempt} {
+		if text == "" || len(text) > maxDigestBytes {
+			return identity{}, errors.Newf("claim: digest of %d bytes", len(text))
+		}
+	}
+	id := identity{key: r.Key, digest: r.Digest, attempt: r.Attempt}
+	return id, platform.CheckKey(claimsPrefix + r.Service)
+}
+
+// answerOf returns the reply to an Acquire. An error has a verdict.Error with NotRun.
+func answerOf(r Result, err error) *wire.ClaimReply {
+	if err != nil {
+		return failed(err)
+	}
+	switch r.Kind {
+	case Run:
+		return &wire.ClaimReply{Answer: wire.ClaimAnswer_RUN}
+	case Replay:
+		return &wire.ClaimReply{Answer: wire.ClaimAnswer_REPLAY, Outcome: encodeOutcome(r.Outcome)}
+	default:
+		return &wire.ClaimReply{Answer: wire.ClaimAnswer_HELD, Verdict: encodeVerdict(r.Verdict)}
+	}
+}
+
+func failed(err error) *wire.ClaimReply {
+	e := verdict.As(err)
+	return &wire.ClaimReply{Answer: wire.ClaimAnswer_FAILED, Reason: string(e.Reason), Detail: e.Detail}
+}
+
+// storedOf returns the reply to a Complete or Release.
+func storedOf(err error) *wire.ClaimReply {
+	switch {
+	case err == nil:
+		return &wire.ClaimReply{Answer: wire.ClaimAnswer_STORED}
+	case errors.Is(err, ErrFenced):
+		return &wire.ClaimReply{Answer: wire.ClaimAnswer_FENCED}
+	default:
+		return failed(notRun(err))
+	}
+}
+
+// resultOf reads the reply to an Acquire. An answer that is not known counts as lost.
+func resultOf(r *wire.ClaimReply) (Result, error) {
+	switch r.GetAnswer() {
+	case wire.ClaimAnswer_RUN:
+		return Result{Kind: Run}, nil
+	case wire.ClaimAnswer_HELD:
+		return Result{Kind: Held, Verdict: decodeVerdict(r.Verdict)}, nil
+	case wire.ClaimAnswer_REPLAY:
+		if r.Outcome == nil {
+			return Result{}, errors.Wrap(errLost, "replay without an outcome")
+		}
+		return Result{Kind: Replay, Outcome: decodeOutcome(r.Outcome)}, nil
+	case wire.ClaimAnswer_REFUSED:
+		return Result{}, errNotTaken
+	case wire.ClaimAnswer_FAILED:
+		return Result{}, verdict.New(verdict.NotRun, verdict.Reason(r.GetReason()), "%s", r.GetDetail())
+	default:
+		return Result{}, errors.Wrapf(errLost, "unexpected answer %s", r.GetAnswer())
+	}
+}
+
+// errorOf reads the reply to a Complete or Release.
+func errorOf(r *wire.ClaimReply) error {
+	switch r.GetAnswer() {
+	case wire.ClaimAnswer_STORED:
+		return nil
+	case wire.ClaimAnswer_FENCED:
+		return errors.Wrap(ErrFenced, "owner")
+	case wire.ClaimAnswer_REFUSED:
+		return errNotTaken
+	default:
+		return errors.Newf("claim: owner answered %s: %s", r.GetAnswer(), r.GetDetail())
+	}
+}
+
+func encodeOutcome(o Outcome) *wire.ClaimOutcome {
+	out := &wire.ClaimOutcome{Verdict: encodeVerdict(o.Verdict), Status: uint32(o.Status), Body: o.Body, Partial: o.Partial}
+	for name, values := range o.Header {
+		out.Headers = append(out.Headers, &wire.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func decodeOutcome(o *wire.ClaimOutcome) Outcome {
+	out := Outcome{Verdict: decodeVerdict(o.GetVerdict()), Status: int(o.GetStatus()), Body: o.GetBody(), Partial: o.GetPartial()}
+	if len(o.GetHeaders()) > 0 {
+		out.Header = http.Header{}
+	}
+	for _, h := range o.GetHeaders() {
+		out.Header[h.Name] = h.Values
+	}
+	return out
+}
+
+func encodeVerdict(v verdict.Verdict) wire.Verdict {
+	switch v {
+	case verdict.NotRun:
+		return wire.Verdict_NOT_RUN
+	case verdict.Ran:
+		return wire.Verdict_RAN
+	default:
+		return wire.Verdict_MAY_HAVE_RUN
+	}
+}
+
+func decodeVerdict(v wire.Verdict) verdict.Verdict {
+	switch v {
+	case wire.Verdict_NOT_RUN:
+		return verdict.NotRun
+	case wire.Verdict_RAN:
+		return verdict.Ran
+	default:
+		return verdict.MayHaveRun
+	}
+}
--- /dev/null
+++ b/internal/claim/serve.go
@@ -0,0 +1,39 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"dandelionspoke/internal/verdict"
+	"dandelionspoke/internal/wire"
+)
+
+// Serve carries out a request of another node. It takes requests for shards that another node owns as
+// well, because the sender may know better, and a wrong owner costs only conflicts.
+func (r *Router) Serve(ctx context.Context, request *wire.ClaimRequest) *wire.ClaimReply {
+	id, err := identityOf(request)
+	if err != nil || r.config.Local == nil {
+		return &wire.ClaimReply{Answer: wire.ClaimAnswer_REFUSED}
+	}
+	timeout := min(callTimeout, time.Duration(request.TimeoutMs)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	claimer := r.config.Local.For(request.Service)
+	switch request.Op {
+	case wire.ClaimOp_ACQUIRE:
+		if r.config.Leaving() {
+			return &wire.ClaimReply{Answer: wire.ClaimAnswer_REFUSED}
+		}
+		return answerOf(claimer.acquire(ctx, id))
+	case wire.ClaimOp_COMPLETE:
+		o := decodeOutcome(request.Outcome)
+		if request.Outcome == nil || o.Verdict == verdict.NotRun {
+			return &wire.ClaimReply{Answer: wire.ClaimAnswer_REFUSED}
+		}
+		return storedOf(claimer.complete(ctx, id, o))
+	case wire.ClaimOp_RELEASE:
+		return storedOf(claimer.release(ctx, id))
+	default:
+		return &wire.ClaimReply{Answer: wire.ClaimAnswer_REFUSED}
+	}
+}
--- a/internal/claim/services.go
+++ b/internal/claim/services.go
@@ -7,6 +7,7 @@
 type Services struct {
 	config Config
 	shared *shared
+	shards int
 
 	mu       sync.Mutex
 	closed   bool
@@ -15,7 +16,7 @@
 
 // NewServices returns a Services without claimers. config.Service is not used.
 func NewServices(config Config) *Services {
-	return &Services{config: config, shared: newShared(config), claimers: map[string]*Claimer{}}
+	return &Services{config: config, shared: newShared(config), shards: shardCount, claimers: map[string]*Claimer{}}
 }
 
 // For returns the Claimer of a service. After Close, the operations of the Claimer fail.
@@ -29,6 +30,7 @@
 	config := s.config
 	config.Service = service
 	c = newSharing(config, s.shared)
+	c.shards = s.shards
 	s.claimers[service] = c
 	if s.closed {
 		c.Close()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -35,8 +35,8 @@
 	Snapshots *table.Publisher
 	Opener    Opener
 	Chooser   *Chooser
-	// Claimer returns the claims of a service; nil, or a nil result, refuses keyed requests.
-	Claimer func(service string) *claim.Claimer
+	// Claimer returns the keys of a service; nil refuses keyed requests.
+	Claimer func(service string) claim.Keys
 	Budget  *retry.Budget // of retries and hedges
 	Logger  *slog.Logger
 	// IsQuarantined reports whether a fingerprint is refused; nil means that none is.
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -20,10 +20,10 @@
 // serveKeyed runs a non-idempotent request with an idempotency key at most once, through whatever node
 // its repeats arrive.
 func (in *Ingress) serveKeyed(ctx context.Context, w http.ResponseWriter, q *request) error {
-	claimer := in.claimer(q.route.Service)
-	if claimer == nil {
-		return verdict.New(verdict.NotRun, verdict.ClaimUnavailable, "this node has no access to the store of claims")
+	if in.Claimer == nil {
+		return verdict.New(verdict.NotRun, verdict.ClaimUnavailable, "this node has no access to claims")
 	}
+	claimer := in.Claimer(q.route.Service)
 	result, err := claimer.Acquire(ctx, q.key, q.fingerprint, newAttemptID())
 	if err != nil {
 		return err
@@ -40,13 +40,6 @@
 	}
 }
 
-func (in *Ingress) claimer(service string) *claim.Claimer {
-	if in.Claimer == nil {
-		return nil
-	}
-	return in.Claimer(service)
-}
-
 func (in *Ingress) replay(w http.ResponseWriter, o claim.Outcome) {
 	in.Counters.Replays.Add(1)
 	in.Counters.Answered.Add(1)
@@ -60,7 +53,7 @@
 }
 
 // runClaimed runs the request under a claim and stores what became of it.
-func (in *Ingress) runClaimed(ctx context.Context, w http.ResponseWriter, q *request, claimer *claim.Claimer) error {
+func (in *Ingress) runClaimed(ctx context.Context, w http.ResponseWriter, q *request, claimer claim.Keys) error {
 	a, err := in.run(ctx, q)
 	if err != nil {
 		in.settle(q, claimer, outcomeOfError(err))
@@ -87,7 +80,7 @@
 
 // settle releases the claim of a request that was not run, or stores its outcome. The caller's answer
 // does not wait for the store; until the outcome is stored, a repeat is told may-have-run.
-func (in *Ingress) settle(q *request, claimer *claim.Claimer, o claim.Outcome) {
+func (in *Ingress) settle(q *request, claimer claim.Keys, o claim.Outcome) {
 	in.inFlight.Add(1)
 	go func() {
 		defer in.inFlight.Done()
--- /dev/null
+++ b/internal/node/claims.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionspoke/internal/claim"
+	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/wire"
+)
+
+const (
+	// claimOpenTimeout bounds the opening of a stream to the owner of a claim, after which the next owner
+	// is asked.
+	claimOpenTimeout = 500 * time.Millisecond
+	// claimWritesPerSecond bounds the writes of claims of one node; see docs/design.md for the fleet's.
+	claimWritesPerSecond = 50
+	// claimCallsShare is the part of the node's calls to the store that writes of claims may use. The
+	// rest is for reads of shards that are not cached, and for the bundle.
+	claimCallsShare = 0.5
+)
+
+func (n *Node) newRouter() *claim.Router {
+	if n.store != nil {
+		n.claims = claim.NewServices(claim.Config{
+			Store: n.store, Retention: n.claimRetention, WritesPerSecond: n.claimWrites(), Log: n.logger,
+		})
+	}
+	return claim.NewRouter(claim.RouterConfig{
+		Self: n.settings.NodeID, Local: n.claims, Nodes: n.claimNodes, Call: n.callClaims,
+		Leaving: n.draining.Load, Log: n.logger,
+	})
+}
+
+// claimWrites keeps the writes below the rate at which the store client makes calls wait. A store that
+// was passed to New has no such rate.
+func (n *Node) claimWrites() float64 {
+	if n.settings.Store.URL == "" {
+		return claimWritesPerSecond
+	}
+	return min(claimWritesPerSecond, n.settings.Store.CallsPerSecond*claimCallsShare)
+}
+
+// storeAccess is what other nodes hear of this node's access to the store.
+func (n *Node) storeAccess() wire.StoreAccess {
+	switch {
+	case n.store == nil:
+		return wire.StoreAccess_NO_STORE
+	case n.settings.Store.Region == n.settings.Region:
+		return wire.StoreAccess_NEAR
+	default:
+		return wire.StoreAccess_DIRECT
+	}
+}
+
+// claimNodes returns the live nodes that may own claims.
+func (n *Node) claimNodes() []claim.Node {
+	var nodes []claim.Node
+	for _, m := range n.engine.Members() {
+		if m.State != wire.MemberState_ALIVE || m.StoreAccess == wire.StoreAccess_NO_STORE {
+			continue
+		}
+		nodes = append(nodes, claim.Node{
+			NodeID: m.NodeId, PeerAddr: m.PeerAddr, FailureDomain: m.FailureDomain,
+			Near: m.StoreAccess == wire.StoreAccess_NEAR,
+		})
+	}
+	return nodes
+}
+
+// callClaims implements claim.RouterConfig.Call.
+func (n *Node) callClaims(ctx context.Context, peerAddr string, r *wire.ClaimRequest) (reply *wire.ClaimReply, sent bool, err error) {
+	opening, cancel := context.WithTimeout(ctx, claimOpenTimeout)
+	defer cancel()
+	conn, err := n.pool.Open(opening, peerAddr, peer.LaneControl)
+	if err != nil {
+		return nil, false, err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	f, err := conn.Exchange(&wire.Frame{Kind: &wire.Frame_ClaimRequest{ClaimRequest: r}})
+	if err != nil {
+		return nil, true, err
+	}
+	if f.GetClaimReply() == nil {
+		return nil, true, errors.Newf("unexpected %s from %s", frameName(f), peerAddr)
+	}
+	return f.GetClaimReply(), true, nil
+}
+
+// claimRetention returns the time for which keys are kept.
+func (n *Node) claimRetention() time.Duration {
+	if b := n.bundles.inForce.Load(); b != nil {
+		return b.Policy.ClaimRetention.D()
+	}
+	return claim.MinRetention
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -8,7 +8,6 @@
 
 	"dandelionspoke/internal/announce"
 	"dandelionspoke/internal/balance"
-	"dandelionspoke/internal/claim"
 	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
@@ -34,7 +33,7 @@
 	}
 	return engine.Config{
 		NodeID: s.NodeID, ListenUDP: listen, AdvertiseUDP: s.Gossip.Advertise, AdvertisePeer: s.Peer.Advertise,
-		FailureDomain: s.FailureDomain, Region: s.Region, Logger: n.logger,
+		FailureDomain: s.FailureDomain, Region: s.Region, StoreAccess: n.storeAccess(), Logger: n.logger,
 	}
 }
 
@@ -205,6 +204,9 @@
 	case *wire.Frame_BundleRequest:
 		conn.SetBulk()
 		n.serveBundle(conn, k.BundleRequest)
+	case *wire.Frame_ClaimRequest:
+		reply := n.router.Serve(ctx, k.ClaimRequest)
+		_ = conn.Write(&wire.Frame{Kind: &wire.Frame_ClaimReply{ClaimReply: reply}})
 	default:
 		n.logger.Warn("peer stream dropped", "event", "peer_stream_unexpected", "frame", frameName(first))
 	}
@@ -237,18 +239,3 @@
 	requests    atomic.Int64
 	probeCounts atomic.Pointer[balance.ProbeCounts]
 }
-
-// claimer returns the claims of a service, or nil without direct access to the store.
-func (n *Node) claimer(service string) *claim.Claimer {
-	if n.claims == nil {
-		return nil
-	}
-	return n.claims.For(service)
-}
-
-func (n *Node) claimRetention() time.Duration {
-	if b := n.bundles.inForce.Load(); b != nil {
-		return b.Policy.ClaimRetention.D()
-	}
-	return claim.MinRetention
-}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -64,6 +64,9 @@
 	if n.engine != nil {
 		n.engine.Stop()
 	}
+	if n.router != nil {
+		n.router.Close()
+	}
 	if n.claims != nil {
 		n.claims.Close()
 	}
--- a/internal/node/keyed_test.go
+++ b/internal/node/keyed_test.go
@@ -106,3 +106,48 @@
 		t.Fatalf("status %d through the new node: %s", status, body)
 	}
 }
+
+// Guards against keyed requests that are refused by a node without access to the store, and against a
+// second run when they go through other nodes as well.
+func TestKeyedWithoutStoreAccess(t *testing.T) {
+	f := newFleet(t, 2)
+	f.addNodeWithStore(2, nil)
+	f.ready()
+	f.waitFor(5*time.Second, "keyed request through the node without the store", func() bool {
+		resp := f.order(f.nodes[2], "remote", "remote", "bike 7")
+		return resp.StatusCode == http.StatusOK
+	})
+	for _, n := range f.nodes {
+		f.waitFor(5*time.Second, "stored outcome", func() bool {
+			resp := f.order(n, "remote", "remote", "bike 7")
+			return resp.StatusCode == http.StatusOK && resp.Header.Get("Idempotent-Replayed") == "true"
+		})
+	}
+	if d := f.log.Duplicates(); len(d) > 0 {
+		t.Errorf("duplicate runs: %q", d)
+	}
+}
+
+// Guards against keyed requests that fail for longer than the fleet needs to notice that an owner left
+// or died, and against second runs meanwhile.
+func TestKeyedThroughOwnerLoss(t *testing.T) {
+	f := newFleet(t, 4)
+	f.addNodeWithStore(4, nil)
+	f.ready()
+	for i, end := range []func(){
+		func() { _ = f.nodes[0].Close() },
+		func() { _ = f.nodes[1].Drain(t.Context()) },
+	} {
+		end()
+		for request := range 10 {
+			key := fmt.Sprint("loss-", i, "-", request)
+			f.waitFor(10*time.Second, key, func() bool {
+				resp := f.order(f.nodes[4], key, key, "bike 7")
+				return resp.StatusCode == http.StatusOK
+			})
+		}
+	}
+	if d := f.log.Duplicates(); len(d) > 0 {
+		t.Errorf("duplicate runs: %q", d)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,7 +65,8 @@
 	bundles    bundleState
 	counters   requestCounters
 	claims     *claim.Services // nil without direct access to the store
-	reader     atomic.Bool     // this node reads the store for its failure domain
+	router     *claim.Router
+	reader     atomic.Bool // this node reads the store for its failure domain
 	// probePolicy and probeRand belong to the engine loop.
 	probePolicy uint64
 	probeRand   *rand.Rand
@@ -100,9 +101,6 @@
 			return nil, err
 		}
 	}
-	if n.store != nil {
-		n.claims = claim.NewServices(claim.Config{Store: n.store, Retention: n.claimRetention, Log: n.logger})
-	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.bundles.acceptor = bundle.NewAcceptorByRole(o.Settings.Bundle.TrustedKeys, o.Settings.Bundle.ApproverKeys)
 	n.assemble(picker)
@@ -130,7 +128,8 @@
 	n.registry.OnChange = n.backendChanged
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget,
-		Logger: n.logger, IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered, Claimer: n.claimer,
+		Logger: n.logger, IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered,
+		Claimer: func(service string) claim.Keys { return n.router.For(service) },
 	})
 }
 
@@ -163,6 +162,7 @@
 	}
 	n.pool = peer.NewPool(n.settings.NodeID, n.instance)
 	n.peers = peer.NewServer(n.settings.NodeID, n.instance, n, n.logger)
+	n.router = n.newRouter()
 	n.engine = engine.New(n.engineConfig(), n.engineHooks(), &n.snapshots)
 	if err := n.engine.Start(); err != nil {
 		_ = peerListener.Close()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 	"dandelionspoke/internal/backendtest"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/node"
+	"dandelionspoke/internal/platform"
 	"dandelionspoke/internal/platformtest"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
@@ -69,7 +70,10 @@
 	return f
 }
 
-func (f *fleet) addNode(i int) {
+func (f *fleet) addNode(i int) { f.addNodeWithStore(i, f.store) }
+
+// addNodeWithStore adds a node; without a store it has no direct access.
+func (f *fleet) addNodeWithStore(i int, store platform.Store) {
 	f.t.Helper()
 	s := settings.Default()
 	s.FailureDomain = fmt.Sprintf("local-%c", 'a'+i%2)
@@ -78,7 +82,7 @@
 	if len(f.nodes) > 0 {
 		s.Seeds = []string{f.nodes[0].Addrs().Peer}
 	}
-	n, err := node.New(node.Options{Settings: s, Store: f.store})
+	n, err := node.New(node.Options{Settings: s, Store: store})
 	if err != nil {
 		f.t.Fatal(err)
 	}
