--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -75,11 +75,11 @@
 type shared struct {
 	cached  atomic.Int64 // bytes of cached tables
 	limiter *rate.Limiter
-	layout  layout
+	layout  *layout
 }
 
 func newShared(config Config) *shared {
-	return &shared{limiter: config.limiter(), layout: layout{store: config.Store}}
+	return &shared{limiter: config.limiter(), layout: newLayout(config.Store)}
 }
 
 // New returns a Claimer. Close ends its goroutines.
--- a/internal/claim/layout.go
+++ b/internal/claim/layout.go
@@ -24,9 +24,23 @@
 type layout struct {
 	store  platform.Store
 	agreed atomic.Bool
+	turn   chan struct{} // holds an element while a shard checks, so that others wait for the result
+}
+
+func newLayout(store platform.Store) *layout {
+	return &layout{store: store, turn: make(chan struct{}, 1)}
 }
 
 func (l *layout) check(ctx context.Context, shards int) error {
+	if l.agreed.Load() {
+		return nil
+	}
+	select {
+	case l.turn <- struct{}{}:
+		defer func() { <-l.turn }()
+	case <-ctx.Done():
+		return errors.Mark(ctx.Err(), platform.ErrUnavailable)
+	}
 	if l.agreed.Load() {
 		return nil
 	}
