--- a/internal/claim/routed.go
+++ b/internal/claim/routed.go
@@ -134,6 +134,8 @@
 		return errors.Wrapf(ErrFenced, "no claim of the key is held here")
 	}
 	o = o.bounded()
+	ctx, cancel := k.router.untilClosed(ctx)
+	defer cancel()
 	for attempt := 0; ; attempt++ {
 		err := k.settle(ctx, id, func(ctx context.Context, target Node) error { return k.completeAt(ctx, target, id, o) })
 		if err == nil || errors.Is(err, ErrFenced) || !sleep(ctx, platform.Backoff(attempt, rand.Float64)) {
@@ -161,6 +163,8 @@
 	if !found {
 		return errors.Wrapf(ErrFenced, "no claim of the key is held here")
 	}
+	ctx, cancel := k.router.untilClosed(ctx)
+	defer cancel()
 	err := k.release(ctx, id)
 	if err != nil {
 		k.router.background(func() { k.releaseUntilDone(id) })
--- a/internal/claim/router.go
+++ b/internal/claim/router.go
@@ -69,7 +69,8 @@
 // For returns the keys of a service.
 func (r *Router) For(service string) Keys { return &Routed{router: r, service: service} }
 
-// Close ends releases in progress. Claims that they did not release stay until they expire.
+// Close ends Complete and Release calls and background releases in progress. Claims that were not
+// settled stay until they expire.
 func (r *Router) Close() {
 	r.mu.Lock()
 	r.closed = true
@@ -78,6 +79,13 @@
 	r.group.Wait()
 }
 
+// untilClosed returns a context that ends with ctx or with the Router.
+func (r *Router) untilClosed(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(r.ctx, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
 // background runs f unless the Router is closed.
 func (r *Router) background(f func()) {
 	r.mu.Lock()
--- a/internal/claim/router_test.go
+++ b/internal/claim/router_test.go
@@ -165,6 +165,26 @@
 	})
 }
 
+// TestCloseEndsComplete guards against an outcome that is tried for as long as its caller waits after the
+// node has been closed.
+func TestCloseEndsComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		w := newNetwork(store, 2, 1, 1, 0)
+		defer w.close()
+		keys := w.routers[1].For("ordre")
+		if _, err := keys.Acquire(t.Context(), "key", nil, []byte("1")); err != nil {
+			t.Fatal(err)
+		}
+		store.SetDown(true)
+		started := time.Now()
+		time.AfterFunc(time.Second, w.routers[1].Close)
+		if err := keys.Complete(t.Context(), "key", ranOutcome("x")); err == nil || time.Since(started) != time.Second {
+			t.Fatalf("ended after %v, error %v", time.Since(started), err)
+		}
+	})
+}
+
 // silent is a store whose writes of claims are lost until a time.
 type silent struct {
 	platform.Store
