--- a/internal/claim/router_test.go
+++ b/internal/claim/router_test.go
@@ -179,7 +179,9 @@
 		store.SetDown(true)
 		started := time.Now()
 		time.AfterFunc(time.Second, w.routers[1].Close)
-		if err := keys.Complete(t.Context(), "key", ranOutcome("x")); err == nil || time.Since(started) != time.Second {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if err := keys.Complete(ctx, "key", ranOutcome("x")); err == nil || time.Since(started) != time.Second {
 			t.Fatalf("ended after %v, error %v", time.Since(started), err)
 		}
 	})
