membership: bound refutations and test random cuts

Two processes with one node ID refuted each other without limit; a node now refutes four times in a period at most and counts such records as id_conflicts. 100 random cuts of 2 to 8 nodes with a restart during the cut heal within 2 minutes; this needs nodes that are alone to repeat their join, which the in-memory fleet now does.

Tested: go test ./internal/membership.

--- a/internal/capacity/engines.go
+++ b/internal/capacity/engines.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"runtime/pprof"
 	"sync"
 	"syscall"
 	"time"
@@ -105,11 +106,13 @@
 	elapsed := time.Since(clock).Seconds()
 	endMessages, endBytes := l.sent()
 	perNode := elapsed * float64(n)
+	threads := pprof.Lookup("threadcreate").Count()
 	r = r.with("cpu_percent_of_core", 100*(processTime()-cpu).Seconds()/perNode).
 		with("msgs_per_s", float64(endMessages-messages)/perNode).
 		with("bytes_per_s", float64(endBytes-bytes)/perNode).
 		with("heap_bytes", (heapBytes()-before)/uint64(n)).
-		with("goroutines", float64(runtime.NumGoroutine()-goroutines)/float64(n))
+		with("goroutines", float64(runtime.NumGoroutine()-goroutines)/float64(n)).
+		with("process_threads", threads)
 	return []row{r}, nil
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -188,7 +188,8 @@
 	return nil
 }
 
-// Stop ends the loop and closes the socket. It does not announce a departure. The tables stay readable.
+// Stop ends the loop, waits for it and closes the socket. It does not announce a departure, and must not
+// be called from a hook. The tables stay readable.
 func (e *Engine) Stop() {
 	e.mu.Lock()
 	already := e.stopped || e.node == nil
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -144,6 +144,10 @@
 	}
 }
 
+// refuteShare is the part of the period between two refutations. It bounds the traffic of two processes
+// that use one node ID; a record that is still held against the node comes again with the next ping.
+const refuteShare = 0.25
+
 // refute answers a record about this node that is not its own. A leaving node lets a report of its
 // death stand, unless it hides the LEAVING record.
 func (n *Node) refute(now time.Time, heard *wire.Member) {
@@ -154,6 +158,13 @@
 	if stale || harmless || leavingAnyway {
 		return
 	}
+	if !sameDetails(heard, n.self) {
+		n.counters.IDConflicts.Add(1)
+	}
+	if now.Sub(n.refuted) < time.Duration(refuteShare*float64(n.cfg.Period)) {
+		return
+	}
+	n.refuted = now
 	n.counters.Refutations.Add(1)
 	n.replaceSelf(now, proto.CloneOf(n.self), own.Above(Incarnation(heard.Incarnation)))
 }
--- a/internal/membership/counters.go
+++ b/internal/membership/counters.go
@@ -61,6 +61,8 @@
 	Malformed, UnknownSender atomic.Uint64
 	// Suspicions and Deaths count the state changes made by this node.
 	Suspicions, Deaths, Refutations atomic.Uint64
+	// IDConflicts counts records with this node's ID and other addresses or endpoints.
+	IDConflicts atomic.Uint64
 	// InputDropped counts inputs from request goroutines that found the queue full.
 	InputDropped atomic.Uint64
 	SendErrors   atomic.Uint64
@@ -87,6 +89,7 @@
 	put("suspicions", &c.Suspicions)
 	put("deaths", &c.Deaths)
 	put("refutations", &c.Refutations)
+	put("id_conflicts", &c.IDConflicts)
 	put("input_dropped", &c.InputDropped)
 	put("send_errors", &c.SendErrors)
 	put("snapshots", &c.Snapshots)
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"dandelionspoke/internal/membership"
 	"dandelionspoke/internal/membershiptest"
 	"dandelionspoke/internal/wire"
@@ -145,6 +147,35 @@
 	}
 }
 
+// Guards against cuts of any shape and length that leave nodes apart, with departures and restarts
+// during the cut.
+func TestRandomCutsHeal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 8).Draw(t, "nodes")
+		f := membershiptest.New(membershiptest.Options{
+			Nodes: n, Seed: rapid.Uint64Range(1, 1000).Draw(t, "seed"), Regions: 2,
+			Loss: rapid.SampledFrom([]float64{0, 0.02}).Draw(t, "loss"),
+		})
+		if took, ok := f.RunUntil(time.Minute, f.Converged); !ok {
+			t.Fatalf("not converged after %v", took)
+		}
+		for _, h := range f.Nodes {
+			h.Group = rapid.IntRange(0, 2).Draw(t, "group")
+		}
+		f.Run(time.Duration(rapid.IntRange(1, 120).Draw(t, "cut")) * time.Second)
+		restarted := rapid.IntRange(1, n-1).Draw(t, "restarted")
+		group := f.Nodes[restarted].Group
+		f.Add(restarted).Group = group
+		f.Run(time.Duration(rapid.IntRange(0, 20).Draw(t, "after restart")) * time.Second)
+		for _, h := range f.Nodes {
+			h.Group = 0
+		}
+		if took, ok := f.RunUntil(2*time.Minute, f.Converged); !ok {
+			t.Fatalf("not healed after %v", took)
+		}
+	})
+}
+
 // Guards against bundle versions that do not reach every node, with and without loss.
 func TestBundleVersionSpreads(t *testing.T) {
 	for _, loss := range []float64{0, 0.05} {
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -103,6 +103,7 @@
 	push           int    // further ticks on which pending updates are pushed
 	started        time.Time
 	lastTick       time.Time
+	refuted        time.Time
 	nextSync       time.Time
 	syncFloor      time.Time // no early exchange before this time
 	nextCleanup    time.Time
--- a/internal/membershiptest/fleet.go
+++ b/internal/membershiptest/fleet.go
@@ -20,6 +20,8 @@
 	DefaultLatency = 2 * time.Millisecond
 	// SyncLatency is the time of a full-state exchange over TCP, one way.
 	SyncLatency = 10 * time.Millisecond
+	// JoinRetry is the time between two attempts to join.
+	JoinRetry = 5 * time.Second
 	// FetchLatency is the time from the report of a newer bundle until it is in force.
 	FetchLatency = 20 * time.Millisecond
 )
@@ -136,12 +138,21 @@
 	}
 	f.byUDP[c.UDPAddr], f.byPeer[c.PeerAddr] = h, h
 	if i > 0 {
-		h.Sync(f.Nodes[0].Self().PeerAddr, node.SyncRequest())
+		h.join()
 	}
 	f.after(time.Duration(f.rng.Int64N(int64(f.options.Tick))), h.tick)
 	return h
 }
 
+// join asks node 0, again and again while the host knows no other node.
+func (h *Host) join() {
+	if h.Down || len(h.Records()) > 1 {
+		return
+	}
+	h.Sync(h.fleet.Nodes[0].Self().PeerAddr, h.SyncRequest())
+	h.fleet.after(JoinRetry, h.join)
+}
+
 func (h *Host) tick() {
 	if h.Down {
 		return
