Keep traffic between regions within a node's share of the paid link

Cause: nothing held request traffic to the share of the link, and bulk answers could take the room of short work. Change: writes to another region wait for a byte budget; long work has its own share below it. The class of a route is corrected by measured time at the ingress too, and hedges use their own rule of choice.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -47,6 +47,9 @@
 	// OnCrash is called with the fingerprint of a request whose backend server stopped listening
 	// while running it. Set it before the first request; nil means no report.
 	OnCrash func(endpoint string, fingerprint []byte)
+	// Pace returns the pacing of answers to a node in the named region; a nil result does not pace.
+	// Set it before the first request; nil means no pacing.
+	Pace func(region string, long bool) func(bytes int) error
 	// IsQuarantined reports whether a fingerprint is refused. Nil means that none is.
 	IsQuarantined func(fingerprint []byte) bool
 
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -36,6 +36,9 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Done()
 	c := &call{gate: g, conn: conn, head: head}
+	if g.Pace != nil {
+		conn.SetPace(g.Pace(head.Region, head.Long))
+	}
 	if len(head.AttemptId) != len(c.id) {
 		c.refuse(verdict.New(verdict.NotRun, verdict.BadRequest, "attempt identifier of %d bytes", len(head.AttemptId)))
 		return
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"dandelionspoke/internal/balance"
-	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/table"
@@ -25,8 +24,8 @@
 // Errors carry a verdict.
 func (in *Ingress) attempt(ctx context.Context, q *request, ep *table.Endpoint, maxWait time.Duration) (*answer, error) {
 	in.Counters.Attempts.Add(1)
-	seen := observe(ep, q.route)
-	conn, err := in.Opener.Open(ctx, ep, laneOf(q.route))
+	seen := observe(ep, q.long)
+	conn, err := in.Opener.Open(ctx, ep, laneOf(q.long))
 	if err != nil {
 		seen.end(openOutcome(ctx), nil)
 		return nil, verdict.New(verdict.NotRun, verdict.PeerUnreachable, "%v", err)
@@ -34,7 +33,7 @@
 	a := &answer{endpoint: ep, conn: conn, body: peer.NewBody(conn), seen: seen}
 	// The context ends shortly after the deadline; closing the stream cancels the work at the gate.
 	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
-	head := q.head(ep, conn.Remote())
+	head := in.head(q, ep, conn.Remote())
 	head.MaxWaitUs = uint32(maxWait.Microseconds())
 	if err := in.exchange(ctx, q, a, head); err != nil {
 		a.close()
@@ -50,21 +49,21 @@
 	return balance.Failed
 }
 
-func laneOf(r *bundle.Route) peer.Lane {
-	if r.Class == bundle.Long {
+func laneOf(long bool) peer.Lane {
+	if long {
 		return peer.LaneLong
 	}
 	return peer.LaneShort
 }
 
 // head returns the first frame of an attempt at ep.
-func (q *request) head(ep *table.Endpoint, remote *peer.Remote) *wire.RequestHead {
+func (in *Ingress) head(q *request, ep *table.Endpoint, remote *peer.Remote) *wire.RequestHead {
 	return &wire.RequestHead{
 		AttemptId: newAttemptID(), Service: q.route.Service, Route: q.route.Name, Endpoint: ep.ID,
 		Method: q.http.Method, Target: q.http.URL.RequestURI(), Host: q.http.Host, Headers: q.headers,
 		ContentLength: q.contentLength(), Streamed: q.rest != nil,
 		DeadlineMs: uint32(max(time.Until(q.deadline).Milliseconds(), 0)), Priority: uint32(q.priority),
-		Long: q.route.Class == bundle.Long, Depth: uint32(q.depth), Idempotent: q.idempotent,
+		Long: q.long, Region: in.Region, Depth: uint32(q.depth), Idempotent: q.idempotent,
 		Fingerprint: q.fingerprint, IdempotencyKey: q.key, Generation: remote.Generation.Load(),
 	}
 }
--- a/internal/ingress/chooser.go
+++ b/internal/ingress/chooser.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"dandelionspoke/internal/balance"
-	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/wire"
 )
@@ -46,8 +45,8 @@
 	once     sync.Once
 }
 
-func observe(ep *table.Endpoint, route *bundle.Route) *observation {
-	o := &observation{endpoint: ep, started: Now(), long: route.Class == bundle.Long}
+func observe(ep *table.Endpoint, long bool) *observation {
+	o := &observation{endpoint: ep, started: Now(), long: long}
 	balance.ObserveStart(ep.Stats, o.started, o.long)
 	return o
 }
@@ -62,3 +61,14 @@
 
 // age is the time since the attempt began.
 func (o *observation) age() time.Duration { return time.Duration(Now() - o.started) }
+
+// pickHedge returns an endpoint for a second attempt, or balance.None and nil.
+func (c *Chooser) pickHedge(svc *table.Service, exclude uint64, long bool) (int, *table.Endpoint) {
+	rng := c.rngs.Get().(*rand.Rand)
+	i := balance.PickHedge(Now(), rng, svc, exclude, long)
+	c.rngs.Put(rng)
+	if i == balance.None {
+		return i, nil
+	}
+	return i, svc.Endpoints[i]
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -13,7 +13,9 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionspoke/internal/admission"
 	"dandelionspoke/internal/balance"
+	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
@@ -39,6 +41,7 @@
 	Claimer func(service string) *claim.Claimer
 	Budget  *retry.Budget // of retries and hedges
 	Logger  *slog.Logger
+	Region  string // of this node
 	// IsQuarantined reports whether a fingerprint is refused; nil means that none is.
 	IsQuarantined func(fingerprint []byte) bool
 	// OnStale is told of each request's service, so that stale load figures are refreshed; nil means no report.
@@ -58,6 +61,7 @@
 	Counters Counters
 	draining atomic.Bool
 	latency  sync.Map // service name to *retry.Latencies
+	classes  admission.Classes
 	inFlight sync.WaitGroup
 }
 
@@ -169,8 +173,11 @@
 	err := copyBody(w, a)
 	outcome := outcomeOf(q.http.Context(), a.head.Status, err)
 	a.seen.end(outcome, a.body.End().GetLoad())
-	if outcome == balance.Success && q.route.Hedge {
-		in.latencies(q).Record(time.Now(), a.seen.age())
+	if outcome == balance.Success {
+		in.classes.Record(q.route.Service, q.route.Name, q.route.Class == bundle.Long, a.seen.age())
+		if q.route.Hedge {
+			in.latencies(q).Record(time.Now(), a.seen.age())
+		}
 	}
 	if err != nil {
 		return http.ErrAbortHandler
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -41,6 +41,7 @@
 	service    *table.Service
 	snapshot   *table.Snapshot
 	idempotent bool
+	long       bool // class of the route, corrected by measured time
 	key        string
 	permit     *claim.Permit // of a keyed request's run; nil without a claim
 	depth      int
@@ -70,6 +71,7 @@
 	q := &request{
 		http: r, route: route, snapshot: snapshot, service: snapshot.Service(route.Service),
 		idempotent: route.IsIdempotent(r.Method), key: r.Header.Get(keyHeader),
+		long:     in.classes.Long(route.Service, route.Name, route.Class == bundle.Long),
 		priority: route.Priority, deadline: time.Now().Add(route.Timeout.D()),
 	}
 	if len(q.key) > maxKeyBytes {
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"dandelionspoke/internal/balance"
-	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
@@ -75,15 +74,21 @@
 	if q.permit != nil && !q.permit.MayStart(time.Now()) {
 		return verdict.New(verdict.NotRun, verdict.ClaimUnavailable, "the permit of the claim has ended")
 	}
-	i, ep := in.Chooser.pick(q.service, t.exclude, q.route.Class == bundle.Long)
+	i, ep := in.Chooser.pick(q.service, t.exclude, q.long)
 	if ep == nil && t.exclude != 0 {
 		// All endpoints have been tried; a busy one may have room by now.
 		t.exclude = 0
-		i, ep = in.Chooser.pick(q.service, 0, q.route.Class == bundle.Long)
+		i, ep = in.Chooser.pick(q.service, 0, q.long)
 	}
 	if ep == nil {
 		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "no endpoint of service %s can be used", q.route.Service)
 	}
+	in.begin(ctx, q, t, i, ep)
+	return nil
+}
+
+// begin sends the request to the endpoint at position i.
+func (in *Ingress) begin(ctx context.Context, q *request, t *tries, i int, ep *table.Endpoint) {
 	t.before = t.exclude
 	if i < 64 {
 		t.exclude |= 1 << i
@@ -94,10 +99,9 @@
 	if !in.mayHedge(q) {
 		a, err := in.attempt(attemptCtx, q, ep, t.maxWait(q))
 		t.results <- result{a, err, cancel}
-		return nil
+		return
 	}
 	go in.attemptAsync(attemptCtx, cancel, q, ep, t.maxWait(q), t.results)
-	return nil
 }
 
 func (in *Ingress) attemptAsync(ctx context.Context, cancel context.CancelFunc, q *request, ep *table.Endpoint, maxWait time.Duration, results chan<- result) {
@@ -107,7 +111,7 @@
 
 // maxWait is the expected wait that the next attempt accepts; 0 accepts any.
 func (t *tries) maxWait(q *request) time.Duration {
-	if t.placed || q.route.Class == bundle.Long {
+	if t.placed || q.long {
 		return 0
 	}
 	return retry.PlacementWait
@@ -120,7 +124,7 @@
 // await returns the first result. While it waits, it may start a hedge.
 func (in *Ingress) await(ctx context.Context, q *request, t *tries) result {
 	delay, hedge := in.policy(q).HedgeAfter(retry.Hedge{
-		Permitted: q.route.Hedge && q.rest == nil, Idempotent: q.idempotent, Long: q.route.Class == bundle.Long,
+		Permitted: q.route.Hedge && q.rest == nil, Idempotent: q.idempotent, Long: q.long,
 		Number: t.number, Depth: q.depth, Quantile: in.latencies(q).Quantile(time.Now()), Remaining: time.Until(q.deadline),
 	})
 	if hedge {
@@ -137,12 +141,12 @@
 }
 
 func (in *Ingress) hedge(ctx context.Context, q *request, t *tries) {
-	if !in.Budget.Spend(time.Now()) {
+	i, ep := in.Chooser.pickHedge(q.service, t.exclude, q.long)
+	if ep == nil || !in.Budget.Spend(time.Now()) {
 		return
 	}
-	if in.start(ctx, q, t) == nil {
-		in.Counters.Hedges.Add(1)
-	}
+	in.Counters.Hedges.Add(1)
+	in.begin(ctx, q, t, i, ep)
 }
 
 func (t *tries) took(r result) result {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -87,6 +87,8 @@
 		"gate_in_flight": int64(load.InFlight), "gate_queued_short": int64(load.QueuedShort), "gate_queued_long": int64(load.QueuedLong),
 		"retry_budget_spent": int64(budget.Spent), "retry_budget_denied": int64(budget.Denied),
 		"quarantine_known": int64(known), "quarantine_refused": int64(refused),
+		"link_short_bytes": n.link.ShortBytes.Load(), "link_long_bytes": n.link.LongBytes.Load(),
+		"link_wait_us":  n.link.WaitNanos.Load() / int64(time.Microsecond),
 		"peer_sessions": int64(n.pool.Len()), "peer_malformed": n.peers.Malformed.Load(),
 	}
 	if p := n.counters.probeCounts.Load(); p != nil {
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -45,6 +45,7 @@
 	now := time.Now()
 	n.budget.SetPolicy(now, b.Policy.RetryShare, b.Policy.RetryMinPerSecond)
 	n.quarantine.SetPolicy(b.Policy.QuarantineDeaths, b.Policy.QuarantineFor.D())
+	n.link.SetPolicy(b.Policy)
 	n.bundles.inForce.Store(b)
 	n.applyLimits()
 	n.engine.SetBundle(b)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/ingress"
+	"dandelionspoke/internal/link"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/platform"
 	"dandelionspoke/internal/retry"
@@ -60,6 +61,7 @@
 	peers      *peer.Server
 	quarantine *retry.Quarantine
 	budget     *retry.Budget
+	link       *link.Budget
 	probes     *balance.ProbePlanner
 	provider   rollout.Provider
 	bundles    bundleState
@@ -124,13 +126,15 @@
 	n.budget = retry.NewBudget(n.started, policy.RetryShare, policy.RetryMinPerSecond)
 	n.probes = balance.NewProbePlanner(n.started.UnixNano(), policy, probeExchangeBytes)
 	n.probeRand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.link = link.NewBudget(policy)
 	n.gate = gate.New(n.instance, n.logger)
 	n.gate.IsQuarantined = n.isQuarantined
 	n.gate.OnCrash = n.crashed
+	n.gate.Pace = n.pace
 	n.registry.OnChange = n.backendChanged
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget,
-		Logger: n.logger, IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered, Claimer: n.claimer,
+		Logger: n.logger, Region: n.settings.Region, IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered, Claimer: n.claimer,
 	})
 }
 
@@ -236,7 +240,11 @@
 // Open implements ingress.Opener. The gate of this node is reached without a session.
 func (n *Node) Open(ctx context.Context, ep *table.Endpoint, lane peer.Lane) (*peer.Conn, error) {
 	if ep.NodeID != n.settings.NodeID {
-		return n.pool.Open(ctx, ep.PeerAddr, lane)
+		conn, err := n.pool.Open(ctx, ep.PeerAddr, lane)
+		if err == nil && lane != peer.LaneControl {
+			conn.SetPace(n.pace(ep.Region, lane == peer.LaneLong))
+		}
+		return conn, err
 	}
 	remote := &peer.Remote{Instance: n.instance}
 	remote.Note(n.gate.Generation())
@@ -245,6 +253,14 @@
 	return client, nil
 }
 
+// pace keeps writes to other regions within this node's share of the paid link.
+func (n *Node) pace(region string, long bool) func(bytes int) error {
+	if region == n.settings.Region {
+		return nil
+	}
+	return func(bytes int) error { return n.link.Wait(n.ctx, bytes, long) }
+}
+
 func (n *Node) serveLocal(conn *peer.Conn) {
 	defer conn.Close()
 	first, err := conn.Read()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -44,6 +44,7 @@
 	reader  *bufio.Reader
 	limit   int
 	remote  *Remote
+	pace    func(bytes int) error
 }
 
 // Remote describes the process at the other end of a session.
@@ -83,8 +84,12 @@
 // Broken tells which.
 func (c *Conn) Read() (*wire.Frame, error) { return wire.ReadFrame(c.reader, c.limit) }
 
+// SetPace makes each write call pace first with the number of bytes, which may block or fail. Call it
+// before the first write.
+func (c *Conn) SetPace(pace func(bytes int) error) { c.pace = pace }
+
 // Write sends one frame. It blocks while the remote side's window is full.
-func (c *Conn) Write(f *wire.Frame) error { return wire.WriteFrame(c.raw, f, c.limit) }
+func (c *Conn) Write(f *wire.Frame) error { return c.WriteAll(f) }
 
 // WriteAll sends several frames with one write to the session.
 func (c *Conn) WriteAll(frames ...*wire.Frame) error {
@@ -94,6 +99,11 @@
 			return err
 		}
 	}
+	if c.pace != nil {
+		if err := c.pace(buf.Len()); err != nil {
+			return err
+		}
+	}
 	_, err := c.raw.Write(buf.Bytes())
 	return err
 }
