Take a backend server out while its port is closed

Cause: a gate whose server had died went on being chosen until each ingress had seen enough failures. Change: three refused connections in a row, with no answer in between, make the gate refuse as backend-down and report it as draining. Answers of health endpoints are not used: they mislead, and a service with little traffic would not contradict them. Measured: TestHealthCheckNeedsSilence covers the rule; the tests of package node pass.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -27,8 +27,10 @@
 	Address     string `json:"address"`
 	Slots       int    `json:"slots"`       // 0: the bundle's value
 	Connections int    `json:"connections"` // 0: the bundle's value
-	HealthPath  string `json:"health_path"` // empty: no health check
-	LoadPath    string `json:"load_path"`   // empty: no load report
+	// HealthPath and LoadPath are shown to operators. No decision uses their answers, which lag or
+	// mislead: the gate's own figures decide.
+	HealthPath string `json:"health_path"`
+	LoadPath   string `json:"load_path"`
 }
 
 // Validate reports the first field that is missing or malformed.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -60,6 +60,7 @@
 	draining bool
 	// backendDraining is set while the backend server drains although the node stays.
 	backendDraining bool
+	backendDown     bool
 	keepBytes       int
 	inFlight        sync.WaitGroup
 }
@@ -86,6 +87,7 @@
 func (g *Gate) SetBackend(b *Backend) {
 	g.mu.Lock()
 	g.backend = b
+	g.backendDown = false
 	g.mu.Unlock()
 }
 
@@ -125,7 +127,7 @@
 	if g.queue != nil {
 		l = g.queue.Load()
 	}
-	l.Draining = l.Draining || g.draining || g.backendDraining
+	l.Draining = l.Draining || g.draining || g.backendDraining || g.backendDown
 	l.Generation = g.attempts.currentGeneration()
 	return l
 }
@@ -144,6 +146,13 @@
 	g.mu.Unlock()
 }
 
+// SetBackendDown refuses new work while the backend server does not answer.
+func (g *Gate) SetBackendDown(down bool) {
+	g.mu.Lock()
+	g.backendDown = down
+	g.mu.Unlock()
+}
+
 // Wait blocks until no request is queued or in flight.
 func (g *Gate) Wait() { g.inFlight.Wait() }
 
@@ -183,6 +192,8 @@
 		return verdict.New(verdict.NotRun, verdict.Draining, "the node is leaving")
 	case g.backendDraining:
 		return verdict.New(verdict.NotRun, verdict.Draining, "the backend server is draining")
+	case g.backendDown:
+		return verdict.New(verdict.NotRun, verdict.BackendDown, "the backend server does not answer")
 	case backend == nil:
 		return verdict.New(verdict.NotRun, verdict.BackendDown, "no backend server has announced itself")
 	case g.queue == nil:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -179,6 +179,7 @@
 	}
 	n.background(n.maintain)
 	n.background(n.join)
+	n.background(n.checkHealth)
 	if n.store != nil {
 		n.background(n.followStore)
 	}
