Test the sudden death of a node process

Requests in flight on the dead node end as may-have-run or as broken answers, no order runs twice, and no failure remains 1 s after the death.

--- a/cmd/dandelionspoke/path_test.go
+++ b/cmd/dandelionspoke/path_test.go
@@ -37,9 +37,10 @@
 // callerCount is the number of concurrent callers.
 const callerCount = 8
 
-func startLoad(t *testing.T, f *fleet) *load {
+// startLoad sends requests to the ingresses of nodes.
+func startLoad(t *testing.T, nodes []*process) *load {
 	l := &load{t: t, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callerCount}, Timeout: processTimeout}}
-	for _, n := range f.nodes {
+	for _, n := range nodes {
 		l.addresses = append(l.addresses, n.fields["ingress"])
 	}
 	for c := range callerCount {
@@ -121,7 +122,7 @@
 // Guards against a graceful shutdown that cuts off, loses, duplicates or wrongly answers requests of callers.
 func TestRollingRestart(t *testing.T) {
 	f := startFleet(t, 3)
-	l := startLoad(t, f)
+	l := startLoad(t, f.nodes)
 	for i := range f.nodes {
 		time.Sleep(300 * time.Millisecond)
 		f.restart(i)
@@ -137,19 +138,47 @@
 	if l.ok.Load() == 0 {
 		t.Error("no request was answered")
 	}
-	runs := f.runs()
+	l.checkRuns(f.runs())
+}
+
+// checkRuns compares the run logs with what callers were told.
+func (l *load) checkRuns(runs map[string]backendtest.Run) {
+	l.t.Helper()
 	for id, r := range runs {
 		if r.NonIdempotent && r.Started > 1 {
-			t.Errorf("%s ran %d times", id, r.Started)
+			l.t.Errorf("%s ran %d times", id, r.Started)
 		}
 	}
 	for _, id := range l.notRun {
 		if runs[id].Started > 0 {
-			t.Errorf("%s was refused as not run and ran", id)
+			l.t.Errorf("%s was refused as not run and ran", id)
 		}
 	}
 }
 
+// Guards against false verdicts, duplicate runs and lasting failures after the sudden death of a node.
+func TestNodeKilled(t *testing.T) {
+	f := startFleet(t, 3)
+	l := startLoad(t, f.nodes[:2])
+	time.Sleep(300 * time.Millisecond)
+	f.nodes[2].kill()
+	time.Sleep(time.Second)
+	l.stop()
+	for _, p := range l.problems {
+		if strings.Contains(p, backendtest.ErrWrongBody.Error()) || strings.Contains(p, "no ingress") {
+			t.Error(p)
+		}
+	}
+	l.checkRuns(f.runs())
+	t.Logf("answered %d, refused as not run %d, other failures %d: %v", l.ok.Load(), l.refused.Load(), len(l.problems), l.problems)
+	after := startLoad(t, f.nodes[:2])
+	time.Sleep(500 * time.Millisecond)
+	after.stop()
+	if len(after.problems) > 0 || after.ok.Load() == 0 {
+		t.Errorf("1 s after the death: answered %d, failures %v", after.ok.Load(), after.problems)
+	}
+}
+
 // Guards against a second signal that waits for the drain.
 func TestSecondSignalExitsAtOnce(t *testing.T) {
 	f := startFleet(t, 1)
