--- a/internal/balance/control_test.go
+++ b/internal/balance/control_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"dandelionspoke/internal/bundle"
+	_ "dandelionspoke/internal/fixedseed"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/wire"
 )
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -38,7 +38,7 @@
 	if c.head.ContentLength < 0 || c.head.Streamed {
 		_ = c.conn.Write(&wire.Frame{Kind: &wire.Frame_Continue{Continue: &wire.Continue{}}})
 	}
-	resp, err := c.gate.transport.RoundTrip(req)
+	resp, err := c.gate.transport.Load().RoundTrip(req)
 	if err != nil {
 		return c.roundTripError(ctx, backend, err, written.Load())
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,7 +21,7 @@
 	// backendIdleTimeout is short because a reused connection that the server closes at the same moment
 	// turns a non-idempotent request into may-have-run.
 	backendIdleTimeout = 5 * time.Second
-	expireInterval     = 5 * time.Millisecond
+	maxIdleConnections = 64
 )
 
 // Backend is the backend server that has announced itself.
@@ -42,8 +42,9 @@
 	logger   *slog.Logger
 	Counters Counters
 
-	attempts  *attemptMemory
-	transport *http.Transport
+	attempts *attemptMemory
+	// transport is replaced when the connection cap changes, since its fields must not change in use.
+	transport atomic.Pointer[http.Transport]
 	// OnCrash is called with the fingerprint of a request whose backend server stopped listening
 	// while running it. Set it before the first request; nil means no report.
 	OnCrash func(endpoint string, fingerprint []byte)
@@ -72,15 +73,20 @@
 		attempts: newAttemptMemory(time.Now(), time.Minute),
 		waiters:  make(map[admission.Ticket]chan admission.Grant),
 	}
+	g.transport.Store(newTransport(0))
+	return g
+}
+
+// newTransport returns a transport with at most connections connections; 0 means no cap.
+func newTransport(connections int) *http.Transport {
 	dialer := &net.Dialer{Timeout: backendDialTimeout}
-	g.transport = &http.Transport{
-		DialContext:           dialer.DialContext,
-		DisableCompression:    true,
-		IdleConnTimeout:       backendIdleTimeout,
-		MaxIdleConnsPerHost:   64,
-		ResponseHeaderTimeout: 0,
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		IdleConnTimeout:     backendIdleTimeout,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		MaxConnsPerHost:     connections,
 	}
-	return g
 }
 
 // SetBackend names the backend server. A nil backend refuses all requests.
@@ -112,7 +118,10 @@
 	g.attempts.mu.Lock()
 	g.attempts.keep = p.AttemptMemory.D()
 	g.attempts.mu.Unlock()
-	g.transport.MaxConnsPerHost = s.Connections
+	if old := g.transport.Load(); old.MaxConnsPerHost != s.Connections {
+		g.transport.Store(newTransport(s.Connections))
+		old.CloseIdleConnections()
+	}
 }
 
 // Load returns the gate's state at this moment.
@@ -157,7 +166,7 @@
 func (g *Gate) Wait() { g.inFlight.Wait() }
 
 // Close drops idle connections to the backend server.
-func (g *Gate) Close() { g.transport.CloseIdleConnections() }
+func (g *Gate) Close() { g.transport.Load().CloseIdleConnections() }
 
 // Generation returns the generation of the attempt memory.
 func (g *Gate) Generation() uint64 { return g.attempts.currentGeneration() }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	_ "dandelionspoke/internal/fixedseed"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
 )
