Pace long work on a busy gate

Cause: long requests that start in a bunch hold LongSlots for their whole run, and bursts of short work then wait. Change: while at most half of the slots are free, each further long request first waits, up to two long service times and a quarter of its deadline.

--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -36,16 +36,33 @@
 	return nil
 }
 
-// longMayStart reports whether a long request may take a free slot now. It yields to waiting short work
-// and leaves a reserve of free slots, except that one long request may run once e has waited too long.
+// longMayStart reports whether a long request may take a free slot now.
 func (q *Queue) longMayStart(now time.Time, e *entry) bool {
+	start, ok := q.longStart(e)
+	return ok && !start.After(now)
+}
+
+// longStart returns from when on a long request may take a slot as things are, or false when another
+// event must come first. Long work yields to waiting short work, leaves a reserve of free slots and is paced,
+// except that one long request may run once e has waited too long.
+func (q *Queue) longStart(e *entry) (time.Time, bool) {
 	if q.inUseLong >= q.limits.LongSlots || q.free() <= 0 {
-		return false
+		return time.Time{}, false
 	}
 	if q.short.len() == 0 && q.free() > q.shortReserve() {
-		return true
+		return e.offered.Add(q.pace(e)), true
+	}
+	return e.offered.Add(q.longPatience()), q.inUseLong == 0
+}
+
+// pace is the least wait of a long request. It is zero for the first one and while many slots are free.
+func (q *Queue) pace(e *entry) time.Duration {
+	if q.free() > q.limits.Slots/paceFreeDivisor {
+		return 0
 	}
-	return q.inUseLong == 0 && now.Sub(e.offered) >= q.longPatience()
+	taken := float64(q.inUseLong) / float64(q.limits.LongSlots)
+	wait := time.Duration(paceServiceTimes * taken * taken * float64(q.longTime))
+	return min(wait, e.request.Deadline.Sub(e.offered)/paceDeadlineDivisor)
 }
 
 func (q *Queue) shortReserve() int {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -27,6 +27,14 @@
 	longPatienceServiceTimes = 10
 	// shortReserveDivisor sets the share of the slots that long work leaves free when it starts.
 	shortReserveDivisor = 6
+	// paceServiceTimes is the wait, in long service times, before the last of LongSlots is taken while
+	// the gate is busy. Earlier ones wait less, by the square of the share already taken. It evens out the
+	// number of long requests, so that short work seldom meets the full LongSlots.
+	paceServiceTimes = 2
+	// paceDeadlineDivisor bounds that wait to a share of the time that the caller gave.
+	paceDeadlineDivisor = 4
+	// paceFreeDivisor sets the share of free slots above which long work is not paced.
+	paceFreeDivisor = 2
 )
 
 // Queue is the admission queue of one endpoint. It is not safe for concurrent use: the gate holds one
@@ -230,9 +238,9 @@
 // After any other call it lies after the time passed to that call.
 func (q *Queue) NextDecision() (time.Time, bool) {
 	next := q.long.earliestDeadline(q.short.earliestDeadline(time.Time{}))
-	if head := q.long.head(); head != nil && q.inUseLong == 0 && q.free() > 0 {
-		if overdue := head.offered.Add(q.longPatience()); overdue.Before(next) {
-			next = overdue
+	if head := q.long.head(); head != nil {
+		if start, ok := q.longStart(head); ok && start.Before(next) {
+			next = start
 		}
 	}
 	return next, !next.IsZero()
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -304,3 +304,44 @@
 		next = (next + 1) % len(running)
 	}
 }
+
+// Guards against long requests that start in a bunch and leave short work the fewest slots for their whole run.
+func TestLongWorkIsPacedOnABusyGate(t *testing.T) {
+	tests := []struct {
+		name        string
+		short, long int
+		deadlineMS  int
+		wantWaitMS  int
+		wantAtOnce  bool
+	}{
+		{name: "many slots free", short: 1, long: 3, deadlineMS: 9000, wantAtOnce: true},
+		{name: "first long request", short: 7, long: 0, deadlineMS: 9000, wantAtOnce: true},
+		// 2 service times of 400 ms, times the square of the share taken.
+		{name: "second of four", short: 6, long: 1, deadlineMS: 9000, wantWaitMS: 50},
+		{name: "last of four", short: 4, long: 3, deadlineMS: 9000, wantWaitMS: 450},
+		{name: "last of four, near deadline", short: 4, long: 3, deadlineMS: 1000, wantWaitMS: 250},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			q := measured(Limits{Slots: 12, LongSlots: 4, QueueShort: 9, QueueLong: 9}, 10, 400)
+			// The long requests start while the gate is idle, so they are not paced.
+			for range test.long {
+				offer(t, q, at(0), long("run", 9000), Admitted, "")
+			}
+			for range test.short {
+				offer(t, q, at(0), short("run", 0, 9000), Admitted, "")
+			}
+			if test.wantAtOnce {
+				offer(t, q, at(0), long("new", test.deadlineMS), Admitted, "")
+				return
+			}
+			offer(t, q, at(0), long("new", test.deadlineMS), Queued, "")
+			next, ok := q.NextDecision()
+			if want := at(test.wantWaitMS); !ok || !next.Equal(want) {
+				t.Fatalf("next decision %v, %v; want %v", next, ok, want)
+			}
+			expectDecisions(t, q.Expire(next.Add(-time.Microsecond)))
+			expectDecisions(t, q.Expire(next), "new admitted")
+		})
+	}
+}
