--- a/cmd/dandelionspoke/path_test.go
+++ b/cmd/dandelionspoke/path_test.go
@@ -270,3 +270,36 @@
 		t.Errorf("exit code %d after SIGTERM without load", code)
 	}
 }
+
+// Guards against one request that crashes every backend server that runs it.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	f := startFleet(t, 3)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: processTimeout}
+	quarantined := false
+	for i := 0; i < 50 && !quarantined; i++ {
+		req := request(context.Background(), t, http.MethodPost, f.nodes[i%3].fields["ingress"], "/katalog/orders", "poison", 10, "poison")
+		req.Header.Set(backendtest.CrashHeader, "1")
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		quarantined = resp.Header.Get(verdict.ReasonHeader) == string(verdict.Quarantined)
+		time.Sleep(100 * time.Millisecond)
+	}
+	if !quarantined {
+		t.Error("the request was never refused as quarantined")
+	}
+	crashed := 0
+	for _, b := range f.backends {
+		select {
+		case <-b.exited:
+			crashed++
+		default:
+		}
+	}
+	if crashed > 2 {
+		t.Errorf("%d backend servers crashed, want at most 2", crashed)
+	}
+	f.waitReady(f.nodes[0])
+}
