cli: collect garbage less often; demo: count reasons

Live data is small, so the default target collects often and shows in the tail.

The summary counts failed answers by reason.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -35,6 +35,7 @@
 
 // Run prints the result on stdout and progress on stderr. It fails when a promise to callers was broken.
 func (c *demoCommand) Run(o output) error {
+	collectLessOften()
 	signals := catchSignals()
 	defer signals.release()
 	ctx := signals.untilFirst()
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -20,6 +20,7 @@
 	if err != nil {
 		return err
 	}
+	collectLessOften()
 	signals := catchSignals()
 	defer signals.release()
 	logger := slog.New(slog.NewTextHandler(o.err, &slog.HandlerOptions{Level: s.Log.Level}))
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -85,30 +85,30 @@
 }
 
 // send sends the operation once. When an ingress refuses the connection, nothing was sent, and the next one is tried.
-func (c *callers) send(ctx context.Context, o operation, work time.Duration, rng *rand.Rand) Outcome {
+func (c *callers) send(ctx context.Context, o operation, work time.Duration, rng *rand.Rand) result {
 	addresses := c.ingresses()
 	rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses {
-		outcome, sent := c.sendTo(ctx, address, o, work)
+		r, sent := c.sendTo(ctx, address, o, work)
 		if sent {
-			return outcome
+			return r
 		}
 	}
-	return CutOff
+	return result{outcome: CutOff}
 }
 
 // sendTo reports what came of a request to one address, and whether anything was sent.
-func (c *callers) sendTo(ctx context.Context, address string, o operation, work time.Duration) (Outcome, bool) {
+func (c *callers) sendTo(ctx context.Context, address string, o operation, work time.Duration) (result, bool) {
 	req, err := o.request(ctx, address, work)
 	if err != nil {
-		return CutOff, true
+		return result{outcome: CutOff}, true
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return CutOff, !isDialError(err)
+		return result{outcome: CutOff}, !isDialError(err)
 	}
 	defer resp.Body.Close()
-	return readOutcome(resp, o.id, o.kind, backendtest.FormatDigest(backendtest.DigestOf(o.body))), true
+	return readResult(resp, o.id, o.kind, backendtest.FormatDigest(backendtest.DigestOf(o.body))), true
 }
 
 func isDialError(err error) bool {
--- a/internal/demo/callers_test.go
+++ b/internal/demo/callers_test.go
@@ -85,7 +85,7 @@
 			c := newCallers(func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} })
 			defer c.close()
 			rng := rand.New(rand.NewPCG(1, 1))
-			if got := c.send(context.Background(), newOperation("a", tt.kind, rng), 0, rng); got != tt.want {
+			if got := c.send(context.Background(), newOperation("a", tt.kind, rng), 0, rng).outcome; got != tt.want {
 				t.Errorf("outcome %d, want %d", got, tt.want)
 			}
 		})
@@ -105,12 +105,12 @@
 	tl := newTally([]Kind{testOrder})
 	ran, absent := newOperation("ran", testOrder, rng), newOperation("absent", testOrder, rng)
 	for range 2 {
-		if got := c.send(context.Background(), ran, 0, rng); got != OK {
+		if got := c.send(context.Background(), ran, 0, rng).outcome; got != OK {
 			t.Fatalf("outcome %d", got)
 		}
 	}
-	tl.add(ran, RefusedNotRun)
-	tl.add(absent, OK)
+	tl.add(ran, result{outcome: RefusedNotRun})
+	tl.add(absent, result{outcome: OK})
 	s := &Summary{}
 	s.addRuns(tl, server.Log())
 	if s.NotRunButRan != 1 || s.OKWithoutRun != 1 || s.DuplicateRuns != 1 || !s.Failed() {
@@ -129,7 +129,7 @@
 	defer c.close()
 	rng := rand.New(rand.NewPCG(1, 1))
 	for i := range 10 {
-		if got := c.send(context.Background(), newOperation(strconv.Itoa(i), testRead, rng), 0, rng); got != OK {
+		if got := c.send(context.Background(), newOperation(strconv.Itoa(i), testRead, rng), 0, rng).outcome; got != OK {
 			t.Errorf("outcome %d", got)
 		}
 	}
--- a/internal/demo/lightload.go
+++ b/internal/demo/lightload.go
@@ -60,13 +60,13 @@
 		for i, way := range ways {
 			o := newOperation(fmt.Sprintf("light-%d-%d-%d", seed, n, i), kind, rng)
 			started := time.Now()
-			outcome, _ := c.sendTo(ctx, way.address(rng), o, 0)
+			r, _ := c.sendTo(ctx, way.address(rng), o, 0)
 			took := time.Since(started)
-			if n >= warmUpRounds && outcome == OK {
+			if n >= warmUpRounds && r.outcome == OK {
 				way.latency.record(took)
 			}
 			if way.latency == l.system {
-				t.finish(o, outcome, took)
+				t.finish(o, r, took)
 			}
 		}
 	}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -93,18 +93,18 @@
 func (g *generator) perform(ctx context.Context, o operation, rng *rand.Rand) {
 	work := o.kind.Work.Sample(rng.NormFloat64())
 	started := time.Now()
-	outcome := g.callers.send(ctx, o, work, rng)
-	g.tally.finish(o, outcome, time.Since(started))
+	r := g.callers.send(ctx, o, work, rng)
+	g.tally.finish(o, r, time.Since(started))
 	if !o.kind.Keyed {
 		return
 	}
-	if outcome == OK && rng.Float64() < repeatShare {
+	if r.outcome == OK && rng.Float64() < repeatShare {
 		g.tally.add(o, g.callers.send(ctx, o, work, rng))
 		return
 	}
-	for i := 0; i < maxRepeats && outcome != OK && ctx.Err() == nil; i++ {
+	for i := 0; i < maxRepeats && r.outcome != OK && ctx.Err() == nil; i++ {
 		time.Sleep(repeatAfter)
-		outcome = g.callers.send(ctx, o, work, rng)
-		g.tally.add(o, outcome)
+		r = g.callers.send(ctx, o, work, rng)
+		g.tally.add(o, r)
 	}
 }
--- a/internal/demo/outcome.go
+++ b/internal/demo/outcome.go
@@ -30,6 +30,17 @@
 	outcomes
 )
 
+// result is an outcome with the reason that a failed answer of the system states.
+type result struct {
+	outcome Outcome
+	reason  verdict.Reason
+}
+
+// readResult reads the answer to its end and verifies it.
+func readResult(resp *http.Response, id string, k Kind, bodyDigest string) result {
+	return result{readOutcome(resp, id, k, bodyDigest), verdict.Reason(resp.Header.Get(verdict.ReasonHeader))}
+}
+
 // readOutcome reads the answer to its end and verifies it.
 func readOutcome(resp *http.Response, id string, k Kind, bodyDigest string) Outcome {
 	if text := resp.Header.Get(verdict.Header); text != "" {
--- a/internal/demo/summary.go
+++ b/internal/demo/summary.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"slices"
 
@@ -46,6 +47,8 @@
 	BareHopAddedP99 float64 `json:"bare_hop_added_p99_ms"`
 
 	Classes map[string]ClassSummary `json:"classes"`
+	// Reasons counts failed answers of the system by their reason.
+	Reasons map[string]int64 `json:"reasons"`
 	// Faults are those that were injected, in order.
 	Faults []string `json:"faults"`
 	// Broken names the first operations with a wrong body, without a whole answer or with a duplicate run.
@@ -75,6 +78,7 @@
 	s.WrongBody = t.count(WrongBody)
 	s.CutOff = t.count(CutOff)
 	s.Broken = append([]string{}, t.broken...)
+	s.Reasons = maps.Clone(t.reasons)
 	s.Classes = map[string]ClassSummary{}
 	overall := newLatencies()
 	for name, k := range t.kinds {
@@ -123,15 +127,13 @@
 	fmt.Fprintf(w, "p50 %.2f ms, p99 %.2f ms\n", s.P50, s.P99)
 	fmt.Fprintf(w, "light load (%d samples): p99 direct %.2f ms, through the system %.2f ms (added %.2f ms), through a bare hop %.2f ms (added %.2f ms)\n",
 		s.LightSamples, s.DirectP99, s.SystemP99, s.AddedP99, s.BareHopP99, s.BareHopAddedP99)
-	names := make([]string, 0, len(s.Classes))
-	for name := range s.Classes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(s.Classes)) {
 		c := s.Classes[name]
 		fmt.Fprintf(w, "  %-18s sent %6d, ok %6d, p50 %8.2f ms, p99 %8.2f ms\n", name, c.Sent, c.AnsweredOK, c.P50, c.P99)
 	}
+	for _, reason := range slices.Sorted(maps.Keys(s.Reasons)) {
+		fmt.Fprintf(w, "  reason %s: %d\n", reason, s.Reasons[reason])
+	}
 	for _, f := range s.Faults {
 		fmt.Fprintf(w, "  fault: %s\n", f)
 	}
--- a/internal/demo/summary_test.go
+++ b/internal/demo/summary_test.go
@@ -13,7 +13,7 @@
 	tl := newTally([]Kind{testRead, testOrder})
 	for n, outcome := range []Outcome{OK, RefusedNotRun, MayHaveRun, RanFailed, BackendError, WrongBody, CutOff} {
 		for range n + 1 {
-			tl.finish(operation{id: "a", kind: testOrder}, outcome, 10*time.Millisecond)
+			tl.finish(operation{id: "a", kind: testOrder}, result{outcome, "draining"}, 10*time.Millisecond)
 		}
 	}
 	light := &lightLoad{direct: newLatencies(), system: newLatencies(), bareHop: newLatencies()}
@@ -42,6 +42,9 @@
 			t.Errorf("%s is %v, want %v", key, got[key], value)
 		}
 	}
+	if s.Reasons["draining"] != 28 {
+		t.Errorf("reasons %v", s.Reasons)
+	}
 	if _, ok := got["classes"].(map[string]any)["order"].(map[string]any)["p99_ms"]; !ok {
 		t.Error("no p99_ms per class")
 	}
--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -13,6 +13,8 @@
 	kinds map[string]*kindTally
 	// told holds the outcomes of operations that must not run twice, for comparison with the run log.
 	told map[string][]Outcome
+	// reasons counts failed answers of the system by their reason.
+	reasons map[string]int64
 	// broken keeps the first few operations with a wrong body or without a whole answer.
 	broken []string
 }
@@ -26,7 +28,7 @@
 const maxBroken = 10
 
 func newTally(kinds []Kind) *tally {
-	t := &tally{kinds: map[string]*kindTally{}, told: map[string][]Outcome{}}
+	t := &tally{kinds: map[string]*kindTally{}, told: map[string][]Outcome{}, reasons: map[string]int64{}}
 	for _, k := range kinds {
 		t.watch(k)
 	}
@@ -41,9 +43,9 @@
 }
 
 // finish adds an outcome and, for an answered request, its latency.
-func (t *tally) finish(o operation, outcome Outcome, took time.Duration) {
-	t.add(o, outcome)
-	if outcome != OK {
+func (t *tally) finish(o operation, r result, took time.Duration) {
+	t.add(o, r)
+	if r.outcome != OK {
 		return
 	}
 	t.mu.Lock()
@@ -52,10 +54,14 @@
 	kind.latency.record(took)
 }
 
-func (t *tally) add(o operation, outcome Outcome) {
+func (t *tally) add(o operation, r result) {
+	outcome := r.outcome
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.kinds[o.kind.Name].counts[outcome]++
+	if r.reason != "" {
+		t.reasons[string(r.reason)]++
+	}
 	if o.kind.Method != "GET" {
 		t.told[o.id] = append(t.told[o.id], outcome)
 	}
