--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,7 +21,7 @@
 	// backendIdleTimeout is short because a reused connection that the server closes at the same moment
 	// turns a non-idempotent request into may-have-run.
 	backendIdleTimeout = 5 * time.Second
-	expireInterval     = 5 * time.Millisecond
+	maxIdleConnections = 64
 )
 
 // Backend is the backend server that has announced itself.
@@ -42,8 +42,9 @@
 	logger   *slog.Logger
 	Counters Counters
 
-	attempts  *attemptMemory
-	transport *http.Transport
+	attempts *attemptMemory
+	// transport is replaced when the connection cap changes, since its fields must not change in use.
+	transport atomic.Pointer[http.Transport]
 	// OnCrash is called with the fingerprint of a request whose backend server stopped listening
 	// while running it. Set it before the first request; nil means no report.
 	OnCrash func(endpoint string, fingerprint []byte)
@@ -60,6 +61,7 @@
 	draining bool
 	// backendDraining is set while the backend server drains although the node stays.
 	backendDraining bool
+	backendDown     bool
 	keepBytes       int
 	inFlight        sync.WaitGroup
 }
@@ -71,21 +73,27 @@
 		attempts: newAttemptMemory(time.Now(), time.Minute),
 		waiters:  make(map[admission.Ticket]chan admission.Grant),
 	}
+	g.transport.Store(newTransport(0))
+	return g
+}
+
+// newTransport returns a transport with at most connections connections; 0 means no cap.
+func newTransport(connections int) *http.Transport {
 	dialer := &net.Dialer{Timeout: backendDialTimeout}
-	g.transport = &http.Transport{
-		DialContext:           dialer.DialContext,
-		DisableCompression:    true,
-		IdleConnTimeout:       backendIdleTimeout,
-		MaxIdleConnsPerHost:   64,
-		ResponseHeaderTimeout: 0,
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		IdleConnTimeout:     backendIdleTimeout,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		MaxConnsPerHost:     connections,
 	}
-	return g
 }
 
 // SetBackend names the backend server. A nil backend refuses all requests.
 func (g *Gate) SetBackend(b *Backend) {
 	g.mu.Lock()
 	g.backend = b
+	g.backendDown = false
 	g.mu.Unlock()
 }
 
@@ -110,7 +118,10 @@
 	g.attempts.mu.Lock()
 	g.attempts.keep = p.AttemptMemory.D()
 	g.attempts.mu.Unlock()
-	g.transport.MaxConnsPerHost = s.Connections
+	if old := g.transport.Load(); old.MaxConnsPerHost != s.Connections {
+		g.transport.Store(newTransport(s.Connections))
+		old.CloseIdleConnections()
+	}
 }
 
 // Load returns the gate's state at this moment.
@@ -125,7 +136,7 @@
 	if g.queue != nil {
 		l = g.queue.Load()
 	}
-	l.Draining = l.Draining || g.draining || g.backendDraining
+	l.Draining = l.Draining || g.draining || g.backendDraining || g.backendDown
 	l.Generation = g.attempts.currentGeneration()
 	return l
 }
@@ -144,11 +155,18 @@
 	g.mu.Unlock()
 }
 
+// SetBackendDown refuses new work while the backend server does not answer.
+func (g *Gate) SetBackendDown(down bool) {
+	g.mu.Lock()
+	g.backendDown = down
+	g.mu.Unlock()
+}
+
 // Wait blocks until no request is queued or in flight.
 func (g *Gate) Wait() { g.inFlight.Wait() }
 
 // Close drops idle connections to the backend server.
-func (g *Gate) Close() { g.transport.CloseIdleConnections() }
+func (g *Gate) Close() { g.transport.Load().CloseIdleConnections() }
 
 // Generation returns the generation of the attempt memory.
 func (g *Gate) Generation() uint64 { return g.attempts.currentGeneration() }
@@ -183,6 +201,8 @@
 		return verdict.New(verdict.NotRun, verdict.Draining, "the node is leaving")
 	case g.backendDraining:
 		return verdict.New(verdict.NotRun, verdict.Draining, "the backend server is draining")
+	case g.backendDown:
+		return verdict.New(verdict.NotRun, verdict.BackendDown, "the backend server does not answer")
 	case backend == nil:
 		return verdict.New(verdict.NotRun, verdict.BackendDown, "no backend server has announced itself")
 	case g.queue == nil:
