--- /dev/null
+++ b/internal/faulttest/harness_test.go
@@ -0,0 +1,154 @@
+package faulttest
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// harness is a fleet under observation: versions and probe budgets are checked all the time, answers at the end.
+type harness struct {
+	*Fleet
+	t       *testing.T
+	callers *Callers
+	stop    chan struct{}
+	wg      sync.WaitGroup
+	nextID  atomic.Int64
+	budget  *budgetWatch
+}
+
+// Bounds that the system promises.
+const (
+	bundleBound = 5 * time.Second
+	drainBound  = 2 * time.Second
+	readyBound  = 20 * time.Second
+)
+
+func start(t *testing.T, o Options) *harness {
+	t.Helper()
+	if path := os.Getenv("FAULTTEST_LOG"); path != "" {
+		file, err := os.Create(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = file.Close() })
+		o.Log = slog.New(slog.NewTextHandler(file, nil))
+	}
+	f, err := Start(t.Context(), o)
+	h := &harness{Fleet: f, t: t, callers: NewCallers(), stop: make(chan struct{}), budget: newBudgetWatch(f)}
+	t.Cleanup(h.finish)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.wg.Go(h.watchVersions)
+	h.wg.Go(func() { h.budget.run(h.stop) })
+	if !o.NoBackends {
+		h.within(readyBound, "fleet ready", h.Ready)
+	}
+	return h
+}
+
+// finish ends the observation, closes the fleet and then checks what callers were told.
+func (h *harness) finish() {
+	close(h.stop)
+	h.wg.Wait()
+	for _, violation := range h.budget.violations() {
+		h.t.Error(violation)
+	}
+	h.Close()
+	h.callers.Close()
+	results := h.callers.Results()
+	for _, violation := range Violations(results, h.Runs) {
+		h.t.Error(violation)
+	}
+	h.t.Logf("requests by outcome: %v", Tally(results))
+}
+
+// within polls until ok or the limit, and returns how long it took.
+func (h *harness) within(limit time.Duration, what string, ok func() bool) time.Duration {
+	h.t.Helper()
+	started := time.Now()
+	for !ok() {
+		if time.Since(started) > limit {
+			h.t.Fatalf("%s: not within %v", what, limit)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+func (h *harness) rollout(version uint64) {
+	h.t.Helper()
+	if err := h.Rollout(h.t.Context(), version, ""); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// watchVersions checks that no node's version falls, also over restarts of the node.
+func (h *harness) watchVersions() {
+	highest := make([]uint64, len(h.Members))
+	for {
+		select {
+		case <-h.stop:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+		for i, m := range h.Members {
+			version := m.Version()
+			if version != 0 && version < highest[i] {
+				h.t.Errorf("%s went from version %d to %d", m.ID, highest[i], version)
+			}
+			highest[i] = max(highest[i], version)
+		}
+	}
+}
+
+// operation returns a request of a kind that the seed determines.
+func (h *harness) operation(rng *rand.Rand) Operation {
+	o := Operation{ID: fmt.Sprint("op-", h.nextID.Add(1)), Method: "GET", Path: "/item", ReplyBytes: rng.IntN(4 << 10)}
+	switch rng.IntN(10) {
+	case 0, 1, 2:
+		o.Method, o.Path = "POST", "/order"
+	case 3, 4:
+		o.Method, o.Path, o.Keyed = "POST", "/order", true
+	case 5:
+		o.Path, o.ReplyBytes, o.Work = "/archive", 200<<10, 40*time.Millisecond
+	case 6:
+		o.ReplyBytes = 100 << 10
+	}
+	return o
+}
+
+// load sends requests through random members of the list until the returned function is called. A keyed order
+// that was not answered is repeated through other members, as callers do.
+func (h *harness) load(seed uint64, workers int, members []*Member) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for worker := range workers {
+		rng := rand.New(rand.NewPCG(seed, uint64(worker)))
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				h.deliver(h.operation(rng), rng, members)
+				time.Sleep(time.Duration(rng.IntN(4000)) * time.Microsecond)
+			}
+		})
+	}
+	return func() { cancel(); wg.Wait() }
+}
+
+const keyedRepeats = 3
+
+func (h *harness) deliver(o Operation, rng *rand.Rand, members []*Member) {
+	for range keyedRepeats {
+		r := h.callers.Send(context.Background(), members[rng.IntN(len(members))], o)
+		if r.Outcome == Answered || !o.Keyed {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/faulttest/store.go
@@ -0,0 +1,98 @@
+package faulttest
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionspoke/internal/platform"
+)
+
+// access is one node's way to the store; it can be cut while other nodes still reach the store.
+type access struct {
+	platform.Store
+	mu     sync.Mutex
+	down   bool
+	closed chan struct{} // closed while the access is cut
+}
+
+func newAccess(s platform.Store) *access { return &access{Store: s, closed: make(chan struct{})} }
+
+// setDown cuts the access, with its watches, or restores it.
+func (a *access) setDown(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if down == a.down {
+		return
+	}
+	a.down = down
+	if down {
+		close(a.closed)
+		return
+	}
+	a.closed = make(chan struct{})
+}
+
+func (a *access) state() (<-chan struct{}, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return nil, errors.Wrap(platform.ErrUnavailable, "no route to the store")
+	}
+	return a.closed, nil
+}
+
+// Get implements platform.Store.
+func (a *access) Get(ctx context.Context, key string) (platform.Object, error) {
+	if _, err := a.state(); err != nil {
+		return platform.Object{}, err
+	}
+	return a.Store.Get(ctx, key)
+}
+
+// List implements platform.Store.
+func (a *access) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	if _, err := a.state(); err != nil {
+		return nil, err
+	}
+	return a.Store.List(ctx, prefix)
+}
+
+// Put implements platform.Store.
+func (a *access) Put(ctx context.Context, key string, value []byte, ifVersion int64) (platform.Object, error) {
+	if _, err := a.state(); err != nil {
+		return platform.Object{}, err
+	}
+	return a.Store.Put(ctx, key, value, ifVersion)
+}
+
+// Delete implements platform.Store.
+func (a *access) Delete(ctx context.Context, key string, ifVersion int64) error {
+	if _, err := a.state(); err != nil {
+		return err
+	}
+	return a.Store.Delete(ctx, key, ifVersion)
+}
+
+// Watch implements platform.Store.
+func (a *access) Watch(ctx context.Context, prefix string, fromVersion int64) (<-chan platform.Event, error) {
+	closed, err := a.state()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	events, err := a.Store.Watch(ctx, prefix, fromVersion)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	go func() {
+		defer cancel()
+		select {
+		case <-closed:
+		case <-ctx.Done():
+		}
+	}()
+	return events, nil
+}
