--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -345,3 +345,37 @@
 		})
 	}
 }
+
+// Guards against a request that waits behind a queue although it asked to be sent elsewhere, and against a
+// refusal of one that would start soon enough.
+func TestMaxWait(t *testing.T) {
+	tests := []struct {
+		name    string
+		running int
+		waiting int
+		request Request
+		state   State
+		reason  verdict.Reason
+	}{
+		{"free slot", 1, 0, Request{MaxWait: time.Millisecond}, Admitted, ""},
+		// 10 ms on 2 slots: the next slot is free after 5 ms.
+		{"expected wait above the limit", 2, 0, Request{MaxWait: 4 * time.Millisecond}, Refused, verdict.Busy},
+		{"expected wait at the limit", 2, 0, Request{MaxWait: 5 * time.Millisecond}, Queued, ""},
+		{"passes waiters of lower priority", 2, 3, Request{MaxWait: 5 * time.Millisecond}, Queued, ""},
+		{"behind waiters of its priority", 2, 3, Request{Priority: 3, MaxWait: 5 * time.Millisecond}, Refused, verdict.Busy},
+		{"accepts any wait", 2, 3, Request{Priority: 3}, Queued, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			q := measured(Limits{Slots: 2, LongSlots: 1, QueueShort: 9, QueueLong: 9}, 10, 200)
+			for range test.running {
+				offer(t, q, at(0), short("run", 3, 9000), Admitted, "")
+			}
+			for range test.waiting {
+				offer(t, q, at(0), short("wait", 3, 9000), Queued, "")
+			}
+			test.request.Deadline = at(9000)
+			offer(t, q, at(0), test.request, test.state, test.reason)
+		})
+	}
+}
