Measure bundles, the request path and an idle node; drop the gate's ticker

Cause: an idle node used 1.55 % of a core, above the control budget of 1.5 %; a ticker woke the gate every 5 ms. Change: the gate arms a timer only while requests wait. scripts/capacity prints rows for bundles of 72 and 720 services, processor time of a call, and an idle node.

--- /dev/null
+++ b/internal/capacity/bundles.go
@@ -0,0 +1,101 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"dandelionspoke/internal/bundle"
+)
+
+// bundleVersions is the number of one-service changes over which the cost of accepting is averaged.
+const bundleVersions = 20
+
+// signer signs bundles as an author and an approver.
+type signer struct {
+	author, approver bundle.SigningKey
+	trusted          bundle.Trusted
+}
+
+func newSigner() (*signer, error) {
+	s := &signer{}
+	var err error
+	if s.author, err = bundle.GenerateKey("author"); err != nil {
+		return nil, err
+	}
+	if s.approver, err = bundle.GenerateKey("approver"); err != nil {
+		return nil, err
+	}
+	s.trusted, err = bundle.ParseTrusted([]string{s.author.Public(), s.approver.Public()})
+	return s, err
+}
+
+func (s *signer) sign(b *bundle.Bundle) (*bundle.Envelope, error) {
+	b.SetDefaults()
+	e, err := bundle.NewEnvelope(b)
+	if err != nil {
+		return nil, err
+	}
+	e.Sign(s.author)
+	return e, e.Approve(s.approver, s.trusted)
+}
+
+// largeBundle has a read and an order route for each service. version varies the limits of one service.
+func largeBundle(count int, version uint64) *bundle.Bundle {
+	b := &bundle.Bundle{Version: version, Services: map[string]bundle.Service{}}
+	no := false
+	for i := range count {
+		name := fmt.Sprintf("service-%03d", i)
+		b.Services[name] = bundle.Service{Slots: 12}
+		b.Routes = append(b.Routes,
+			bundle.Route{Name: name + "-read", Service: name, PathPrefix: "/" + name},
+			bundle.Route{Name: name + "-order", Service: name, PathPrefix: "/" + name, Methods: []string{"POST"}, Idempotent: &no})
+	}
+	b.Services["service-000"] = bundle.Service{Slots: 12, QueueShort: int(50 + version)}
+	return b
+}
+
+// bundleRows measures the size of a bundle, of a change of one service, and the time to accept the change.
+func bundleRows(count int) ([]row, error) {
+	s, err := newSigner()
+	if err != nil {
+		return nil, err
+	}
+	previous, err := s.sign(largeBundle(count, 1))
+	if err != nil {
+		return nil, err
+	}
+	whole, err := previous.Encode()
+	if err != nil {
+		return nil, err
+	}
+	acceptor := bundle.NewAcceptor(s.trusted)
+	if _, err := acceptor.Offer(previous); err != nil {
+		return nil, err
+	}
+	var took time.Duration
+	var deltaBytes int
+	for version := uint64(2); version < 2+bundleVersions; version++ {
+		next, err := s.sign(largeBundle(count, version))
+		if err != nil {
+			return nil, err
+		}
+		data, err := bundle.NewDelta(previous, next).Encode()
+		if err != nil {
+			return nil, err
+		}
+		deltaBytes = max(deltaBytes, len(data))
+		started := time.Now()
+		d, err := bundle.DecodeDelta(data)
+		if err != nil {
+			return nil, err
+		}
+		if _, err := acceptor.OfferDelta(d); err != nil {
+			return nil, err
+		}
+		took += time.Since(started)
+		previous = next
+	}
+	r := row{"measure=bundle", fmt.Sprintf("services=%d", count)}
+	return []row{r.with("envelope_bytes", len(whole)).with("delta_bytes", deltaBytes).
+		with("accept_us", float64(took.Microseconds())/bundleVersions)}, nil
+}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -23,6 +23,11 @@
 	// Engines is the number of engines on loopback, Idle the time that they are measured for; 0 skips it.
 	Engines int
 	Idle    time.Duration
+	// BundleServices are the numbers of services of the bundles that are measured.
+	BundleServices []int
+	// Callers are the numbers of concurrent callers of the request path, Load the time of each run.
+	Callers []int
+	Load    time.Duration
 }
 
 const largeFleet = 300
@@ -35,6 +40,10 @@
 		TableSizes: []int{1000, 5000, 23000},
 		Engines:    100,
 		Idle:       20 * time.Second,
+
+		BundleServices: []int{72, 720},
+		Callers:        []int{1, 8, 32},
+		Load:           3 * time.Second,
 	}
 }
 
@@ -58,6 +67,24 @@
 			return err
 		}
 	}
+	if o.Idle > 0 {
+		rows, err := idleRows(o.Idle)
+		if err := errorOr(err, printRows(w, rows)); err != nil {
+			return err
+		}
+	}
+	for _, n := range o.BundleServices {
+		rows, err := bundleRows(n)
+		if err := errorOr(err, printRows(w, rows)); err != nil {
+			return err
+		}
+	}
+	for _, n := range o.Callers {
+		rows, err := requestRows(n, o.Load)
+		if err := errorOr(err, printRows(w, rows)); err != nil {
+			return err
+		}
+	}
 	if o.Engines == 0 {
 		return nil
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -64,6 +64,7 @@
 	backendDown     bool
 	keepBytes       int
 	inFlight        sync.WaitGroup
+	expiry          *time.Timer // nil until a request has waited
 }
 
 // New returns a gate without a backend server. instance is the node's process identifier.
@@ -190,6 +191,7 @@
 	}
 	granted := make(chan admission.Grant, 1)
 	g.waiters[ticket] = granted
+	g.scheduleExpiry()
 	g.mu.Unlock()
 	g.Counters.Queued.Add(1)
 	return g.await(done, ticket, backend, granted)
@@ -257,14 +259,29 @@
 func (g *Gate) release(t admission.Ticket, ran time.Duration) {
 	g.mu.Lock()
 	g.deliver(g.queue.Release(time.Now(), t, ran))
+	g.scheduleExpiry()
 	g.mu.Unlock()
 }
 
-// Tick expires requests whose deadline has passed in the queue. Call it every few milliseconds.
-func (g *Gate) Tick(now time.Time) {
-	g.mu.Lock()
-	if g.queue != nil && len(g.waiters) > 0 {
-		g.deliver(g.queue.Expire(now))
+// scheduleExpiry arms the timer for the next time at which a waiting request may be refused or started
+// without another request's end. It is called with mu held. Without waiting requests no timer runs, so that
+// an idle gate costs no processor time.
+func (g *Gate) scheduleExpiry() {
+	at, ok := g.queue.NextDecision()
+	if !ok || len(g.waiters) == 0 {
+		return
 	}
-	g.mu.Unlock()
+	wait := max(time.Until(at), 0)
+	if g.expiry == nil {
+		g.expiry = time.AfterFunc(wait, g.expire)
+		return
+	}
+	g.expiry.Reset(wait)
+}
+
+func (g *Gate) expire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.queue.Expire(time.Now()))
+	g.scheduleExpiry()
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -19,7 +19,6 @@
 )
 
 const (
-	gateTick = 5 * time.Millisecond
 	// slowTick is the interval of work that need not follow each change at once.
 	slowTick = time.Second
 	// probeExchangeBytes is the payload of a probe and its reply.
@@ -215,20 +214,10 @@
 
 // maintain runs the periodic work outside the engine loop.
 func (n *Node) maintain() {
-	fast := time.NewTicker(gateTick)
-	defer fast.Stop()
-	slow := time.NewTicker(slowTick)
-	defer slow.Stop()
-	for {
-		select {
-		case <-n.ctx.Done():
-			return
-		case now := <-fast.C:
-			n.gate.Tick(now)
-		case now := <-slow.C:
-			n.registry.Expire(now)
-			n.pool.CloseIdle(now)
-		}
+	for sleep(n.ctx, slowTick) {
+		now := time.Now()
+		n.registry.Expire(now)
+		n.pool.CloseIdle(now)
 	}
 }
 
