Let the first callers of a restarted node wait for its bundle

Change: the ingress waits up to 2 s for the first bundle. Measured: TestRestartedNodeServesItsFirstCaller fails without the wait and passes with it.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -27,6 +27,11 @@
 	"github.com/cockroachdb/errors"
 )
 
+const (
+	firstBundleWait = 2 * time.Second
+	firstBundlePoll = 20 * time.Millisecond
+)
+
 // Opener opens a stream to the gate of an endpoint. Nothing has been sent when it returns.
 type Opener interface {
 	Open(ctx context.Context, ep *table.Endpoint, lane peer.Lane) (*peer.Conn, error)
@@ -90,7 +95,7 @@
 		w.Header().Set("Connection", "close")
 		return verdict.New(verdict.NotRun, verdict.Draining, "the node is leaving")
 	}
-	q, err := in.parse(r, in.Snapshots.Load())
+	q, err := in.parse(r, in.firstSnapshot(r.Context()))
 	if err != nil {
 		return err
 	}
@@ -115,6 +120,19 @@
 	return in.relay(w, q, a)
 }
 
+// firstSnapshot returns the newest snapshot. Right after the start it waits for the first bundle, which
+// comes from a peer or the store within about a second, so that callers of a restarted node are not refused.
+func (in *Ingress) firstSnapshot(ctx context.Context) *table.Snapshot {
+	deadline := time.Now().Add(firstBundleWait)
+	for {
+		snapshot := in.Snapshots.Load()
+		if snapshot != nil && snapshot.Bundle != nil || ctx.Err() != nil || time.Now().After(deadline) {
+			return snapshot
+		}
+		time.Sleep(firstBundlePoll)
+	}
+}
+
 // fail writes a failed answer with its verdict.
 func (in *Ingress) fail(w http.ResponseWriter, r *http.Request, err error) {
 	if errors.Is(err, http.ErrAbortHandler) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -250,3 +250,15 @@
 	f.rollout(2)
 	t.Logf("in force everywhere after %v", f.waitFor(5*time.Second, "bundle 2 in force", f.inForce(2)))
 }
+
+// Guards against refusing the callers of a node that has just been restarted and has no bundle yet.
+func TestRestartedNodeServesItsFirstCaller(t *testing.T) {
+	f := newFleet(t, 2)
+	f.ready()
+	for i := 2; i < 5; i++ {
+		f.addNode(i)
+		if status, body := f.get(f.nodes[i], "/preview"); status != http.StatusOK {
+			t.Errorf("status %d: %s", status, body)
+		}
+	}
+}
