Weigh waits against the way to another region by their expected time

Cause: the cost that balances endpoints of a region also decided on crossing to another one, so that short queues sent work over a 40 ms link. A region whose gates refuse work kept it while the other one had free slots, when its queue limit was shorter than the way. Change: overflow compares waits beyond the slots, counted three times, with a margin of 1.2 instead of 1.5; refusals at a long queue open the other region; the cost of crowded endpoints rises faster within a region.

--- a/internal/balance/dandelionspoke.go
+++ b/internal/balance/dandelionspoke.go
@@ -20,7 +20,7 @@
 	loadCost = 1.0
 	// crowdedLoad is the load from which the cost rises with its square, weighted by crowdedCost.
 	crowdedLoad = 0.7
-	crowdedCost = 4.0
+	crowdedCost = 10
 	// jitter spreads the choices of nodes that hold the same report, as a share of the cost. It
 	// applies in proportion to the part of the load that comes from reports.
 	jitter = 0.3
@@ -33,11 +33,17 @@
 	unknownLatency = 5 * time.Millisecond
 	// farLatency is the latency added for another region until an answer from there is known.
 	farLatency = 40 * time.Millisecond
-	// farBias is the factor by which the cost of another region must be lower than that of the own one:
-	// the link is paid, and queues in the own region often drain before an answer crosses it.
-	farBias = 1.5
+	// farBias is the factor by which the expected time in another region must be lower than that in the
+	// own one: the link is paid, and queues in the own region often drain before an answer crosses it.
+	farBias = 1.2
 	// fullFarBias applies instead when the other region has no free capacity either.
 	fullFarBias = 2
+	// queueCost weighs the wait for a slot against the way to another region. A request that waits also
+	// delays those behind it: at 1, a region with lasting overload queued until the wait equalled the way.
+	queueCost = 3
+	// closedLoad is the load per slot from which refusals mean that the queue is closed. Below, a gate
+	// only passes a request on to a peer with a shorter queue.
+	closedLoad = 2.5
 	// hedgeLoad is the load per slot up to which an endpoint takes hedges.
 	hedgeLoad = 0.9
 	// unknownLoad caps the load assumed for an endpoint that has never reported.
@@ -59,8 +65,8 @@
 
 // Pick implements Picker. It compares endpoints of the own failure domain and the own region, the
 // former with an advantage. It considers another region only when none of these has free capacity.
-// When the other region would take longer, it stays in the own region. Ejected endpoints, then suspect
-// ones, are the last resort. A draining endpoint is never chosen.
+// When the other region would take longer, it stays in the own region unless that refuses much work.
+// Ejected endpoints, then suspect ones, are the last resort. A draining endpoint is never chosen.
 func (dandelionspoke) Pick(now int64, rng *rand.Rand, svc *table.Service, exclude uint64, long bool) int {
 	var near sample
 	near.drawNear(now, rng, svc, exclude, long)
@@ -104,14 +110,18 @@
 }
 
 // overflow chooses between regions when the own one has no free capacity: another region when it has
-// and its answer is expected sooner by farBias, or when it has not and by fullFarBias.
+// and the own one refuses work or takes longer by farBias, or when it has not and the own one takes
+// longer by fullFarBias.
 func overflow(near, far *sample) int {
 	n, f, factor := near.cheapest(), far.best(), farBias
+	if n != None && f != None && near.c[n].closed && near.c[n].load >= closedLoad {
+		return far.c[f].index
+	}
 	if f == None {
 		f, factor = far.cheapest(), fullFarBias
 	}
 	switch {
-	case f != None && (n == None || far.c[f].cost*factor < near.c[n].cost):
+	case f != None && (n == None || far.c[f].waitingTime()*factor < near.c[n].waitingTime()):
 		return far.c[f].index
 	case n != None:
 		return near.c[n].index
@@ -229,11 +239,21 @@
 // expectedTime is the expected latency of one more request, raised by recent failures.
 func (c *candidate) expectedTime() float64 {
 	crowded := max(c.load-crowdedLoad, 0)
-	latency := c.latency
-	if latency == 0 {
-		latency = float64(unknownLatency)
+	return c.known() * (1 + loadCost*c.load + crowdedCost*crowded*crowded) * c.penalty
+}
+
+// waitingTime is the expected latency of one more request, with the wait weighed by queueCost. Unlike
+// expectedTime it does not grow with load below the slots, which moves no work to another region.
+func (c *candidate) waitingTime() float64 {
+	return c.known() * (1 + queueCost*max(c.load-freeLoad, 0)) * c.penalty
+}
+
+// known is the latency, or an assumption without one.
+func (c *candidate) known() float64 {
+	if c.latency == 0 {
+		return float64(unknownLatency)
 	}
-	return latency * (1 + loadCost*c.load + crowdedCost*crowded*crowded) * c.penalty
+	return c.latency
 }
 
 // slowStartSkips passes over a recently admitted endpoint in a falling share of the draws.
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -26,6 +26,10 @@
 	// for which an endpoint counts as having no free capacity before the next ejection pass.
 	failingStreak = 2
 	failingHold   = time.Second
+	// closedRateMilli is the share of refusals from which the queue of a loaded endpoint counts as closed.
+	closedRateMilli = 100
+	// refusalHalfWeight is the age of the last refusal at which the share counts half.
+	refusalHalfWeight = 200 * time.Millisecond
 )
 
 // candidate is a sampled endpoint with what is known about it.
@@ -41,6 +45,7 @@
 	cost    float64 // expected time of one more request, nanoseconds
 	penalty float64 // at least 1; grows with the failure share
 	failing bool    // the last results were failures
+	closed  bool    // its gate refuses many requests
 	trial   bool    // its ejection has ended and no trial runs
 	late    bool    // in slow start and passed over in this draw
 }
@@ -86,6 +91,9 @@
 	c.others = max(reported-atReport*present, 0)
 	c.weight = reportWeight(s, now)
 	c.trial = onTrial(s, now)
+	if rate := s.RefusalRateMilli.Load(); rate > 0 {
+		c.closed = float64(rate)*decay(now-s.RefusedAt.Load(), refusalHalfWeight) >= closedRateMilli
+	}
 	c.penalty = 1
 	if rate := s.FailureRateMilli.Load(); rate > 0 {
 		since := now - s.FailedAt.Load()
--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -27,6 +27,7 @@
 const (
 	latencyWeight = 8
 	failureWeight = 8
+	refusalWeight = 32
 )
 
 // fullRateMilli is a failure share of 1.
@@ -76,14 +77,18 @@
 	switch outcome {
 	case Success:
 		s.ConsecutiveFailures.Store(0)
-		average(&s.FailureRateMilli, 0)
+		average(&s.FailureRateMilli, 0, failureWeight)
+		average(&s.RefusalRateMilli, 0, refusalWeight)
 		if !long {
 			observeLatency(s, now, latency)
 		}
 	case Failed:
 		s.ConsecutiveFailures.Add(1)
 		s.FailedAt.Store(now)
-		average(&s.FailureRateMilli, fullRateMilli)
+		average(&s.FailureRateMilli, fullRateMilli, failureWeight)
+	case Refused:
+		average(&s.RefusalRateMilli, fullRateMilli, refusalWeight)
+		s.RefusedAt.Store(now)
 	}
 	endTrial(s, now, outcome)
 }
@@ -99,15 +104,15 @@
 	s.LatencyAt.Store(now)
 }
 
-// average moves a failure share. It rounds towards the observation, so that it reaches 0 and 1000.
-func average(rate *atomic.Int32, observed int32) {
+// average moves a share by 1/weight. It rounds towards the observation, so that it reaches 0 and 1000.
+func average(rate *atomic.Int32, observed, weight int32) {
 	for {
 		old := rate.Load()
 		next := old
 		if observed > old {
-			next += (observed - old + failureWeight - 1) / failureWeight
+			next += (observed - old + weight - 1) / weight
 		} else {
-			next -= (old - observed + failureWeight - 1) / failureWeight
+			next -= (old - observed + weight - 1) / weight
 		}
 		if rate.CompareAndSwap(old, next) {
 			return
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -82,6 +82,10 @@
 	ReportedServiceNanos atomic.Int64
 	// FailedAt is when the last failure was observed.
 	FailedAt atomic.Int64
+	// RefusedAt is when the gate last refused a request for its load.
+	RefusedAt atomic.Int64
+	// RefusalRateMilli is a moving share of refused requests in thousandths.
+	RefusalRateMilli atomic.Int32
 	// SlowSince is when the ejection pass first found the endpoint far slower than its peers.
 	SlowSince atomic.Int64
 	// ProbedAt is when this node last sent a probe to the endpoint.
