Measure the memory of sessions between nodes

Cause: the capacity page needs the memory of the peers that a node keeps. Change: scripts/capacity prints a row for 200 idle sessions.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -23,6 +23,8 @@
 	// Engines is the number of engines on loopback, Idle the time that they are measured for; 0 skips it.
 	Engines int
 	Idle    time.Duration
+	// Sessions is the number of idle sessions whose memory is measured; 0 skips it.
+	Sessions int
 	// BundleServices are the numbers of services of the bundles that are measured.
 	BundleServices []int
 	// Callers are the numbers of concurrent callers of the request path, Load the time of each run.
@@ -41,6 +43,7 @@
 		Engines:    100,
 		Idle:       20 * time.Second,
 
+		Sessions:       200,
 		BundleServices: []int{72, 720},
 		Callers:        []int{1, 8, 32},
 		Load:           3 * time.Second,
@@ -74,6 +77,9 @@
 	for _, n := range o.BundleServices {
 		all = append(all, func() ([]row, error) { return bundleRows(n) })
 	}
+	if o.Sessions > 0 {
+		all = append(all, func() ([]row, error) { return sessionRows(o.Sessions) })
+	}
 	for _, n := range o.Callers {
 		all = append(all, func() ([]row, error) { return requestRows(n, o.Load) })
 	}
