Keep probes within the budget in any second

Cause: a bucket that saves up a quarter of a second let 1.25 times the budget pass in one second. Change: burst and refill of a second together are the budget; the burst is a tenth of a second. The property test checks each window of one second.

--- a/internal/balance/control_test.go
+++ b/internal/balance/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -121,7 +122,7 @@
 	}
 }
 
-// Guards against more probe messages or bytes than the budgets, over any window from the start, and
+// Guards against more probe messages or bytes than the budgets, in any second, and
 // against probes of endpoints with a fresh report.
 func TestProbeBudgetIsNeverExceeded(t *testing.T) {
 	const exchange = 120
@@ -135,6 +136,11 @@
 		svc := newService(2, 4, 10)
 		rng := newRNG(rapid.Uint64().Draw(t, "seed"))
 		now, requests := testNow, 0
+		type sentBy struct {
+			at     int64
+			counts ProbeCounts
+		}
+		var history []sentBy
 		pp := NewProbePlanner(now, p, exchange)
 		for range rapid.IntRange(1, 200).Draw(t, "ticks") {
 			now += int64(time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * time.Millisecond)
@@ -148,17 +154,23 @@
 					t.Fatal("an endpoint with a fresh report was probed")
 				}
 			}
-			seconds := time.Duration(now - testNow).Seconds()
-			within := func(name string, got uint64, rate, item float64) {
-				if limit := rate*seconds + max(rate*probeBurst.Seconds(), item); float64(got) > limit+1e-6 || (rate == 0 && got > 0) {
-					t.Fatalf("%s: %d sent, limit %v", name, got, limit)
+			c := pp.Counts()
+			history = append(history, sentBy{now, c})
+			before := ProbeCounts{}
+			for _, h := range history {
+				if h.at <= now-int64(time.Second) {
+					before = h.counts
 				}
 			}
-			c := pp.Counts()
-			within("messages", c.Messages, p.ProbesPerSecond, messagesPerExchange)
-			within("bytes", c.Bytes, p.ProbeBytesPerSecond, exchange)
-			within("link messages", c.LinkMessages, p.LinkProbesPerSecond, messagesPerExchange)
-			within("link bytes", c.LinkBytes, p.LinkProbeBytesPerSecond, exchange)
+			within := func(name string, got uint64, budget, item float64) {
+				if float64(got) > math.Max(budget, item) || (budget == 0 && got > 0) {
+					t.Fatalf("%s: %d sent in a second, budget %v", name, got, budget)
+				}
+			}
+			within("messages", c.Messages-before.Messages, p.ProbesPerSecond, messagesPerExchange)
+			within("bytes", c.Bytes-before.Bytes, p.ProbeBytesPerSecond, exchange)
+			within("link messages", c.LinkMessages-before.LinkMessages, p.LinkProbesPerSecond, messagesPerExchange)
+			within("link bytes", c.LinkBytes-before.LinkBytes, p.LinkProbeBytesPerSecond, exchange)
 			if float64(c.Messages) > 0.2*float64(requests) {
 				t.Fatalf("%d messages for %d requests", c.Messages, requests)
 			}
--- a/internal/balance/probe.go
+++ b/internal/balance/probe.go
@@ -18,7 +18,7 @@
 	// probeRepeat is the least time between two probes of one endpoint.
 	probeRepeat = 25 * time.Millisecond
 	// probeBurst is the time over which unused budget may be saved up.
-	probeBurst = 250 * time.Millisecond
+	probeBurst = 100 * time.Millisecond
 	// probesPerRequest caps the exchanges at a share of the node's own requests. With two messages
 	// each, they stay below 0.2 messages per request.
 	probesPerRequest = 0.08
@@ -34,26 +34,32 @@
 	LinkMessages, LinkBytes uint64 // part of the above that crossed to other regions
 }
 
-// bucket is a token bucket with a balance that never falls below zero.
+// bucket is a token bucket with a balance that never falls below zero. Burst and refill of a second
+// together are at most the budget, so that no window of one second exceeds it.
 type bucket struct {
-	tokens, rate, burst float64 // units, units per second, units
-	at                  int64
+	tokens, refillRate, burst float64 // units, units per second, units
+	at                        int64
 }
 
-// newBucket returns a full bucket. It holds at least one item of the given size, so that a low rate
-// still permits one at a time; a rate of zero permits nothing.
-func newBucket(rate, item float64, now int64) bucket {
-	b := bucket{rate: rate, burst: math.Max(rate*probeBurst.Seconds(), item), at: now}
-	if rate > 0 {
-		b.tokens = b.burst
+// newBucket returns a full bucket for a budget in units per second. It holds at least one item of the
+// given size. A budget below one item per second permits one item each item/budget seconds; a budget
+// of zero permits nothing.
+func newBucket(budget, item float64, now int64) bucket {
+	if budget <= 0 {
+		return bucket{at: now}
 	}
-	return b
+	burst := math.Max(budget*probeBurst.Seconds(), item)
+	refill := budget - burst
+	if budget < 2*item {
+		refill = math.Min(budget, item)
+	}
+	return bucket{tokens: burst, refillRate: refill, burst: burst, at: now}
 }
 
 // refill adds the tokens earned since the last call. A clock that goes back earns nothing.
 func (b *bucket) refill(now int64) {
 	if now > b.at {
-		b.tokens = math.Min(b.burst, b.tokens+b.rate*time.Duration(now-b.at).Seconds())
+		b.tokens = math.Min(b.burst, b.tokens+b.refillRate*time.Duration(now-b.at).Seconds())
 		b.at = now
 	}
 }
@@ -68,10 +74,10 @@
 	}
 }
 
-// retune applies a new rate. Tokens saved up under the old one are kept up to the new burst.
-func (b *bucket) retune(rate, item float64, now int64) {
+// retune applies a new budget. Tokens saved up under the old one are kept up to the new burst.
+func (b *bucket) retune(budget, item float64, now int64) {
 	b.refill(now)
-	next := newBucket(rate, item, now)
+	next := newBucket(budget, item, now)
 	next.tokens = math.Min(b.tokens, next.tokens)
 	*b = next
 }
