--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -47,49 +47,46 @@
 	}
 }
 
-// Run prints the rows. It returns an error when a fleet does not converge or a write fails.
+// Run prints the rows. It returns an error when a fleet does not converge or a write fails. The
+// measurements of one process come first, before the fleets have grown its heap.
 func Run(w io.Writer, o Options) error {
-	for _, n := range o.FleetSizes {
-		seeds := o.Seeds
-		if n > largeFleet {
-			seeds = 1
-		}
-		for seed := range seeds {
-			rows, err := fleetRows(n, uint64(seed+1))
-			if err := errorOr(err, printRows(w, rows)); err != nil {
-				return err
-			}
-		}
-	}
-	for _, n := range o.TableSizes {
-		rows, err := tableRows(n)
+	for _, measure := range o.measurements() {
+		rows, err := measure()
 		if err := errorOr(err, printRows(w, rows)); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// measurements returns the functions that measure, in order.
+func (o Options) measurements() []func() ([]row, error) {
+	var all []func() ([]row, error)
+	if o.Engines > 0 {
+		all = append(all, func() ([]row, error) { return engineRows(o.Engines, o.Idle) })
+	}
+	for _, n := range o.TableSizes {
+		all = append(all, func() ([]row, error) { return tableRows(n) })
+	}
 	if o.Idle > 0 {
-		rows, err := idleRows(o.Idle)
-		if err := errorOr(err, printRows(w, rows)); err != nil {
-			return err
-		}
+		all = append(all, func() ([]row, error) { return idleRows(o.Idle) })
 	}
 	for _, n := range o.BundleServices {
-		rows, err := bundleRows(n)
-		if err := errorOr(err, printRows(w, rows)); err != nil {
-			return err
-		}
+		all = append(all, func() ([]row, error) { return bundleRows(n) })
 	}
 	for _, n := range o.Callers {
-		rows, err := requestRows(n, o.Load)
-		if err := errorOr(err, printRows(w, rows)); err != nil {
-			return err
-		}
+		all = append(all, func() ([]row, error) { return requestRows(n, o.Load) })
 	}
-	if o.Engines == 0 {
-		return nil
+	for _, n := range o.FleetSizes {
+		seeds := o.Seeds
+		if n > largeFleet {
+			seeds = 1
+		}
+		for seed := range seeds {
+			all = append(all, func() ([]row, error) { return fleetRows(n, uint64(seed+1)) })
+		}
 	}
-	rows, err := engineRows(o.Engines, o.Idle)
-	return errorOr(err, printRows(w, rows))
+	return all
 }
 
 func errorOr(first, second error) error {
