--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -285,4 +285,3 @@
 	}
 	return best
 }
-
