Count the burst of probes as part of the budget

Cause: the token bucket earned the whole budget and held a quarter of it on top, so that a second could carry 1.25 times the budget. In a fleet of 6 with 20 messages/s, TestProbeBudget/regions_cut saw 22 within a second. Change: what a bucket holds and what it earns in a second are together at most the budget, or one exchange where the budget is smaller than that.

--- a/internal/balance/control_test.go
+++ b/internal/balance/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -243,3 +244,27 @@
 		}
 	})
 }
+
+// Guards against a burst on top of the budget: in no second may more messages be sent than the bundle permits,
+// except for the two of one exchange.
+func TestProbeBudgetOverAnySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := rapid.Float64Range(0.1, 100).Draw(t, "budget")
+		b := newBucket(budget, messagesPerExchange, testNow)
+		now := int64(testNow)
+		var sent []int64
+		for range 300 {
+			now += rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "pause")
+			for b.refill(now); b.has(messagesPerExchange); {
+				b.take(messagesPerExchange)
+				sent = append(sent, now)
+			}
+			for len(sent) > 0 && now-sent[0] >= int64(time.Second) {
+				sent = sent[1:]
+			}
+			if got := float64(messagesPerExchange * len(sent)); got > math.Max(budget, messagesPerExchange)+1e-6 {
+				t.Fatalf("%v messages within a second, budget %v", got, budget)
+			}
+		}
+	})
+}
--- a/internal/balance/probe.go
+++ b/internal/balance/probe.go
@@ -40,11 +40,14 @@
 	at                  int64
 }
 
-// newBucket returns a full bucket. It holds at least one item of the given size, so that a low rate
-// still permits one at a time; a rate of zero permits nothing.
-func newBucket(rate, item float64, now int64) bucket {
-	b := bucket{rate: rate, burst: math.Max(rate*probeBurst.Seconds(), item), at: now}
-	if rate > 0 {
+// newBucket returns a full bucket for a budget per second. It holds at least one item of the given size,
+// so that a low budget still permits one at a time; a budget of zero permits nothing. The burst is part of
+// the budget: what it holds and what it earns in a second are at most the budget, or one item.
+func newBucket(budget, item float64, now int64) bucket {
+	b := bucket{burst: math.Max(budget*probeBurst.Seconds(), item), at: now}
+	// Half of the budget is less than one item in a second when the budget is below two items.
+	b.rate = math.Max(budget-b.burst, budget/2)
+	if budget > 0 {
 		b.tokens = b.burst
 	}
 	return b
@@ -68,10 +71,10 @@
 	}
 }
 
-// retune applies a new rate. Tokens saved up under the old one are kept up to the new burst.
-func (b *bucket) retune(rate, item float64, now int64) {
+// retune applies a new budget. Tokens saved up under the old one are kept up to the new burst.
+func (b *bucket) retune(budget, item float64, now int64) {
 	b.refill(now)
-	next := newBucket(rate, item, now)
+	next := newBucket(budget, item, now)
 	next.tokens = math.Min(b.tokens, next.tokens)
 	*b = next
 }
