--- a/internal/faulttest/caller.go
+++ b/internal/faulttest/caller.go
@@ -34,11 +34,13 @@
 	Answered  Outcome = "answered"
 	WrongBody Outcome = "wrong-body"
 	CutOff    Outcome = "cut-off"
-	NotSent   Outcome = "not-sent"        // the ingress did not accept the connection
-	Failed    Outcome = "backend-failure" // an answer of the backend server itself that is no success
-	NotRun    Outcome = "not-run"
-	Ran       Outcome = "ran"
-	MayRun    Outcome = "may-have-run"
+	// NotSent is a refused connection. It says nothing about runs, since net/http repeats a GET on a new
+	// connection after an older one broke.
+	NotSent Outcome = "not-sent"
+	Failed  Outcome = "backend-failure" // an answer of the backend server itself that is no success
+	NotRun  Outcome = "not-run"
+	Ran     Outcome = "ran"
+	MayRun  Outcome = "may-have-run"
 )
 
 // Result is the outcome of one request.
@@ -188,7 +190,7 @@
 		switch r.Outcome {
 		case WrongBody:
 			found = append(found, "wrong body: "+r.String())
-		case NotRun, NotSent:
+		case NotRun:
 			notRun++
 		case Answered, Ran, Failed:
 			if runs == 0 {
--- a/internal/faulttest/fleet.go
+++ b/internal/faulttest/fleet.go
@@ -12,6 +12,7 @@
 
 	"dandelionspoke/internal/backendtest"
 	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/node"
 	"dandelionspoke/internal/platformtest"
 	"dandelionspoke/internal/rollout"
@@ -148,6 +149,7 @@
 			return err
 		}
 		s.Peer.Advertise, s.Gossip.Advertise = m.relay.peerAddr(), m.relay.udpAddr()
+		s.Gossip.Listen = "" // the port of the peer listener, since node.Addresses has the advertised UDP address only
 	}
 	if f.Options.WithStore == 0 || i < f.Options.WithStore {
 		m.access = newAccess(f.Store)
@@ -172,10 +174,21 @@
 	return err
 }
 
+// portAttempts bounds the starts of a node whose UDP port, that of its peer listener, is taken.
+const portAttempts = 5
+
 // Start starts the member's node. The first start picks the ports that later ones reuse.
 func (m *Member) Start(ctx context.Context) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	err := m.startLocked(ctx)
+	for attempt := 1; attempt < portAttempts && errors.Is(err, engine.ErrAddressInUse); attempt++ {
+		err = m.startLocked(ctx)
+	}
+	return err
+}
+
+func (m *Member) startLocked(ctx context.Context) error {
 	o := node.Options{Settings: m.settings, Logger: m.fleet.Options.Log.With("node", m.ID)}
 	if m.access != nil {
 		o.Store = m.access
@@ -191,7 +204,7 @@
 	m.settings.Ingress.Listen, m.settings.Announce.Listen = addrs.Ingress, addrs.Announce
 	m.node = n
 	if m.relay != nil {
-		return m.relay.setTarget(addrs.Peer, addrs.UDP)
+		return m.relay.setTarget(addrs.Peer, addrs.Peer)
 	}
 	m.settings.Peer.Listen, m.settings.Gossip.Listen = addrs.Peer, addrs.UDP
 	m.settings.Peer.Advertise = addrs.Peer
--- a/internal/faulttest/relay.go
+++ b/internal/faulttest/relay.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,7 +21,9 @@
 	tcp     net.Listener
 	udp     *net.UDPConn
 	done    chan struct{}
-	wg      sync.WaitGroup
+	// received and forwarded count datagrams.
+	received, forwarded atomic.Int64
+	wg                  sync.WaitGroup
 
 	mu        sync.Mutex
 	tcpTarget string // empty while the node is down
@@ -104,6 +107,7 @@
 		if err != nil {
 			return
 		}
+		r.received.Add(1)
 		d, err := wire.DecodeDatagram(buffer[:size])
 		if err != nil {
 			continue
@@ -111,6 +115,7 @@
 		r.network.observe(d)
 		blocked, _ := r.network.blocked(link{d.From, r.id})
 		if _, target := r.target(); !blocked && target.IsValid() {
+			r.forwarded.Add(1)
 			_, _ = r.udp.WriteToUDPAddrPort(buffer[:size], target)
 		}
 	}
