--- a/internal/faulttest/budget_test.go
+++ b/internal/faulttest/budget_test.go
@@ -20,9 +20,9 @@
 
 // probeSample holds counters that were read between two moments.
 type probeSample struct {
-	before, after            time.Time
-	messages, link           int64
-	bytes, linkBytes, probes int64
+	before, after    time.Time
+	messages, link   int64
+	bytes, linkBytes int64
 }
 
 func newBudgetWatch(f *Fleet) *budgetWatch {
--- a/internal/faulttest/cost.go
+++ b/internal/faulttest/cost.go
@@ -69,7 +69,7 @@
 	c := Cost{Nodes: nodes, WithStore: min(nodes, 2*costDomains)}
 	started := time.Now()
 	f, err := Start(ctx, Options{Size: nodes, Domains: costDomains, WithStore: c.WithStore, NoBackends: true, NoRelays: true})
-	defer f.Close()
+	defer func() { f.Close() }()
 	if err != nil {
 		return c, err
 	}
--- /dev/null
+++ b/internal/faulttest/served_test.go
@@ -0,0 +1,65 @@
+package faulttest
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dandelionspoke/internal/verdict"
+)
+
+// Guards against long work that takes all slots: short work must be answered while far more long requests wait
+// than there are slots, also while a backend server is slow or a node is killed.
+func TestShortWorkBesideLongWork(t *testing.T) {
+	for _, name := range []string{"", "backend server slow", "node killed"} {
+		t.Run("fault "+name, func(t *testing.T) {
+			h := start(t, Options{Size: 4, Domains: 2, Slots: 3})
+			var long sync.WaitGroup
+			for i := range 40 {
+				o := Operation{ID: fmt.Sprint("long-", i), Method: "GET", Path: "/archive/x", ReplyBytes: 70 << 10, Work: time.Second}
+				long.Go(func() { h.callers.Send(t.Context(), h.Members[i%2], o) })
+			}
+			time.Sleep(quietPhase)
+			victim := h.Members[3]
+			if name != "" {
+				named(t, name).begin(h, victim)
+			}
+			for i := range 200 {
+				o := Operation{ID: fmt.Sprint("short-", i), Method: "GET", Path: "/item", ReplyBytes: 100}
+				if r := h.callers.Send(t.Context(), h.Members[i%2], o); r.Outcome != Answered {
+					t.Errorf("short work failed beside long work: %v", r)
+				}
+			}
+			if name != "" {
+				named(t, name).end(h, victim)
+			}
+			long.Wait()
+		})
+	}
+}
+
+// Guards against one request that crashes each backend server that runs it, when its caller sends it again.
+func TestCrashingRequest(t *testing.T) {
+	h := start(t, Options{Size: 4, Domains: 2})
+	refused := 0
+	for i := range 12 {
+		o := Operation{ID: "crash", Method: "GET", Path: "/item/crash", ReplyBytes: 10, Crash: true}
+		r := h.callers.Send(t.Context(), h.Members[i%4], o)
+		if r.Outcome == NotRun && strings.HasPrefix(r.Detail, string(verdict.Quarantined)) {
+			refused++
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if runs := h.Runs.Get("crash").Started; runs > 3 {
+		t.Errorf("the request crashed %d backend servers", runs)
+	}
+	if refused < 6 {
+		t.Errorf("only %d of 12 repeats were refused as quarantined", refused)
+	}
+	for _, m := range h.Members {
+		restartBackend(h, m)
+	}
+	h.recovered()
+}
