--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -23,6 +23,11 @@
 	// Engines is the number of engines on loopback, Idle the time that they are measured for; 0 skips it.
 	Engines int
 	Idle    time.Duration
+	// BundleServices are the numbers of services of the bundles that are measured.
+	BundleServices []int
+	// Callers are the numbers of concurrent callers of the request path, Load the time of each run.
+	Callers []int
+	Load    time.Duration
 }
 
 const largeFleet = 300
@@ -35,22 +40,42 @@
 		TableSizes: []int{1000, 5000, 23000},
 		Engines:    100,
 		Idle:       20 * time.Second,
+
+		BundleServices: []int{72, 720},
+		Callers:        []int{1, 8, 32},
+		Load:           3 * time.Second,
 	}
 }
 
-// Run prints the rows. It returns an error when a fleet does not converge or a write fails.
+// Run prints the rows. It returns an error when a fleet does not converge or a write fails. The
+// measurements of one process come first, before the fleets have grown its heap.
 func Run(w io.Writer, o Options) error {
-	if o.Engines > 0 {
-		rows, err := engineRows(o.Engines, o.Idle)
+	for _, measure := range o.measurements() {
+		rows, err := measure()
 		if err := errorOr(err, printRows(w, rows)); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// measurements returns the functions that measure, in order.
+func (o Options) measurements() []func() ([]row, error) {
+	var all []func() ([]row, error)
+	if o.Engines > 0 {
+		all = append(all, func() ([]row, error) { return engineRows(o.Engines, o.Idle) })
+	}
 	for _, n := range o.TableSizes {
-		rows, err := tableRows(n)
-		if err := errorOr(err, printRows(w, rows)); err != nil {
-			return err
-		}
+		all = append(all, func() ([]row, error) { return tableRows(n) })
+	}
+	if o.Idle > 0 {
+		all = append(all, func() ([]row, error) { return idleRows(o.Idle) })
+	}
+	for _, n := range o.BundleServices {
+		all = append(all, func() ([]row, error) { return bundleRows(n) })
+	}
+	for _, n := range o.Callers {
+		all = append(all, func() ([]row, error) { return requestRows(n, o.Load) })
 	}
 	for _, n := range o.FleetSizes {
 		seeds := o.Seeds
@@ -58,13 +83,10 @@
 			seeds = 1
 		}
 		for seed := range seeds {
-			rows, err := fleetRows(n, uint64(seed+1))
-			if err := errorOr(err, printRows(w, rows)); err != nil {
-				return err
-			}
+			all = append(all, func() ([]row, error) { return fleetRows(n, uint64(seed+1)) })
 		}
 	}
-	return nil
+	return all
 }
 
 func errorOr(first, second error) error {
