--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 	"dandelionspoke/internal/backendtest"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/node"
+	"dandelionspoke/internal/platform"
 	"dandelionspoke/internal/platformtest"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
@@ -69,7 +70,10 @@
 	return f
 }
 
-func (f *fleet) addNode(i int) {
+func (f *fleet) addNode(i int) { f.addNodeWithStore(i, f.store) }
+
+// addNodeWithStore adds a node; without a store it has no direct access.
+func (f *fleet) addNodeWithStore(i int, store platform.Store) {
 	f.t.Helper()
 	s := settings.Default()
 	s.FailureDomain = fmt.Sprintf("local-%c", 'a'+i%2)
@@ -78,7 +82,7 @@
 	if len(f.nodes) > 0 {
 		s.Seeds = []string{f.nodes[0].Addrs().Peer}
 	}
-	n, err := node.New(node.Options{Settings: s, Store: f.store})
+	n, err := node.New(node.Options{Settings: s, Store: store})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -250,3 +254,15 @@
 	f.rollout(2)
 	t.Logf("in force everywhere after %v", f.waitFor(5*time.Second, "bundle 2 in force", f.inForce(2)))
 }
+
+// Guards against refusing the callers of a node that has just been restarted and has no bundle yet.
+func TestRestartedNodeServesItsFirstCaller(t *testing.T) {
+	f := newFleet(t, 2)
+	f.ready()
+	for i := 2; i < 5; i++ {
+		f.addNode(i)
+		if status, body := f.get(f.nodes[i], "/preview"); status != http.StatusOK {
+			t.Errorf("status %d: %s", status, body)
+		}
+	}
+}
