--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -23,46 +23,76 @@
 	// Engines is the number of engines on loopback, Idle the time that they are measured for; 0 skips it.
 	Engines int
 	Idle    time.Duration
+	// Sessions is the number of idle sessions whose memory is measured; 0 skips it.
+	Sessions int
+	// BundleServices are the numbers of services of the bundles that are measured.
+	BundleServices []int
+	// Callers are the numbers of concurrent callers of the request path, Load the time of each run.
+	Callers []int
+	Load    time.Duration
 }
 
 const largeFleet = 300
 
-// Default returns the options of scripts/capacity, which take well below 5 minutes.
+// Default returns the options of scripts/capacity, which take about 4 minutes.
 func Default() Options {
 	return Options{
 		FleetSizes: []int{10, 30, 100, 300, 1000},
-		Seeds:      3,
+		Seeds:      2,
 		TableSizes: []int{1000, 5000, 23000},
 		Engines:    100,
 		Idle:       20 * time.Second,
+
+		Sessions:       200,
+		BundleServices: []int{72, 720},
+		Callers:        []int{1, 8, 32},
+		Load:           3 * time.Second,
 	}
 }
 
-// Run prints the rows. It returns an error when a fleet does not converge or a write fails.
+// Run prints the rows. It returns an error when a fleet does not converge or a write fails. The
+// measurements of one process come first, before the fleets have grown its heap.
 func Run(w io.Writer, o Options) error {
+	for _, measure := range o.measurements() {
+		rows, err := measure()
+		if err := errorOr(err, printRows(w, rows)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measurements returns the functions that measure, in order.
+func (o Options) measurements() []func() ([]row, error) {
+	var all []func() ([]row, error)
+	if o.Engines > 0 {
+		all = append(all, func() ([]row, error) { return engineRows(o.Engines, o.Idle) })
+	}
+	for _, n := range o.TableSizes {
+		all = append(all, func() ([]row, error) { return tableRows(n) })
+	}
+	if o.Idle > 0 {
+		all = append(all, func() ([]row, error) { return idleRows(o.Idle) })
+	}
+	for _, n := range o.BundleServices {
+		all = append(all, func() ([]row, error) { return bundleRows(n) })
+	}
+	if o.Sessions > 0 {
+		all = append(all, func() ([]row, error) { return sessionRows(o.Sessions) })
+	}
+	for _, n := range o.Callers {
+		all = append(all, func() ([]row, error) { return requestRows(n, o.Load) })
+	}
 	for _, n := range o.FleetSizes {
 		seeds := o.Seeds
 		if n > largeFleet {
 			seeds = 1
 		}
 		for seed := range seeds {
-			rows, err := fleetRows(n, uint64(seed+1))
-			if err := errorOr(err, printRows(w, rows)); err != nil {
-				return err
-			}
-		}
-	}
-	for _, n := range o.TableSizes {
-		rows, err := tableRows(n)
-		if err := errorOr(err, printRows(w, rows)); err != nil {
-			return err
+			all = append(all, func() ([]row, error) { return fleetRows(n, uint64(seed+1)) })
 		}
 	}
-	if o.Engines == 0 {
-		return nil
-	}
-	rows, err := engineRows(o.Engines, o.Idle)
-	return errorOr(err, printRows(w, rows))
+	return all
 }
 
 func errorOr(first, second error) error {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,7 +21,7 @@
 	// backendIdleTimeout is short because a reused connection that the server closes at the same moment
 	// turns a non-idempotent request into may-have-run.
 	backendIdleTimeout = 5 * time.Second
-	expireInterval     = 5 * time.Millisecond
+	maxIdleConnections = 64
 )
 
 // Backend is the backend server that has announced itself.
@@ -42,11 +42,15 @@
 	logger   *slog.Logger
 	Counters Counters
 
-	attempts  *attemptMemory
-	transport *http.Transport
+	attempts *attemptMemory
+	// transport is replaced when the connection cap changes, since its fields must not change in use.
+	transport atomic.Pointer[http.Transport]
 	// OnCrash is called with the fingerprint of a request whose backend server stopped listening
 	// while running it. Set it before the first request; nil means no report.
 	OnCrash func(endpoint string, fingerprint []byte)
+	// Pace returns the pacing of answers to a node in the named region; a nil result does not pace.
+	// Set it before the first request; nil means no pacing.
+	Pace func(region string, long bool) func(bytes int) error
 	// IsQuarantined reports whether a fingerprint is refused. Nil means that none is.
 	IsQuarantined func(fingerprint []byte) bool
 
@@ -57,8 +61,10 @@
 	draining bool
 	// backendDraining is set while the backend server drains although the node stays.
 	backendDraining bool
+	backendDown     bool
 	keepBytes       int
 	inFlight        sync.WaitGroup
+	expiry          *time.Timer // nil until a request has waited
 }
 
 // New returns a gate without a backend server. instance is the node's process identifier.
@@ -68,21 +74,27 @@
 		attempts: newAttemptMemory(time.Now(), time.Minute),
 		waiters:  make(map[admission.Ticket]chan admission.Grant),
 	}
+	g.transport.Store(newTransport(0))
+	return g
+}
+
+// newTransport returns a transport with at most connections connections; 0 means no cap.
+func newTransport(connections int) *http.Transport {
 	dialer := &net.Dialer{Timeout: backendDialTimeout}
-	g.transport = &http.Transport{
-		DialContext:           dialer.DialContext,
-		DisableCompression:    true,
-		IdleConnTimeout:       backendIdleTimeout,
-		MaxIdleConnsPerHost:   64,
-		ResponseHeaderTimeout: 0,
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		IdleConnTimeout:     backendIdleTimeout,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		MaxConnsPerHost:     connections,
 	}
-	return g
 }
 
 // SetBackend names the backend server. A nil backend refuses all requests.
 func (g *Gate) SetBackend(b *Backend) {
 	g.mu.Lock()
 	g.backend = b
+	g.backendDown = false
 	g.mu.Unlock()
 }
 
@@ -107,7 +119,10 @@
 	g.attempts.mu.Lock()
 	g.attempts.keep = p.AttemptMemory.D()
 	g.attempts.mu.Unlock()
-	g.transport.MaxConnsPerHost = s.Connections
+	if old := g.transport.Load(); old.MaxConnsPerHost != s.Connections {
+		g.transport.Store(newTransport(s.Connections))
+		old.CloseIdleConnections()
+	}
 }
 
 // Load returns the gate's state at this moment.
@@ -122,7 +137,7 @@
 	if g.queue != nil {
 		l = g.queue.Load()
 	}
-	l.Draining = l.Draining || g.draining || g.backendDraining
+	l.Draining = l.Draining || g.draining || g.backendDraining || g.backendDown
 	l.Generation = g.attempts.currentGeneration()
 	return l
 }
@@ -141,11 +156,18 @@
 	g.mu.Unlock()
 }
 
+// SetBackendDown refuses new work while the backend server does not answer.
+func (g *Gate) SetBackendDown(down bool) {
+	g.mu.Lock()
+	g.backendDown = down
+	g.mu.Unlock()
+}
+
 // Wait blocks until no request is queued or in flight.
 func (g *Gate) Wait() { g.inFlight.Wait() }
 
 // Close drops idle connections to the backend server.
-func (g *Gate) Close() { g.transport.CloseIdleConnections() }
+func (g *Gate) Close() { g.transport.Load().CloseIdleConnections() }
 
 // Generation returns the generation of the attempt memory.
 func (g *Gate) Generation() uint64 { return g.attempts.currentGeneration() }
@@ -169,6 +191,7 @@
 	}
 	granted := make(chan admission.Grant, 1)
 	g.waiters[ticket] = granted
+	g.scheduleExpiry()
 	g.mu.Unlock()
 	g.Counters.Queued.Add(1)
 	return g.await(done, ticket, backend, granted)
@@ -180,6 +203,8 @@
 		return verdict.New(verdict.NotRun, verdict.Draining, "the node is leaving")
 	case g.backendDraining:
 		return verdict.New(verdict.NotRun, verdict.Draining, "the backend server is draining")
+	case g.backendDown:
+		return verdict.New(verdict.NotRun, verdict.BackendDown, "the backend server does not answer")
 	case backend == nil:
 		return verdict.New(verdict.NotRun, verdict.BackendDown, "no backend server has announced itself")
 	case g.queue == nil:
@@ -234,14 +259,29 @@
 func (g *Gate) release(t admission.Ticket, ran time.Duration) {
 	g.mu.Lock()
 	g.deliver(g.queue.Release(time.Now(), t, ran))
+	g.scheduleExpiry()
 	g.mu.Unlock()
 }
 
-// Tick expires requests whose deadline has passed in the queue. Call it every few milliseconds.
-func (g *Gate) Tick(now time.Time) {
-	g.mu.Lock()
-	if g.queue != nil && len(g.waiters) > 0 {
-		g.deliver(g.queue.Expire(now))
+// scheduleExpiry arms the timer for the next time at which a waiting request may be refused or started
+// without another request's end. It is called with mu held. Without waiting requests no timer runs, so that
+// an idle gate costs no processor time.
+func (g *Gate) scheduleExpiry() {
+	at, ok := g.queue.NextDecision()
+	if !ok || len(g.waiters) == 0 {
+		return
 	}
-	g.mu.Unlock()
+	wait := max(time.Until(at), 0)
+	if g.expiry == nil {
+		g.expiry = time.AfterFunc(wait, g.expire)
+		return
+	}
+	g.expiry.Reset(wait)
+}
+
+func (g *Gate) expire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.queue.Expire(time.Now()))
+	g.scheduleExpiry()
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -13,7 +13,9 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionspoke/internal/admission"
 	"dandelionspoke/internal/balance"
+	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
@@ -25,6 +27,11 @@
 	"github.com/cockroachdb/errors"
 )
 
+const (
+	firstBundleWait = 2 * time.Second
+	firstBundlePoll = 20 * time.Millisecond
+)
+
 // Opener opens a stream to the gate of an endpoint. Nothing has been sent when it returns.
 type Opener interface {
 	Open(ctx context.Context, ep *table.Endpoint, lane peer.Lane) (*peer.Conn, error)
@@ -39,6 +46,7 @@
 	Claimer func(service string) claim.Keys
 	Budget  *retry.Budget // of retries and hedges
 	Logger  *slog.Logger
+	Region  string // of this node
 	// IsQuarantined reports whether a fingerprint is refused; nil means that none is.
 	IsQuarantined func(fingerprint []byte) bool
 	// OnStale is told of each request's service, so that stale load figures are refreshed; nil means no report.
@@ -58,13 +66,15 @@
 	Counters Counters
 	draining atomic.Bool
 	latency  sync.Map // service name to *retry.Latencies
+	classes  admission.Classes
 	inFlight sync.WaitGroup
 }
 
 // New returns an ingress.
 func New(cfg Config) *Ingress { return &Ingress{Config: cfg} }
 
-// SetDraining refuses new requests while true.
+// SetDraining makes each answer close its connection while true, so that callers move to other nodes.
+// Requests that still arrive are served through the gates of other nodes.
 func (in *Ingress) SetDraining(draining bool) { in.draining.Store(draining) }
 
 // Wait blocks until no request is in flight.
@@ -84,9 +94,8 @@
 func (in *Ingress) serve(w http.ResponseWriter, r *http.Request) error {
 	if in.draining.Load() {
 		w.Header().Set("Connection", "close")
-		return verdict.New(verdict.NotRun, verdict.Draining, "the node is leaving")
 	}
-	q, err := in.parse(r, in.Snapshots.Load())
+	q, err := in.parse(r, in.firstSnapshot(r.Context()))
 	if err != nil {
 		return err
 	}
@@ -111,6 +120,19 @@
 	return in.relay(w, q, a)
 }
 
+// firstSnapshot returns the newest snapshot. Right after the start it waits for the first bundle, which
+// comes from a peer or the store within about a second, so that callers of a restarted node are not refused.
+func (in *Ingress) firstSnapshot(ctx context.Context) *table.Snapshot {
+	deadline := time.Now().Add(firstBundleWait)
+	for {
+		snapshot := in.Snapshots.Load()
+		if snapshot != nil && snapshot.Bundle != nil || ctx.Err() != nil || time.Now().After(deadline) {
+			return snapshot
+		}
+		time.Sleep(firstBundlePoll)
+	}
+}
+
 // fail writes a failed answer with its verdict.
 func (in *Ingress) fail(w http.ResponseWriter, r *http.Request, err error) {
 	if errors.Is(err, http.ErrAbortHandler) {
@@ -169,8 +191,11 @@
 	err := copyBody(w, a)
 	outcome := outcomeOf(q.http.Context(), a.head.Status, err)
 	a.seen.end(outcome, a.body.End().GetLoad())
-	if outcome == balance.Success && q.route.Hedge {
-		in.latencies(q).Record(time.Now(), a.seen.age())
+	if outcome == balance.Success {
+		in.classes.Record(q.route.Service, q.route.Name, q.route.Class == bundle.Long, a.seen.age())
+		if q.route.Hedge {
+			in.latencies(q).Record(time.Now(), a.seen.age())
+		}
 	}
 	if err != nil {
 		return http.ErrAbortHandler
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"dandelionspoke/internal/membership"
 	"dandelionspoke/internal/membershiptest"
 	"dandelionspoke/internal/wire"
@@ -46,21 +48,26 @@
 	}
 }
 
-// Guards the target that a leaving node receives no new work after 2 s.
+// Guards the target that a leaving node receives no new work after 2 s, also when several leave one
+// after the other: each still forwards requests of its own callers, so it must hear of the others.
 func TestLeavingIsKnownWithinTwoSeconds(t *testing.T) {
+	const departures = 5
 	for _, n := range []int{10, 100, 300} {
 		for _, loss := range []float64{0, 0.05} {
 			t.Run(fmt.Sprintf("n=%d/loss=%v", n, loss), func(t *testing.T) {
 				f := startFleet(t, membershiptest.Options{Nodes: n, Seed: 12, Loss: loss})
-				leaving := f.Nodes[n/2]
-				leaving.SetLeaving(f.Now, true)
-				took, ok := f.RunUntil(2*time.Second, func() bool { return f.Agree(leaving, wire.MemberState_LEAVING) })
-				if !ok {
-					t.Errorf("departure not known everywhere after %v", took)
+				for _, h := range f.Nodes[1 : 1+departures] {
+					h.SetLeaving(f.Now, true)
+					took, ok := f.RunUntil(2*time.Second, func() bool { return f.Agree(h, wire.MemberState_LEAVING) })
+					if !ok {
+						t.Errorf("departure of %s not known everywhere after %v", h.Self().NodeId, took)
+					}
+				}
+				for _, h := range f.Nodes[1 : 1+departures] {
+					h.SetLeaving(f.Now, false)
 				}
-				leaving.SetLeaving(f.Now, false)
-				if _, ok := f.RunUntil(5*time.Second, func() bool { return f.Agree(leaving, wire.MemberState_ALIVE) }); !ok {
-					t.Error("undrain not known everywhere after 5s")
+				if took, ok := f.RunUntil(5*time.Second, f.Converged); !ok {
+					t.Errorf("undrains not known everywhere after %v", took)
 				}
 			})
 		}
@@ -140,6 +147,35 @@
 	}
 }
 
+// Guards against cuts of any shape and length that leave nodes apart, with departures and restarts
+// during the cut.
+func TestRandomCutsHeal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 8).Draw(t, "nodes")
+		f := membershiptest.New(membershiptest.Options{
+			Nodes: n, Seed: rapid.Uint64Range(1, 1000).Draw(t, "seed"), Regions: 2,
+			Loss: rapid.SampledFrom([]float64{0, 0.02}).Draw(t, "loss"),
+		})
+		if took, ok := f.RunUntil(time.Minute, f.Converged); !ok {
+			t.Fatalf("not converged after %v", took)
+		}
+		for _, h := range f.Nodes {
+			h.Group = rapid.IntRange(0, 2).Draw(t, "group")
+		}
+		f.Run(time.Duration(rapid.IntRange(1, 120).Draw(t, "cut")) * time.Second)
+		restarted := rapid.IntRange(1, n-1).Draw(t, "restarted")
+		group := f.Nodes[restarted].Group
+		f.Add(restarted).Group = group
+		f.Run(time.Duration(rapid.IntRange(0, 20).Draw(t, "after restart")) * time.Second)
+		for _, h := range f.Nodes {
+			h.Group = 0
+		}
+		if took, ok := f.RunUntil(2*time.Minute, f.Converged); !ok {
+			t.Fatalf("not healed after %v", took)
+		}
+	})
+}
+
 // Guards against bundle versions that do not reach every node, with and without loss.
 func TestBundleVersionSpreads(t *testing.T) {
 	for _, loss := range []float64{0, 0.05} {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/ingress"
+	"dandelionspoke/internal/link"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/platform"
 	"dandelionspoke/internal/retry"
@@ -60,6 +61,7 @@
 	peers      *peer.Server
 	quarantine *retry.Quarantine
 	budget     *retry.Budget
+	link       *link.Budget
 	probes     *balance.ProbePlanner
 	provider   rollout.Provider
 	bundles    bundleState
@@ -73,6 +75,8 @@
 
 	addresses Addresses
 	servers   []*http.Server
+	// callers is the listener of the ingress.
+	callers   *gracefulListener
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
@@ -122,13 +126,15 @@
 	n.budget = retry.NewBudget(n.started, policy.RetryShare, policy.RetryMinPerSecond)
 	n.probes = balance.NewProbePlanner(n.started.UnixNano(), policy, probeExchangeBytes)
 	n.probeRand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.link = link.NewBudget(policy)
 	n.gate = gate.New(n.instance, n.logger)
 	n.gate.IsQuarantined = n.isQuarantined
 	n.gate.OnCrash = n.crashed
+	n.gate.Pace = n.pace
 	n.registry.OnChange = n.backendChanged
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget,
-		Logger: n.logger, IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered,
+		Logger: n.logger, Region: n.settings.Region, IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered,
 		Claimer: func(service string) claim.Keys { return n.router.For(service) },
 	})
 }
@@ -175,6 +181,7 @@
 	}
 	n.background(n.maintain)
 	n.background(n.join)
+	n.background(n.checkHealth)
 	if n.store != nil {
 		n.background(n.followStore)
 	}
@@ -198,15 +205,11 @@
 
 // startHTTP serves the three HTTP listeners.
 func (n *Node) startHTTP(ctx context.Context) error {
-	in := n.settings.Ingress
-	err := n.serveHTTP(ctx, "ingress", in.Listen, &n.addresses.Ingress, &http.Server{
-		Handler: n.ingress, ReadHeaderTimeout: in.HeaderTimeout, MaxHeaderBytes: in.MaxHeaderBytes,
-	})
-	if err != nil {
+	if err := n.startIngress(ctx); err != nil {
 		return err
 	}
 	timeout := n.settings.Ingress.HeaderTimeout
-	err = n.serveHTTP(ctx, "announce", n.settings.Announce.Listen, &n.addresses.Announce, &http.Server{
+	err := n.serveHTTP(ctx, "announce", n.settings.Announce.Listen, &n.addresses.Announce, &http.Server{
 		Handler: n.registry.Handler(), ReadHeaderTimeout: timeout, ReadTimeout: timeout,
 	})
 	if err != nil {
@@ -217,26 +220,53 @@
 	})
 }
 
+func (n *Node) startIngress(ctx context.Context) error {
+	in := n.settings.Ingress
+	l, err := listen(ctx, "ingress", in.Listen)
+	if err != nil {
+		return err
+	}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return errors.Newf("ingress.listen: %T is not a TCP listener", l)
+	}
+	n.callers = &gracefulListener{TCPListener: tcp, busy: make(map[net.Conn]struct{})}
+	n.addresses.Ingress = l.Addr().String()
+	n.serveOn(n.callers, "ingress", &http.Server{
+		Handler: n.ingress, ReadHeaderTimeout: in.HeaderTimeout, MaxHeaderBytes: in.MaxHeaderBytes, ConnState: n.callers.track,
+	})
+	return nil
+}
+
 func (n *Node) serveHTTP(ctx context.Context, name, address string, bound *string, server *http.Server) error {
 	l, err := listen(ctx, name, address)
 	if err != nil {
 		return err
 	}
 	*bound = l.Addr().String()
+	n.serveOn(l, name, server)
+	return nil
+}
+
+func (n *Node) serveOn(l net.Listener, name string, server *http.Server) {
 	server.ErrorLog = slog.NewLogLogger(n.logger.With("listener", name).Handler(), slog.LevelDebug)
 	n.servers = append(n.servers, server)
 	n.background(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(l)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.logger.Error("listener failed", "event", "listener_failed", "listener", name, "error", err)
 		}
 	})
-	return nil
 }
 
 // Open implements ingress.Opener. The gate of this node is reached without a session.
 func (n *Node) Open(ctx context.Context, ep *table.Endpoint, lane peer.Lane) (*peer.Conn, error) {
 	if ep.NodeID != n.settings.NodeID {
-		return n.pool.Open(ctx, ep.PeerAddr, lane)
+		conn, err := n.pool.Open(ctx, ep.PeerAddr, lane)
+		if err == nil && lane != peer.LaneControl {
+			conn.SetPace(n.pace(ep.Region, lane == peer.LaneLong))
+		}
+		return conn, err
 	}
 	remote := &peer.Remote{Instance: n.instance}
 	remote.Note(n.gate.Generation())
@@ -245,6 +275,14 @@
 	return client, nil
 }
 
+// pace keeps writes to other regions within this node's share of the paid link.
+func (n *Node) pace(region string, long bool) func(bytes int) error {
+	if region == n.settings.Region {
+		return nil
+	}
+	return func(bytes int) error { return n.link.Wait(n.ctx, bytes, long) }
+}
+
 func (n *Node) serveLocal(conn *peer.Conn) {
 	defer conn.Close()
 	first, err := conn.Read()
