--- a/internal/faulttest/caller.go
+++ b/internal/faulttest/caller.go
@@ -24,6 +24,8 @@
 	ReplyBytes       int
 	Work             time.Duration
 	Keyed, Crash     bool
+	// Trailers asks for an answer without a declared length, with its digest in a trailer.
+	Trailers bool
 }
 
 // Outcome is what a caller learns from one request.
@@ -107,6 +109,9 @@
 	if o.Keyed {
 		req.Header.Set("Idempotency-Key", o.ID)
 	}
+	if o.Trailers {
+		req.Header.Set(backendtest.TrailersHeader, "1")
+	}
 	if o.Crash {
 		req.Header.Set(backendtest.CrashHeader, "1")
 	}
--- a/internal/faulttest/harness_test.go
+++ b/internal/faulttest/harness_test.go
@@ -118,7 +118,7 @@
 	case 3, 4:
 		o.Method, o.Path, o.Keyed = "POST", "/order", true
 	case 5:
-		o.Path, o.ReplyBytes, o.Work = "/archive", 200<<10, 40*time.Millisecond
+		o.Path, o.ReplyBytes, o.Work, o.Trailers = "/archive", 200<<10, 40*time.Millisecond, true
 	case 6:
 		o.ReplyBytes = 100 << 10
 	}
