Give the verdict over all attempts of a request

Cause: the verdict of a failed request was that of its last attempt. An idempotent request whose first attempt ran behind a gate or backend server that died, and whose retry found no gate, was told not-run although it had run. TestVerdictOverAllAttempts saw this for a killed node and for a crashed backend server. Change: the ingress keeps the strongest verdict of the failed attempts and gives it when the last one says not-run.

--- a/internal/faulttest/inflight_test.go
+++ b/internal/faulttest/inflight_test.go
@@ -63,3 +63,18 @@
 		t.Errorf("cut off by the drain: %v", r)
 	}
 }
+
+// Guards against not-run for a request whose first attempt may have run and whose second found no gate.
+func TestVerdictOverAllAttempts(t *testing.T) {
+	for _, end := range []string{"node killed", "node lost without a sign", "backend server crashed"} {
+		t.Run(end, func(t *testing.T) {
+			h := remote(t)
+			results := h.inFlight(Operation{ID: "get", Method: "GET", Path: "/item", Work: time.Second})
+			named(t, end).begin(h, h.Members[1])
+			if r := <-results; r.Outcome == NotRun || r.Outcome == Answered {
+				t.Errorf("the request ran and its gate is gone: %v", r)
+			}
+			h.Network.Thaw("node-01")
+		})
+	}
+}
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -38,6 +38,7 @@
 	before  uint64 // exclude before the newest attempt
 	results chan result
 	pending int
+	ran     verdict.Verdict // what all failed attempts together say; NotRun while none may have run
 }
 
 // result is the end of one attempt.
@@ -48,10 +49,10 @@
 }
 
 func (in *Ingress) tryEndpoints(ctx context.Context, q *request) (*answer, error) {
-	t := &tries{results: make(chan result, q.snapshot.Bundle.Policy.MaxAttempts+1)}
+	t := &tries{results: make(chan result, q.snapshot.Bundle.Policy.MaxAttempts+1), ran: verdict.NotRun}
 	for {
 		if err := in.start(ctx, q, t); err != nil {
-			return nil, err
+			return nil, t.overall(err)
 		}
 		r := in.await(ctx, q, t)
 		if r.err == nil {
@@ -65,7 +66,7 @@
 			}
 		}
 		if !in.retryAfter(ctx, q, t, r.err) {
-			return nil, r.err
+			return nil, t.overall(r.err)
 		}
 	}
 }
@@ -149,12 +150,32 @@
 	t.pending--
 	if r.err != nil {
 		r.cancel()
+		t.note(verdict.Of(r.err))
 	} else {
 		r.answer.cancel = r.cancel
 	}
 	return r
 }
 
+// note adds the verdict of a failed attempt: Ran outweighs MayHaveRun, and that outweighs NotRun.
+func (t *tries) note(v verdict.Verdict) {
+	if v == verdict.Ran || v == verdict.MayHaveRun && t.ran == verdict.NotRun {
+		t.ran = v
+	}
+}
+
+// overall returns the last error of a request with the verdict over all its attempts, since the verdict of
+// the last attempt alone does not say that an earlier one was not run.
+func (t *tries) overall(err error) error {
+	e := verdict.As(err)
+	if e.Verdict != verdict.NotRun || t.ran == verdict.NotRun {
+		return err
+	}
+	return &verdict.Error{Verdict: t.ran, Reason: e.Reason, Detail: "after an attempt that " + attemptText[t.ran] + ": " + e.Detail}
+}
+
+var attemptText = map[verdict.Verdict]string{verdict.MayHaveRun: "may have run", verdict.Ran: "ran"}
+
 // awaitOthers returns the first success among the attempts still running, or first.
 func (in *Ingress) awaitOthers(t *tries, first result) result {
 	for t.pending > 0 {
