--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -5,11 +5,14 @@
 package capacity
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"slices"
 	"strings"
 	"time"
+
+	"dandelionspoke/internal/faulttest"
 )
 
 // Options bound a run. The zero value of a slice skips its measurements.
@@ -23,6 +26,8 @@
 	// Engines is the number of engines on loopback, Idle the time that they are measured for; 0 skips it.
 	Engines int
 	Idle    time.Duration
+	// StoreSizes are the numbers of whole nodes whose store calls are counted, from small to large.
+	StoreSizes []int
 }
 
 const largeFleet = 300
@@ -35,6 +40,7 @@
 		TableSizes: []int{1000, 5000, 23000},
 		Engines:    100,
 		Idle:       20 * time.Second,
+		StoreSizes: []int{10, 30, 100},
 	}
 }
 
@@ -58,11 +64,31 @@
 			return err
 		}
 	}
-	if o.Engines == 0 {
+	if o.Engines > 0 {
+		rows, err := engineRows(o.Engines, o.Idle)
+		if err := errorOr(err, printRows(w, rows)); err != nil {
+			return err
+		}
+	}
+	return printStore(w, o.StoreSizes)
+}
+
+// printStore prints what changes and restarts cost the store, and the growth between the first and the last size.
+func printStore(w io.Writer, sizes []int) error {
+	costs, err := faulttest.MeasureAll(context.Background(), sizes)
+	if err != nil {
+		return err
+	}
+	for _, c := range costs {
+		if _, err := fmt.Fprintln(w, c); err != nil {
+			return err
+		}
+	}
+	if len(costs) < 2 {
 		return nil
 	}
-	rows, err := engineRows(o.Engines, o.Idle)
-	return errorOr(err, printRows(w, rows))
+	_, err = fmt.Fprintln(w, faulttest.Slope(costs[0], costs[len(costs)-1]))
+	return err
 }
 
 func errorOr(first, second error) error {
