--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -5,11 +5,14 @@
 package capacity
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"slices"
 	"strings"
 	"time"
+
+	"dandelionspoke/internal/faulttest"
 )
 
 // Options bound a run. The zero value of a slice skips its measurements.
@@ -23,6 +26,7 @@
 	// Engines is the number of engines on loopback, Idle the time that they are measured for; 0 skips it.
 	Engines int
 	Idle    time.Duration
+<<<<<<< HEAD
 	// Sessions is the number of idle sessions whose memory is measured; 0 skips it.
 	Sessions int
 	// BundleServices are the numbers of services of the bundles that are measured.
@@ -30,6 +34,10 @@
 	// Callers are the numbers of concurrent callers of the request path, Load the time of each run.
 	Callers []int
 	Load    time.Duration
+=======
+	// StoreSizes are the numbers of whole nodes whose store calls are counted, from small to large.
+	StoreSizes []int
+>>>>>>> proofs
 }
 
 const largeFleet = 300
@@ -42,11 +50,15 @@
 		TableSizes: []int{1000, 5000, 23000},
 		Engines:    100,
 		Idle:       20 * time.Second,
+<<<<<<< HEAD
 
 		Sessions:       200,
 		BundleServices: []int{72, 720},
 		Callers:        []int{1, 8, 32},
 		Load:           3 * time.Second,
+=======
+		StoreSizes: []int{10, 30, 100},
+>>>>>>> proofs
 	}
 }
 
@@ -92,7 +104,41 @@
 			all = append(all, func() ([]row, error) { return fleetRows(n, uint64(seed+1)) })
 		}
 	}
+<<<<<<< HEAD
 	return all
+=======
+	for _, n := range o.TableSizes {
+		rows, err := tableRows(n)
+		if err := errorOr(err, printRows(w, rows)); err != nil {
+			return err
+		}
+	}
+	if o.Engines > 0 {
+		rows, err := engineRows(o.Engines, o.Idle)
+		if err := errorOr(err, printRows(w, rows)); err != nil {
+			return err
+		}
+	}
+	return printStore(w, o.StoreSizes)
+}
+
+// printStore prints what changes and restarts cost the store, and the growth between the first and the last size.
+func printStore(w io.Writer, sizes []int) error {
+	costs, err := faulttest.MeasureAll(context.Background(), sizes)
+	if err != nil {
+		return err
+	}
+	for _, c := range costs {
+		if _, err := fmt.Fprintln(w, c); err != nil {
+			return err
+		}
+	}
+	if len(costs) < 2 {
+		return nil
+	}
+	_, err = fmt.Fprintln(w, faulttest.Slope(costs[0], costs[len(costs)-1]))
+	return err
+>>>>>>> proofs
 }
 
 func errorOr(first, second error) error {
