Resolve the conflict in the capacity rows

Cause: the merge of the store rows was committed with its conflict markers, so that internal/capacity did not build. Change: both lists of rows are kept; the store rows are one more measurement. Measured: the tests of internal/capacity pass.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -26,7 +26,6 @@
 	// Engines is the number of engines on loopback, Idle the time that they are measured for; 0 skips it.
 	Engines int
 	Idle    time.Duration
-<<<<<<< HEAD
 	// Sessions is the number of idle sessions whose memory is measured; 0 skips it.
 	Sessions int
 	// BundleServices are the numbers of services of the bundles that are measured.
@@ -34,10 +33,8 @@
 	// Callers are the numbers of concurrent callers of the request path, Load the time of each run.
 	Callers []int
 	Load    time.Duration
-=======
 	// StoreSizes are the numbers of whole nodes whose store calls are counted, from small to large.
 	StoreSizes []int
->>>>>>> proofs
 }
 
 const largeFleet = 300
@@ -45,20 +42,16 @@
 // Default returns the options of scripts/capacity, which take about 4 minutes.
 func Default() Options {
 	return Options{
-		FleetSizes: []int{10, 30, 100, 300, 1000},
-		Seeds:      2,
-		TableSizes: []int{1000, 5000, 23000},
-		Engines:    100,
-		Idle:       20 * time.Second,
-<<<<<<< HEAD
-
+		FleetSizes:     []int{10, 30, 100, 300, 1000},
+		Seeds:          2,
+		TableSizes:     []int{1000, 5000, 23000},
+		Engines:        100,
+		Idle:           20 * time.Second,
 		Sessions:       200,
 		BundleServices: []int{72, 720},
 		Callers:        []int{1, 8, 32},
 		Load:           3 * time.Second,
-=======
-		StoreSizes: []int{10, 30, 100},
->>>>>>> proofs
+		StoreSizes:     []int{10, 30, 100},
 	}
 }
 
@@ -104,41 +97,26 @@
 			all = append(all, func() ([]row, error) { return fleetRows(n, uint64(seed+1)) })
 		}
 	}
-<<<<<<< HEAD
-	return all
-=======
-	for _, n := range o.TableSizes {
-		rows, err := tableRows(n)
-		if err := errorOr(err, printRows(w, rows)); err != nil {
-			return err
-		}
-	}
-	if o.Engines > 0 {
-		rows, err := engineRows(o.Engines, o.Idle)
-		if err := errorOr(err, printRows(w, rows)); err != nil {
-			return err
-		}
+	if len(o.StoreSizes) > 0 {
+		all = append(all, func() ([]row, error) { return storeRows(o.StoreSizes) })
 	}
-	return printStore(w, o.StoreSizes)
+	return all
 }
 
-// printStore prints what changes and restarts cost the store, and the growth between the first and the last size.
-func printStore(w io.Writer, sizes []int) error {
+// storeRows measures what changes and restarts cost the store, and the growth between the first and the last size.
+func storeRows(sizes []int) ([]row, error) {
 	costs, err := faulttest.MeasureAll(context.Background(), sizes)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	var rows []row
 	for _, c := range costs {
-		if _, err := fmt.Fprintln(w, c); err != nil {
-			return err
-		}
+		rows = append(rows, row{fmt.Sprint(c)})
 	}
-	if len(costs) < 2 {
-		return nil
+	if len(costs) > 1 {
+		rows = append(rows, row{fmt.Sprint(faulttest.Slope(costs[0], costs[len(costs)-1]))})
 	}
-	_, err = fmt.Fprintln(w, faulttest.Slope(costs[0], costs[len(costs)-1]))
-	return err
->>>>>>> proofs
+	return rows, nil
 }
 
 func errorOr(first, second error) error {
