Convert verdicts to and from their messages in one place

Cause: the gate and the claims each had their own copy of the conversion. Change: package verdict converts. Measured: the tests of claim, gate and ingress pass.

--- a/internal/claim/message.go
+++ b/internal/claim/message.go
@@ -45,7 +45,7 @@
 	case Replay:
 		return &wire.ClaimReply{Answer: wire.ClaimAnswer_REPLAY, Outcome: encodeOutcome(r.Outcome)}
 	default:
-		return &wire.ClaimReply{Answer: wire.ClaimAnswer_HELD, Verdict: encodeVerdict(r.Verdict)}
+		return &wire.ClaimReply{Answer: wire.ClaimAnswer_HELD, Verdict: r.Verdict.Wire()}
 	}
 }
 
@@ -72,7 +72,7 @@
 	case wire.ClaimAnswer_RUN:
 		return Result{Kind: Run}, nil
 	case wire.ClaimAnswer_HELD:
-		return Result{Kind: Held, Verdict: decodeVerdict(r.Verdict)}, nil
+		return Result{Kind: Held, Verdict: verdict.FromWire(r.Verdict)}, nil
 	case wire.ClaimAnswer_REPLAY:
 		if r.Outcome == nil {
 			return Result{}, errors.Wrap(errLost, "replay without an outcome")
@@ -102,7 +102,7 @@
 }
 
 func encodeOutcome(o Outcome) *wire.ClaimOutcome {
-	out := &wire.ClaimOutcome{Verdict: encodeVerdict(o.Verdict), Status: uint32(o.Status), Body: o.Body, Partial: o.Partial}
+	out := &wire.ClaimOutcome{Verdict: o.Verdict.Wire(), Status: uint32(o.Status), Body: o.Body, Partial: o.Partial}
 	for name, values := range o.Header {
 		out.Headers = append(out.Headers, &wire.Header{Name: name, Values: values})
 	}
@@ -110,7 +110,7 @@
 }
 
 func decodeOutcome(o *wire.ClaimOutcome) Outcome {
-	out := Outcome{Verdict: decodeVerdict(o.GetVerdict()), Status: int(o.GetStatus()), Body: o.GetBody(), Partial: o.GetPartial()}
+	out := Outcome{Verdict: verdict.FromWire(o.GetVerdict()), Status: int(o.GetStatus()), Body: o.GetBody(), Partial: o.GetPartial()}
 	if len(o.GetHeaders()) > 0 {
 		out.Header = http.Header{}
 	}
@@ -119,25 +119,3 @@
 	}
 	return out
 }
-
-func encodeVerdict(v verdict.Verdict) wire.Verdict {
-	switch v {
-	case verdict.NotRun:
-		return wire.Verdict_NOT_RUN
-	case verdict.Ran:
-		return wire.Verdict_RAN
-	default:
-		return wire.Verdict_MAY_HAVE_RUN
-	}
-}
-
-func decodeVerdict(v wire.Verdict) verdict.Verdict {
-	switch v {
-	case wire.Verdict_NOT_RUN:
-		return verdict.NotRun
-	case wire.Verdict_RAN:
-		return verdict.Ran
-	default:
-		return verdict.MayHaveRun
-	}
-}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -169,35 +169,11 @@
 	e := verdict.As(err)
 	c.gate.logger.Debug("request refused", "event", "gate_refused", "reason", e.Reason, "verdict", e.Verdict, "detail", e.Detail)
 	refusal := &wire.Refusal{
-		Verdict: ToWire(e.Verdict), Reason: string(e.Reason), Detail: e.Detail, Load: c.gate.Load(),
+		Verdict: e.Verdict.Wire(), Reason: string(e.Reason), Detail: e.Detail, Load: c.gate.Load(),
 	}
 	_ = c.conn.Write(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: refusal}})
 }
 
-// ToWire converts a verdict to its protobuf value.
-func ToWire(v verdict.Verdict) wire.Verdict {
-	switch v {
-	case verdict.NotRun:
-		return wire.Verdict_NOT_RUN
-	case verdict.Ran:
-		return wire.Verdict_RAN
-	default:
-		return wire.Verdict_MAY_HAVE_RUN
-	}
-}
-
-// FromWire converts a protobuf verdict; unknown values yield MayHaveRun.
-func FromWire(v wire.Verdict) verdict.Verdict {
-	switch v {
-	case wire.Verdict_NOT_RUN:
-		return verdict.NotRun
-	case wire.Verdict_RAN:
-		return verdict.Ran
-	default:
-		return verdict.MayHaveRun
-	}
-}
-
 // ServeQuery answers what became of an attempt.
 func (g *Gate) ServeQuery(ctx context.Context, conn *peer.Conn, q *wire.AttemptQuery) {
 	g.Counters.Queries.Add(1)
@@ -226,7 +202,7 @@
 	if a.answer != nil {
 		return a.answer
 	}
-	return &wire.AttemptFate{Verdict: ToWire(a.verdict)}
+	return &wire.AttemptFate{Verdict: a.verdict.Wire()}
 }
 
 // answerKeeper collects a small answer to a non-idempotent request.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -98,7 +98,7 @@
 // refused returns the gate's verdict as an error.
 func (in *Ingress) refused(ctx context.Context, a *answer, r *wire.Refusal) error {
 	a.conn.Remote().Note(r.GetLoad().GetGeneration())
-	v := gate.FromWire(r.Verdict)
+	v := verdict.FromWire(r.Verdict)
 	outcome := balance.Failed
 	switch {
 	case ctx.Err() != nil:
@@ -170,7 +170,7 @@
 	}
 	fate := in.fateOf(ctx, a.endpoint, query)
 	in.Logger.Info("attempt resolved", "event", "attempt_resolved", "endpoint", a.endpoint.ID,
-		"verdict", gate.FromWire(fate.Verdict), "has_answer", fate.HasAnswer, "cause", err)
+		"verdict", verdict.FromWire(fate.Verdict), "has_answer", fate.HasAnswer, "cause", err)
 	if fate.HasAnswer {
 		return &answer{endpoint: a.endpoint, head: fate.Response, kept: fate}, nil
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,7 +17,6 @@
 	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
-	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
@@ -294,5 +293,5 @@
 }
 
 func errorOf(fate *wire.AttemptFate, reason verdict.Reason) error {
-	return verdict.New(gate.FromWire(fate.Verdict), reason, "the connection to the gate broke")
+	return verdict.New(verdict.FromWire(fate.Verdict), reason, "the connection to the gate broke")
 }
