Leave a frozen gate with idempotent requests

Cause: a request at a frozen gate waited for its deadline even after membership had found the node suspect, and an attempt that lost against a hedge kept its slot until it ended. Change: beside an idempotent attempt whose node is suspect another one starts, within the retry budget and at most two at a time; attempts that lose are canceled.

--- a/internal/faulttest/inflight_test.go
+++ b/internal/faulttest/inflight_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 )
@@ -78,3 +79,33 @@
 		})
 	}
 }
+
+// Guards against idempotent requests that wait for a frozen gate until their deadline although another endpoint
+// could answer them.
+func TestReadLeavesFrozenGate(t *testing.T) {
+	h := start(t, Options{Size: 3})
+	h.Members[0].Backend.Close()
+	h.within(readyBound, "two endpoints left", func() bool { return h.Members[0].Node().Endpoints(Service) == 2 })
+	const reads = 8
+	results := make(chan Result, reads)
+	id := func(i int) string { return fmt.Sprint("read-", i) }
+	for i := range reads {
+		o := Operation{ID: id(i), Method: "GET", Path: "/archive/x", Work: 500 * time.Millisecond}
+		go func() { results <- h.callers.Send(context.Background(), h.Members[0], o) }()
+	}
+	h.within(readyBound, "all reads run", func() bool {
+		for i := range reads {
+			if h.Runs.Get(id(i)).Started == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	h.Network.Freeze("node-01")
+	defer h.Network.Thaw("node-01")
+	for range reads {
+		if r := <-results; r.Outcome != Answered {
+			t.Errorf("one of two gates is frozen: %v", r)
+		}
+	}
+}
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -36,19 +36,25 @@
 	exclude uint64
 	before  uint64 // exclude before the newest attempt
 	results chan result
-	pending int
-	ran     verdict.Verdict // what all failed attempts together say; NotRun while none may have run
+	// running holds the attempts that have not ended, by their number at their start.
+	running  map[int]context.CancelFunc
+	started  int
+	endpoint *table.Endpoint // of the newest attempt
+	ran      verdict.Verdict // what all failed attempts together say; NotRun while none may have run
 }
 
 // result is the end of one attempt.
 type result struct {
-	answer *answer
-	err    error
-	cancel context.CancelFunc
+	attempt int // key of tries.running
+	answer  *answer
+	err     error
 }
 
 func (in *Ingress) tryEndpoints(ctx context.Context, q *request) (*answer, error) {
-	t := &tries{results: make(chan result, q.snapshot.Bundle.Policy.MaxAttempts+1), ran: verdict.NotRun}
+	t := &tries{
+		results: make(chan result, q.snapshot.Bundle.Policy.MaxAttempts+1),
+		running: make(map[int]context.CancelFunc), ran: verdict.NotRun,
+	}
 	for {
 		if err := in.start(ctx, q, t); err != nil {
 			return nil, t.overall(err)
@@ -58,7 +64,7 @@
 			in.dropOthers(t)
 			return r.answer, nil
 		}
-		if t.pending > 0 {
+		if len(t.running) > 0 {
 			// A hedge is still running and may answer.
 			if r = in.awaitOthers(t, r); r.err == nil {
 				return r.answer, nil
@@ -95,19 +101,19 @@
 		t.exclude |= 1 << i
 	}
 	t.number++
-	t.pending++
-	attemptCtx, cancel := context.WithCancel(ctx)
-	if !in.mayHedge(q) {
-		a, err := in.attempt(attemptCtx, q, ep, t.maxWait(q))
-		t.results <- result{a, err, cancel}
-		return
+	t.started++
+	t.endpoint = ep
+	ctx, t.running[t.started] = context.WithCancel(ctx)
+	attempt, maxWait := t.started, t.maxWait(q)
+	try := func() {
+		a, err := in.attempt(ctx, q, ep, maxWait)
+		t.results <- result{attempt, a, err}
+	}
+	if q.mayOverlap() {
+		go try()
+	} else {
+		try()
 	}
-	go in.attemptAsync(attemptCtx, cancel, q, ep, t.maxWait(q), t.results)
-}
-
-func (in *Ingress) attemptAsync(ctx context.Context, cancel context.CancelFunc, q *request, ep *table.Endpoint, maxWait time.Duration, results chan<- result) {
-	a, err := in.attempt(ctx, q, ep, maxWait)
-	results <- result{a, err, cancel}
 }
 
 // maxWait is the expected wait that the next attempt accepts; 0 accepts any.
@@ -118,27 +124,57 @@
 	return retry.PlacementWait
 }
 
-func (in *Ingress) mayHedge(q *request) bool {
-	return q.route.Hedge && q.idempotent && q.rest == nil && q.depth == 0
-}
+// mayOverlap reports whether a second attempt may start while the first one runs.
+func (q *request) mayOverlap() bool { return q.idempotent && q.rest == nil && q.depth == 0 }
 
-// await returns the first result. While it waits, it may start a hedge.
+// await returns the first result. While it waits, it may start a hedge, or another attempt when the node of
+// the newest one has become suspect.
 func (in *Ingress) await(ctx context.Context, q *request, t *tries) result {
+	if !q.mayOverlap() {
+		return t.took(<-t.results)
+	}
 	delay, hedge := in.policy(q).HedgeAfter(retry.Hedge{
-		Permitted: q.route.Hedge && q.rest == nil, Idempotent: q.idempotent, Long: q.long,
-		Number: t.number, Depth: q.depth, Quantile: in.latencies(q).Quantile(time.Now()), Remaining: time.Until(q.deadline),
+		Permitted: q.route.Hedge, Idempotent: true, Long: q.long, Number: t.number,
+		Quantile: in.latencies(q).Quantile(time.Now()), Remaining: time.Until(q.deadline),
 	})
-	if hedge {
-		timer := time.NewTimer(delay)
-		defer timer.Stop()
+	if !hedge {
+		delay = suspectPoll
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	for {
 		select {
 		case r := <-t.results:
 			return t.took(r)
 		case <-timer.C:
+		}
+		switch {
+		case hedge:
 			in.hedge(ctx, q, t)
+			hedge = false
+		case len(t.running) < maxOverlapping && t.endpoint.Stats.Suspect.Load():
+			in.failover(ctx, q, t)
 		}
+		timer.Reset(suspectPoll)
+	}
+}
+
+const (
+	// suspectPoll is the time between two looks at the state of the endpoint's node.
+	suspectPoll = 200 * time.Millisecond
+	// maxOverlapping bounds the attempts of one request that run at the same time.
+	maxOverlapping = 2
+)
+
+// failover starts another attempt beside one whose node does not answer pings. A frozen node would
+// otherwise hold the request until its deadline.
+func (in *Ingress) failover(ctx context.Context, q *request, t *tries) {
+	if t.number >= in.policy(q).MaxAttempts || !in.Budget.Spend(time.Now()) {
+		return
+	}
+	if in.start(ctx, q, t) == nil {
+		in.Counters.Retries.Add(1)
 	}
-	return t.took(<-t.results)
 }
 
 func (in *Ingress) hedge(ctx context.Context, q *request, t *tries) {
@@ -151,12 +187,13 @@
 }
 
 func (t *tries) took(r result) result {
-	t.pending--
+	cancel := t.running[r.attempt]
+	delete(t.running, r.attempt)
 	if r.err != nil {
-		r.cancel()
+		cancel()
 		t.note(verdict.Of(r.err))
 	} else {
-		r.answer.cancel = r.cancel
+		r.answer.cancel = cancel
 	}
 	return r
 }
@@ -182,7 +219,7 @@
 
 // awaitOthers returns the first success among the attempts still running, or first.
 func (in *Ingress) awaitOthers(t *tries, first result) result {
-	for t.pending > 0 {
+	for len(t.running) > 0 {
 		if r := t.took(<-t.results); r.err == nil {
 			in.dropOthers(t)
 			return r
@@ -191,20 +228,20 @@
 	return first
 }
 
-// dropOthers closes the attempts that lost against another one as they answer.
+// dropOthers cancels the attempts that lost against another one, so that they give back their slots.
 func (in *Ingress) dropOthers(t *tries) {
-	pending := t.pending
-	if pending == 0 {
+	if len(t.running) == 0 {
 		return
 	}
+	for _, cancel := range t.running {
+		cancel()
+	}
 	go func() {
-		for range pending {
-			r := <-t.results
-			if r.err == nil {
+		for range len(t.running) {
+			if r := <-t.results; r.err == nil {
 				r.answer.seen.end(balance.Canceled, nil)
 				r.answer.close()
 			}
-			r.cancel()
 		}
 	}()
 }
