Let repeats of a key wait for the first request's answer

Change: a repeat asks again for up to 1 s while the holder's outcome is unknown. The test of keys now requires an answer for each of 6 concurrent repeats.

--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -15,6 +15,11 @@
 	replayedHeader = "Idempotent-Replayed"
 	// completeTimeout bounds the time in which the outcome of a run is written to the store.
 	completeTimeout = 10 * time.Second
+	// heldWait bounds how long a repeat waits for the outcome of the attempt that holds its key; the time
+	// between two questions doubles from heldFirstPoll to heldLastPoll.
+	heldWait      = time.Second
+	heldFirstPoll = 10 * time.Millisecond
+	heldLastPoll  = 160 * time.Millisecond
 )
 
 // serveKeyed runs a non-idempotent request with an idempotency key at most once, through whatever node
@@ -24,7 +29,7 @@
 		return verdict.New(verdict.NotRun, verdict.ClaimUnavailable, "this node has no access to claims")
 	}
 	claimer := in.Claimer(q.route.Service)
-	result, err := claimer.Acquire(ctx, q.key, q.fingerprint, newAttemptID())
+	result, err := in.acquire(ctx, q, claimer)
 	if err != nil {
 		return err
 	}
@@ -40,6 +45,24 @@
 	}
 }
 
+// acquire claims the key. While another attempt holds it and its outcome is not known yet, acquire asks again
+// for up to heldWait, so that a repeat that comes while the first request runs gets its answer.
+func (in *Ingress) acquire(ctx context.Context, q *request, claimer claim.Keys) (claim.Result, error) {
+	until := time.Now().Add(min(heldWait, time.Until(q.deadline)/2))
+	for wait := heldFirstPoll; ; wait = min(2*wait, heldLastPoll) {
+		result, err := claimer.Acquire(ctx, q.key, q.fingerprint, newAttemptID())
+		undecided := err == nil && result.Kind == claim.Held && result.Verdict == verdict.MayHaveRun
+		if !undecided || time.Now().Add(wait).After(until) {
+			return result, err
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return result, nil
+		}
+	}
+}
+
 func (in *Ingress) replay(w http.ResponseWriter, o claim.Outcome) {
 	in.Counters.Replays.Add(1)
 	in.Counters.Answered.Add(1)
--- a/internal/node/keyed_test.go
+++ b/internal/node/keyed_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,29 +32,22 @@
 }
 
 // Guards against a second run when a request with the same key arrives through other nodes, at the same
-// time or later.
+// time or later, and against repeats that are turned away while the first request runs.
 func TestKeyRunsAtMostOnceThroughAnyNode(t *testing.T) {
 	f := newFleet(t, 3)
 	f.ready()
 	for round := range 5 {
 		key := fmt.Sprint("order-", round)
 		var wg sync.WaitGroup
-		var answered atomic.Int64
 		for i := range 6 {
 			wg.Go(func() {
 				resp := f.order(f.nodes[i%3], key, key, "bike 7")
-				switch {
-				case resp.StatusCode == http.StatusOK:
-					answered.Add(1)
-				case resp.StatusCode != http.StatusConflict:
+				if resp.StatusCode != http.StatusOK {
 					t.Errorf("status %d, reason %s", resp.StatusCode, resp.Header.Get(verdict.ReasonHeader))
 				}
 			})
 		}
 		wg.Wait()
-		if answered.Load() == 0 {
-			t.Errorf("%s: no request was answered", key)
-		}
 		f.waitFor(5*time.Second, "stored outcome", func() bool {
 			resp := f.order(f.nodes[(round+1)%3], key, key, "bike 7")
 			return resp.StatusCode == http.StatusOK && resp.Header.Get("Idempotent-Replayed") == "true"
