--- a/internal/faulttest/served_test.go
+++ b/internal/faulttest/served_test.go
@@ -11,14 +11,14 @@
 )
 
 // Guards against long work that takes all slots: short work must be answered while far more long requests wait
-// than there are slots, also while a backend server is slow or a node is killed.
+// than there are slots, each for longer than the time limit of short work, also while a backend server is slow or a node is killed.
 func TestShortWorkBesideLongWork(t *testing.T) {
 	for _, name := range []string{"", "backend server slow", "node killed"} {
 		t.Run("fault "+name, func(t *testing.T) {
 			h := start(t, Options{Size: 4, Domains: 2, Slots: 3})
 			var long sync.WaitGroup
 			for i := range 40 {
-				o := Operation{ID: fmt.Sprint("long-", i), Method: "GET", Path: "/archive/x", ReplyBytes: 70 << 10, Work: time.Second}
+				o := Operation{ID: fmt.Sprint("long-", i), Method: "GET", Path: "/archive/x", ReplyBytes: 70 << 10, Work: 5 * time.Second}
 				long.Go(func() { h.callers.Send(t.Context(), h.Members[i%2], o) })
 			}
 			time.Sleep(quietPhase)
