Measure the choice of an endpoint among 4 to 1,000 endpoints for the capacity page

Cause: the capacity page had no figure for the number of endpoints of a service. Change: scripts/capacity prints a row for each of 4, 32, 128 and 1,000 endpoints.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -26,6 +26,8 @@
 	// Engines is the number of engines on loopback, Idle the time that they are measured for; 0 skips it.
 	Engines int
 	Idle    time.Duration
+	// ChoiceEndpoints are the numbers of endpoints of a service among which one is chosen.
+	ChoiceEndpoints []int
 	// Sessions is the number of idle sessions whose memory is measured; 0 skips it.
 	Sessions int
 	// BundleServices are the numbers of services of the bundles that are measured.
@@ -42,16 +44,17 @@
 // Default returns the options of scripts/capacity, which take about 4 minutes.
 func Default() Options {
 	return Options{
-		FleetSizes:     []int{10, 30, 100, 300, 1000},
-		Seeds:          2,
-		TableSizes:     []int{1000, 5000, 23000},
-		Engines:        100,
-		Idle:           20 * time.Second,
-		Sessions:       200,
-		BundleServices: []int{72, 720},
-		Callers:        []int{1, 8, 32},
-		Load:           3 * time.Second,
-		StoreSizes:     []int{10, 30, 100},
+		FleetSizes:      []int{10, 30, 100, 300, 1000},
+		Seeds:           2,
+		TableSizes:      []int{1000, 5000, 23000},
+		Engines:         100,
+		Idle:            20 * time.Second,
+		ChoiceEndpoints: []int{4, 32, 128, 1000},
+		Sessions:        200,
+		BundleServices:  []int{72, 720},
+		Callers:         []int{1, 8, 32},
+		Load:            3 * time.Second,
+		StoreSizes:      []int{10, 30, 100},
 	}
 }
 
@@ -76,6 +79,9 @@
 	for _, n := range o.TableSizes {
 		all = append(all, func() ([]row, error) { return tableRows(n) })
 	}
+	for _, n := range o.ChoiceEndpoints {
+		all = append(all, func() ([]row, error) { return choiceRows(n) })
+	}
 	if o.Idle > 0 {
 		all = append(all, func() ([]row, error) { return idleRows(o.Idle) })
 	}
