--- a/internal/backendtest/announce.go
+++ b/internal/backendtest/announce.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"dandelionspoke/internal/sleep"
 )
 
 // Announcement is the body with which a backend server announces itself to its node.
@@ -36,7 +38,7 @@
 		if !s.announceOnce(ctx, l) {
 			wait = announceRetry
 		}
-		if !sleep(ctx, wait) {
+		if !sleep.For(ctx, wait) {
 			return
 		}
 	}
--- a/internal/backendtest/faults.go
+++ b/internal/backendtest/faults.go
@@ -1,7 +1,6 @@
 package backendtest
 
 import (
-	"context"
 	"math"
 	"net/http"
 	"sync/atomic"
@@ -102,18 +101,3 @@
 	}
 	return time.Duration(float64(d) * factor)
 }
-
-// sleep waits for d and reports whether it did so before the end of ctx.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/backendtest/handler.go
+++ b/internal/backendtest/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/verdict"
 )
 
@@ -132,7 +133,7 @@
 	if n >= pacedReply {
 		first = work / 2
 	}
-	if !sleep(ctx, first) {
+	if !sleep.For(ctx, first) {
 		http.Error(w, "deadline exceeded or caller gone", http.StatusGatewayTimeout)
 		return false
 	}
@@ -167,7 +168,7 @@
 	body := io.TeeReader(BodyReader(id, n), digest)
 	chunks := max(1, n/pacedReply)
 	for range chunks {
-		if !sleep(ctx, rest/time.Duration(chunks)) {
+		if !sleep.For(ctx, rest/time.Duration(chunks)) {
 			panic(http.ErrAbortHandler) // the answer must not look complete
 		}
 		if _, err := io.CopyN(w, body, n/chunks); err != nil {
--- a/internal/backendtest/server.go
+++ b/internal/backendtest/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"dandelionspoke/internal/sleep"
 )
 
 // Server is a stand-in backend server. Its methods are safe for concurrent use.
@@ -169,7 +171,7 @@
 	}
 	l.leaving.Store(true)
 	s.announceDrain(ctx)
-	sleep(ctx, drainGrace)
+	sleep.For(ctx, drainGrace)
 	return s.finish(ctx, l)
 }
 
--- a/internal/bundle/envelope_test.go
+++ b/internal/bundle/envelope_test.go
@@ -2,21 +2,15 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
-)
 
-// Fixed seed of the random operations.
-func init() {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-}
+	_ "dandelionspoke/internal/fixedseed"
+)
 
 type signers struct {
 	author, approver, outsider SigningKey
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -15,17 +14,13 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 
+	_ "dandelionspoke/internal/fixedseed"
 	"dandelionspoke/internal/platform"
 	"dandelionspoke/internal/platformtest"
 	"dandelionspoke/internal/verdict"
 )
 
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	goleak.VerifyTestMain(m)
-}
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // newClaimer returns a claimer with one shard, so that all keys contend.
 func newClaimer(store platform.Store) *Claimer {
--- a/internal/claim/routed.go
+++ b/internal/claim/routed.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
 )
@@ -138,7 +139,7 @@
 	defer cancel()
 	for attempt := 0; ; attempt++ {
 		err := k.settle(ctx, id, func(ctx context.Context, target Node) error { return k.completeAt(ctx, target, id, o) })
-		if err == nil || errors.Is(err, ErrFenced) || !sleep(ctx, platform.Backoff(attempt, rand.Float64)) {
+		if err == nil || errors.Is(err, ErrFenced) || !sleep.For(ctx, platform.Backoff(attempt, rand.Float64)) {
 			return err
 		}
 	}
@@ -210,7 +211,7 @@
 	ctx, cancel := context.WithTimeout(k.router.ctx, MinRetention)
 	defer cancel()
 	for attempt := 0; k.release(ctx, id) != nil; attempt++ {
-		if !sleep(ctx, platform.Backoff(attempt, rand.Float64)) {
+		if !sleep.For(ctx, platform.Backoff(attempt, rand.Float64)) {
 			return
 		}
 	}
@@ -220,7 +221,7 @@
 	k.router.background(func() {
 		passed := time.Duration(0)
 		for _, at := range lostReleaseDelays {
-			if !sleep(k.router.ctx, at-passed) {
+			if !sleep.For(k.router.ctx, at-passed) {
 				return
 			}
 			passed = at
@@ -228,15 +229,3 @@
 		}
 	})
 }
-
-// sleep waits for d or until ctx ends; it reports whether d has passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -129,7 +130,7 @@
 
 // sendRest streams a large body. On a read error it closes the stream, which cancels the request.
 func sendRest(q *request, conn *peer.Conn) {
-	body := io.MultiReader(newPrefixReader(q.prefix), q.rest)
+	body := io.MultiReader(bytes.NewReader(q.prefix), q.rest)
 	buf := make([]byte, wire.MaxChunkBytes)
 	for {
 		n, err := body.Read(buf)
@@ -174,7 +175,7 @@
 	if fate.HasAnswer {
 		return &answer{endpoint: a.endpoint, head: fate.Response, kept: fate}, nil
 	}
-	return nil, errorOf(fate, verdict.PeerBroken)
+	return nil, verdict.New(verdict.FromWire(fate.Verdict), verdict.PeerBroken, "the connection to the gate broke")
 }
 
 func outcomeOf(ctx context.Context, status uint32, err error) balance.Outcome {
--- a/internal/ingress/chooser.go
+++ b/internal/ingress/chooser.go
@@ -23,10 +23,22 @@
 	return c
 }
 
+// choice is the signature that balance.Picker and balance.PickHedge share.
+type choice func(now int64, rng *rand.Rand, svc *table.Service, exclude uint64, long bool) int
+
 // pick returns the position of an endpoint and the endpoint, or balance.None and nil.
 func (c *Chooser) pick(svc *table.Service, exclude uint64, long bool) (int, *table.Endpoint) {
+	return c.choose(c.picker.Pick, svc, exclude, long)
+}
+
+// pickHedge returns an endpoint for a second attempt, or balance.None and nil.
+func (c *Chooser) pickHedge(svc *table.Service, exclude uint64, long bool) (int, *table.Endpoint) {
+	return c.choose(balance.PickHedge, svc, exclude, long)
+}
+
+func (c *Chooser) choose(by choice, svc *table.Service, exclude uint64, long bool) (int, *table.Endpoint) {
 	rng := c.rngs.Get().(*rand.Rand)
-	i := c.picker.Pick(Now(), rng, svc, exclude, long)
+	i := by(now(), rng, svc, exclude, long)
 	c.rngs.Put(rng)
 	if i == balance.None {
 		return i, nil
@@ -34,8 +46,8 @@
 	return i, svc.Endpoints[i]
 }
 
-// Now returns the clock of table.Stats in nanoseconds.
-func Now() int64 { return time.Now().UnixNano() }
+// now returns the clock of table.Stats in nanoseconds.
+func now() int64 { return time.Now().UnixNano() }
 
 // observation is one attempt as the balance package sees it. Its end is recorded once.
 type observation struct {
@@ -46,29 +58,18 @@
 }
 
 func observe(ep *table.Endpoint, long bool) *observation {
-	o := &observation{endpoint: ep, started: Now(), long: long}
+	o := &observation{endpoint: ep, started: now(), long: long}
 	balance.ObserveStart(ep.Stats, o.started, o.long)
 	return o
 }
 
 func (o *observation) end(outcome balance.Outcome, load *wire.Load) {
 	o.once.Do(func() {
-		now := Now()
-		balance.ObserveResult(o.endpoint.Stats, now, time.Duration(now-o.started), outcome, o.long)
-		balance.ObserveReport(o.endpoint.Stats, now, load)
+		at := now()
+		balance.ObserveResult(o.endpoint.Stats, at, time.Duration(at-o.started), outcome, o.long)
+		balance.ObserveReport(o.endpoint.Stats, at, load)
 	})
 }
 
 // age is the time since the attempt began.
-func (o *observation) age() time.Duration { return time.Duration(Now() - o.started) }
-
-// pickHedge returns an endpoint for a second attempt, or balance.None and nil.
-func (c *Chooser) pickHedge(svc *table.Service, exclude uint64, long bool) (int, *table.Endpoint) {
-	rng := c.rngs.Get().(*rand.Rand)
-	i := balance.PickHedge(Now(), rng, svc, exclude, long)
-	c.rngs.Put(rng)
-	if i == balance.None {
-		return i, nil
-	}
-	return i, svc.Endpoints[i]
-}
+func (o *observation) age() time.Duration { return time.Duration(now() - o.started) }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -2,10 +2,8 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -250,8 +248,6 @@
 	}
 }
 
-func newPrefixReader(prefix []byte) io.Reader { return bytes.NewReader(prefix) }
-
 func newAttemptID() []byte {
 	id := make([]byte, 16)
 	_, _ = rand.Read(id)
@@ -280,9 +276,7 @@
 
 func exchangeQuery(ctx context.Context, conn *peer.Conn, query *wire.AttemptQuery) (*wire.AttemptFate, error) {
 	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	f, err := conn.Exchange(&wire.Frame{Kind: &wire.Frame_AttemptQuery{AttemptQuery: query}})
+	f, err := conn.Exchange(ctx, &wire.Frame{Kind: &wire.Frame_AttemptQuery{AttemptQuery: query}})
 	if err != nil {
 		return nil, err
 	}
@@ -291,7 +285,3 @@
 	}
 	return f.GetAttemptFate(), nil
 }
-
-func errorOf(fate *wire.AttemptFate, reason verdict.Reason) error {
-	return verdict.New(verdict.FromWire(fate.Verdict), reason, "the connection to the gate broke")
-}
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -133,9 +133,7 @@
 	}
 	defer conn.Close()
 	conn.SetBulk()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	return conn.Exchange(f)
+	return conn.Exchange(ctx, f)
 }
 
 // syncWith exchanges full member state with a peer.
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -79,9 +79,7 @@
 		return nil, false, err
 	}
 	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	f, err := conn.Exchange(&wire.Frame{Kind: &wire.Frame_ClaimRequest{ClaimRequest: r}})
+	f, err := conn.Exchange(ctx, &wire.Frame{Kind: &wire.Frame_ClaimRequest{ClaimRequest: r}})
 	if err != nil {
 		return nil, true, err
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,6 +12,7 @@
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/retry"
+	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/system"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/wire"
@@ -216,7 +217,7 @@
 
 // maintain runs the periodic work outside the engine loop.
 func (n *Node) maintain() {
-	for sleep(n.ctx, slowTick) {
+	for sleep.For(n.ctx, slowTick) {
 		now := time.Now()
 		n.registry.Expire(now)
 		n.pool.CloseIdle(now)
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"dandelionspoke/internal/sleep"
 )
 
 // announceDelay is the time that a leaving node goes on accepting connections from callers after it has
@@ -20,7 +22,7 @@
 	n.engine.SetLeaving()
 	n.gate.SetDraining(true)
 	n.ingress.SetDraining(true)
-	sleep(ctx, announceDelay)
+	sleep.For(ctx, announceDelay)
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
@@ -77,15 +79,3 @@
 	n.wg.Wait()
 	n.logger.Info("node stopped", "event", "node_stopped", "node", n.settings.NodeID)
 }
-
-// sleep waits for d or until ctx ends; it reports whether d has passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"dandelionspoke/internal/sleep"
 )
 
 const (
@@ -43,7 +45,7 @@
 func (n *Node) checkHealth() {
 	var check healthCheck
 	var address string
-	for sleep(n.ctx, healthInterval) {
+	for sleep.For(n.ctx, healthInterval) {
 		a, _ := n.registry.Current()
 		if a == nil {
 			check = healthCheck{}
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"dandelionspoke/internal/sleep"
 )
 
 // acceptGrace is the time for which a closing listener still accepts.
@@ -64,7 +66,7 @@
 func (l *gracefulListener) waitQuiet(ctx context.Context) {
 	quietSince := time.Now()
 	for time.Since(quietSince) < quietFor {
-		if !sleep(ctx, quietPoll) {
+		if !sleep.For(ctx, quietPoll) {
 			return
 		}
 		l.mu.Lock()
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -8,6 +8,7 @@
 
 	"dandelionspoke/internal/platform"
 	"dandelionspoke/internal/rollout"
+	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/wire"
 
 	"github.com/cockroachdb/errors"
@@ -40,7 +41,7 @@
 		if n.alone() && !n.joinOnce() {
 			wait = joinRetryInterval
 		}
-		if !sleep(n.ctx, wait) {
+		if !sleep.For(n.ctx, wait) {
 			return
 		}
 	}
@@ -103,7 +104,7 @@
 			stop()
 		}
 	}()
-	for sleep(n.ctx, readerCheckInterval) {
+	for sleep.For(n.ctx, readerCheckInterval) {
 		reader := rollout.IsReader(n.settings.NodeID, n.liveMembers(), readersPerDomain)
 		if reader == (stop != nil) {
 			continue
@@ -138,7 +139,7 @@
 func (n *Node) writeStatus(ctx context.Context) {
 	status := rollout.StatusWriter{Store: n.store}
 	var written []string
-	for sleep(ctx, membersWriteInterval) {
+	for sleep.For(ctx, membersWriteInterval) {
 		s := rollout.Summarize(n.settings.FailureDomain, n.settings.NodeID, n.liveMembers(), time.Now())
 		if err := status.Publish(ctx, s); err != nil {
 			n.logger.Info("status not written", "event", "store_write_failed", "error", err)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"sync/atomic"
@@ -114,9 +115,6 @@
 // SetBulk raises the frame limit for streams that carry member lists and bundles.
 func (c *Conn) SetBulk() { c.limit = wire.MaxBulkFrameBytes }
 
-// SetDeadline bounds all later reads and writes.
-func (c *Conn) SetDeadline(t time.Time) error { return c.raw.SetDeadline(t) }
-
 // Close ends the stream and unblocks a pending Read or Write.
 func (c *Conn) Close() error {
 	err := c.raw.Close()
@@ -125,8 +123,10 @@
 	return err
 }
 
-// Exchange sends one frame and returns the answer.
-func (c *Conn) Exchange(f *wire.Frame) (*wire.Frame, error) {
+// Exchange sends one frame and returns the answer. The end of ctx closes the stream.
+func (c *Conn) Exchange(ctx context.Context, f *wire.Frame) (*wire.Frame, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
 	if err := c.Write(f); err != nil {
 		return nil, err
 	}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -138,11 +138,10 @@
 	}
 	conn := newConn(stream, session, wire.MaxFrameBytes)
 	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
-		return nil, err
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
 	hello := &wire.Hello{NodeId: p.nodeID, Instance: p.instance}
-	answer, err := conn.Exchange(&wire.Frame{Kind: &wire.Frame_Hello{Hello: hello}})
+	answer, err := conn.Exchange(ctx, &wire.Frame{Kind: &wire.Frame_Hello{Hello: hello}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/backoff.go
+++ b/internal/platform/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"dandelionspoke/internal/sleep"
 )
 
 const (
@@ -23,12 +25,8 @@
 
 // sleepBackoff waits for Backoff(attempt) and returns ctx's error when ctx ends first.
 func sleepBackoff(ctx context.Context, attempt int) error {
-	timer := time.NewTimer(Backoff(attempt, rand.Float64))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !sleep.For(ctx, Backoff(attempt, rand.Float64)) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -14,16 +13,12 @@
 	"pgregory.net/rapid"
 
 	"dandelionspoke/internal/bundle"
+	_ "dandelionspoke/internal/fixedseed"
 	"dandelionspoke/internal/platform"
 	"dandelionspoke/internal/platformtest"
 )
 
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	goleak.VerifyTestMain(m)
-}
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 type crew struct {
 	authors  []bundle.SigningKey
