Go through the members only when they have changed

Cause: each node with store access copied all member records twice a second to see whether it is a reader, and after a bundle change every record was cloned for its version; at 23,000 members that is work of an idle node. The cost at 23,000 members was not measured.

--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -86,6 +86,14 @@
 	return members
 }
 
+// Records returns the same records as Members but for the bundle versions that came with datagrams, without
+// copying any. They must not be modified.
+func (e *Engine) Records() []*wire.Member {
+	var records []*wire.Member
+	e.read(func(node *membership.Node) { records = node.Records() })
+	return records
+}
+
 // Process returns the start of this process in unix milliseconds as other nodes see it in
 // table.Endpoint.Incarnation. It is 0 before Start. It rises when a node with the same ID and a later
 // clock was known before.
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -58,7 +58,7 @@
 // claimNodes returns the live nodes that may own claims.
 func (n *Node) claimNodes() []claim.Node {
 	var nodes []claim.Node
-	for _, m := range n.engine.Members() {
+	for _, m := range n.engine.Records() {
 		if m.State != wire.MemberState_ALIVE || m.StoreAccess == wire.StoreAccess_NO_STORE {
 			continue
 		}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -17,7 +17,7 @@
 // domainAddresses returns the peer addresses of the live nodes in this node's failure domain, sorted.
 func (n *Node) domainAddresses() []string {
 	var addresses []string
-	for _, m := range n.engine.Members() {
+	for _, m := range n.engine.Records() {
 		if m.State == wire.MemberState_ALIVE && m.FailureDomain == n.settings.FailureDomain {
 			addresses = append(addresses, m.PeerAddr)
 		}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -9,6 +9,7 @@
 	"dandelionspoke/internal/platform"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/sleep"
+	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/wire"
 
 	"github.com/cockroachdb/errors"
@@ -48,7 +49,7 @@
 }
 
 func (n *Node) alone() bool {
-	for _, m := range n.engine.Members() {
+	for _, m := range n.engine.Records() {
 		if m.NodeId != n.settings.NodeID && m.State != wire.MemberState_DEAD {
 			return false
 		}
@@ -99,12 +100,20 @@
 // followStore runs the work of a store reader while this node is one for its failure domain.
 func (n *Node) followStore() {
 	var stop context.CancelFunc
+	var seen *table.Snapshot
 	defer func() {
 		if stop != nil {
 			stop()
 		}
 	}()
 	for sleep.For(n.ctx, readerCheckInterval) {
+		// Members change only with a snapshot; going through all of them each time would cost more than the
+		// rest of an idle node at the size of the fleet.
+		snapshot := n.snapshots.Load()
+		if snapshot == seen {
+			continue
+		}
+		seen = snapshot
 		reader := rollout.IsReader(n.settings.NodeID, n.liveMembers(), readersPerDomain)
 		if reader == (stop != nil) {
 			continue
