Apply ingress.max_body_bytes

Cause: the setting was read, checked and documented, but no code used it. Change: the smaller one of it and the route's limit counts.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -44,6 +44,8 @@
 	Budget  *retry.Budget // of retries and hedges
 	Logger  *slog.Logger
 	Region  string // of this node
+	// MaxBodyBytes bounds request bodies besides the route's limit; 0 means that only the route counts.
+	MaxBodyBytes int64
 	// IsQuarantined reports whether a fingerprint is refused; nil means that none is.
 	IsQuarantined func(fingerprint []byte) bool
 	// OnStale is told of each request's service, so that stale load figures are refreshed; nil means no report.
@@ -101,7 +103,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	if err := q.readPrefix(ctx, w); err != nil {
+	if err := q.readPrefix(ctx, w, in.bodyLimit(q.route)); err != nil {
 		return err
 	}
 	if in.IsQuarantined != nil && in.IsQuarantined(q.fingerprint) {
@@ -130,6 +132,13 @@
 	}
 }
 
+func (in *Ingress) bodyLimit(r *bundle.Route) int64 {
+	if in.MaxBodyBytes == 0 {
+		return r.MaxBodyBytes
+	}
+	return min(in.MaxBodyBytes, r.MaxBodyBytes)
+}
+
 // fail writes a failed answer with its verdict.
 func (in *Ingress) fail(w http.ResponseWriter, r *http.Request, err error) {
 	if errors.Is(err, http.ErrAbortHandler) {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -130,9 +130,8 @@
 	return headers
 }
 
-// readPrefix reads the start of the body and computes the fingerprint.
-func (q *request) readPrefix(ctx context.Context, w http.ResponseWriter) error {
-	limit := q.route.MaxBodyBytes
+// readPrefix reads the start of a body of at most limit bytes and computes the fingerprint.
+func (q *request) readPrefix(ctx context.Context, w http.ResponseWriter, limit int64) error {
 	if q.http.ContentLength > limit {
 		return verdict.New(verdict.NotRun, verdict.BodyTooLarge, "body of %d bytes, limit %d", q.http.ContentLength, limit)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,8 @@
 	n.registry.OnChange = n.backendChanged
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget,
-		Logger: n.logger, Region: n.settings.Region, IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered,
+		Logger: n.logger, Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
+		IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered,
 		Claimer: func(service string) claim.Keys { return n.router.For(service) },
 	})
 }
