--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -13,7 +13,7 @@
 	"dandelionspoke/internal/backendtest"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/node"
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstoretest"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
 )
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platformtest.New()
+	store := objectstoretest.New()
 	if _, err := rollout.NewOperator(store, s.trusted).Rollout(ctx, e, nil); err != nil {
 		return nil, err
 	}
@@ -63,7 +63,7 @@
 	return p, p.waitReady()
 }
 
-func startNode(ctx context.Context, s *signer, store *platformtest.Store, seeds []string) (*node.Node, error) {
+func startNode(ctx context.Context, s *signer, store *objectstoretest.Store, seeds []string) (*node.Node, error) {
 	cfg := settings.Default()
 	cfg.Seeds = seeds
 	cfg.Bundle.TrustedKeys = s.trusted
--- a/internal/claim/atmostonce_test.go
+++ b/internal/claim/atmostonce_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstoretest"
 	"dandelionspoke/internal/verdict"
 )
 
@@ -69,7 +69,7 @@
 
 type trial struct {
 	t       *testing.T
-	store   *platformtest.Store
+	store   *objectstoretest.Store
 	keys    []Keys
 	close   []func()
 	calm    func()         // ends them
@@ -80,7 +80,7 @@
 }
 
 func newTrial(t *testing.T) *trial {
-	tr := &trial{t: t, store: platformtest.New(), runs: map[int]string{}, taken: map[int]bool{}, calm: func() {}}
+	tr := &trial{t: t, store: objectstoretest.New(), runs: map[int]string{}, taken: map[int]bool{}, calm: func() {}}
 	for range 3 {
 		c := newClaimer(tr.store)
 		tr.keys = append(tr.keys, c)
--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstoretest"
 )
 
 // BenchmarkClaims measures keyed requests (a claim and its outcome) against a store that takes 3 ms a call.
@@ -18,7 +18,7 @@
 	} {
 		name := fmt.Sprintf("claimers=%d/shards=%d/concurrency=%d", load.claimers, load.shards, load.concurrency)
 		b.Run(name, func(b *testing.B) {
-			store := platformtest.New()
+			store := objectstoretest.New()
 			store.SetSlow(3 * time.Millisecond)
 			var claimers []Keys
 			for range load.claimers {
@@ -48,7 +48,7 @@
 	} {
 		name := fmt.Sprintf("nodes=%d/shards=%d/callers=%d/routed=%t/bound=%.0f", load.nodes, load.shards, load.concurrency, load.routed, load.writes)
 		b.Run(name, func(b *testing.B) {
-			store := platformtest.New()
+			store := objectstoretest.New()
 			store.SetSlow(3 * time.Millisecond)
 			writers := load.nodes
 			if load.routed {
@@ -69,7 +69,7 @@
 	}
 }
 
-func reportClaims(b *testing.B, store *platformtest.Store, keys []Keys, concurrency int) {
+func reportClaims(b *testing.B, store *objectstoretest.Store, keys []Keys, concurrency int) {
 	started := time.Now()
 	refused := claimAll(b, keys, concurrency)
 	elapsed := time.Since(started)
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -15,15 +15,15 @@
 	"go.uber.org/goleak"
 
 	_ "dandelionspoke/internal/fixedseed"
-	"dandelionspoke/internal/platform"
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstore"
+	"dandelionspoke/internal/objectstoretest"
 	"dandelionspoke/internal/verdict"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // newClaimer returns a claimer with one shard, so that all keys contend.
-func newClaimer(store platform.Store) *Claimer {
+func newClaimer(store objectstore.Store) *Claimer {
 	c := New(Config{
 		Store:     store,
 		Service:   "ordre",
@@ -66,15 +66,15 @@
 
 // TestRepeats guards against a repeat of a keyed request that gets anything but the state of the first attempt.
 func TestRepeats(t *testing.T) {
-	cases := map[string]func(t *testing.T, a, b *Claimer, store *platformtest.Store){
-		"in progress": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+	cases := map[string]func(t *testing.T, a, b *Claimer, store *objectstoretest.Store){
+		"in progress": func(t *testing.T, a, b *Claimer, _ *objectstoretest.Store) {
 			for _, c := range []*Claimer{a, b} {
 				if r := wantKind(t, c, "2", Held); r.Verdict != verdict.MayHaveRun {
 					t.Fatalf("%+v", r)
 				}
 			}
 		},
-		"done": func(t *testing.T, a, b *Claimer, store *platformtest.Store) {
+		"done": func(t *testing.T, a, b *Claimer, store *objectstoretest.Store) {
 			complete(t, a, ranOutcome("x"))
 			for _, c := range []*Claimer{a, b} {
 				if diff := cmp.Diff(ranOutcome("x"), wantKind(t, c, "2", Replay).Outcome); diff != "" {
@@ -84,19 +84,19 @@
 			store.SetDown(true)
 			wantKind(t, b, "3", Replay) // a final outcome is answered from memory
 		},
-		"large answer": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+		"large answer": func(t *testing.T, a, b *Claimer, _ *objectstoretest.Store) {
 			complete(t, a, ranOutcome(string(make([]byte, MaxOutcomeBytes))))
 			if r := wantKind(t, b, "2", Held); r.Verdict != verdict.Ran {
 				t.Fatalf("%+v", r)
 			}
 		},
-		"unknown": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+		"unknown": func(t *testing.T, a, b *Claimer, _ *objectstoretest.Store) {
 			complete(t, a, Outcome{Verdict: verdict.MayHaveRun})
 			if r := wantKind(t, b, "2", Held); r.Verdict != verdict.MayHaveRun {
 				t.Fatalf("%+v", r)
 			}
 		},
-		"released": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+		"released": func(t *testing.T, a, b *Claimer, _ *objectstoretest.Store) {
 			wantKind(t, b, "0", Held) // b now has the claim in memory
 			if err := a.Release(t.Context(), "key"); err != nil {
 				t.Fatal(err)
@@ -106,7 +106,7 @@
 				t.Fatalf("completed after the release: %v", err)
 			}
 		},
-		"released during an outage": func(t *testing.T, a, b *Claimer, store *platformtest.Store) {
+		"released during an outage": func(t *testing.T, a, b *Claimer, store *objectstoretest.Store) {
 			store.SetDown(true)
 			if err := a.Release(t.Context(), "key"); err == nil {
 				t.Fatal("released without the store")
@@ -115,25 +115,25 @@
 			time.Sleep(time.Minute)
 			wantKind(t, b, "2", Run)
 		},
-		"completed during an outage": func(t *testing.T, a, b *Claimer, store *platformtest.Store) {
+		"completed during an outage": func(t *testing.T, a, b *Claimer, store *objectstoretest.Store) {
 			store.SetDown(true)
 			time.AfterFunc(time.Minute, func() { store.SetDown(false) })
 			complete(t, a, ranOutcome("x"))
 			wantKind(t, b, "2", Replay)
 		},
-		"completed by a late write": func(t *testing.T, a, b *Claimer, store *platformtest.Store) {
+		"completed by a late write": func(t *testing.T, a, b *Claimer, store *objectstoretest.Store) {
 			store.DelayWrites(1000, writeTimeout+time.Second)
 			complete(t, a, ranOutcome("x"))
 			store.DelayWrites(0, 0)
 			wantKind(t, b, "2", Replay)
 		},
-		"another request": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+		"another request": func(t *testing.T, a, b *Claimer, _ *objectstoretest.Store) {
 			for _, c := range []*Claimer{a, b} {
 				_, err := c.Acquire(t.Context(), "key", []byte("other"), []byte("2"))
 				wantReason(t, err, verdict.ClaimMismatch)
 			}
 		},
-		"store down": func(t *testing.T, _, b *Claimer, store *platformtest.Store) {
+		"store down": func(t *testing.T, _, b *Claimer, store *objectstoretest.Store) {
 			store.SetDown(true)
 			start := time.Now()
 			_, err := b.Acquire(t.Context(), "key", []byte("digest"), []byte("2"))
@@ -142,14 +142,14 @@
 				t.Fatalf("refused after %v", waited)
 			}
 		},
-		"store slow": func(t *testing.T, _, b *Claimer, store *platformtest.Store) {
+		"store slow": func(t *testing.T, _, b *Claimer, store *objectstoretest.Store) {
 			store.SetSlow(time.Hour)
 			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 			defer cancel()
 			_, err := b.Acquire(ctx, "key", []byte("digest"), []byte("2"))
 			wantReason(t, err, verdict.DeadlineExceeded)
 		},
-		"expired": func(t *testing.T, a, b *Claimer, _ *platformtest.Store) {
+		"expired": func(t *testing.T, a, b *Claimer, _ *objectstoretest.Store) {
 			time.Sleep(MinRetention + MaxClockSkew/2)
 			wantKind(t, b, "2", Held) // a node's clock may be ahead
 			time.Sleep(MaxClockSkew)
@@ -163,7 +163,7 @@
 	for name, check := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := platformtest.New()
+				store := objectstoretest.New()
 				a, b := newClaimer(store), newClaimer(store)
 				defer a.Close()
 				defer b.Close()
@@ -177,7 +177,7 @@
 // TestPausedHolder guards against a holder that runs after a pause in which its claim expired and another ran.
 func TestPausedHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New()
+		store := objectstoretest.New()
 		a, b := newClaimer(store), newClaimer(store)
 		defer a.Close()
 		defer b.Close()
@@ -195,25 +195,25 @@
 
 // overtaken is a store whose answer to a write is lost and that has a later write when it is read back.
 type overtaken struct {
-	platform.Store
+	objectstore.Store
 	then func()
 }
 
-func (s *overtaken) Put(ctx context.Context, key string, value []byte, ifVersion int64) (platform.Object, error) {
+func (s *overtaken) Put(ctx context.Context, key string, value []byte, ifVersion int64) (objectstore.Object, error) {
 	o, err := s.Store.Put(ctx, key, value, ifVersion)
 	if s.then == nil {
 		return o, err
 	}
 	s.then()
 	s.then = nil
-	return platform.Object{}, platform.ErrUnknownOutcome
+	return objectstore.Object{}, objectstore.ErrUnknownOutcome
 }
 
 // TestOvertakenWrite guards against a claimer that takes its own write for the newest one after a
 // read-back and then overwrites the claims of others.
 func TestOvertakenWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New()
+		store := objectstoretest.New()
 		front := &overtaken{Store: store}
 		a, b := newClaimer(front), newClaimer(store)
 		defer a.Close()
@@ -259,7 +259,7 @@
 // TestGroupCommit guards against a write for each claim.
 func TestGroupCommit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New()
+		store := objectstoretest.New()
 		store.SetSlow(3 * time.Millisecond)
 		c := newClaimer(store)
 		defer c.Close()
@@ -282,7 +282,7 @@
 // TestServices guards against keys of one service that block those of another, and against a memory
 // bound that grows with the number of services.
 func TestServices(t *testing.T) {
-	store := platformtest.New()
+	store := objectstoretest.New()
 	services := NewServices(Config{
 		Store:     store,
 		Retention: func() time.Duration { return 0 },
@@ -295,7 +295,7 @@
 	var stored int64
 	objects, err := store.List(t.Context(), "claims/")
 	for _, o := range objects {
-		sealed, err := platform.Unseal(o)
+		sealed, err := objectstore.Unseal(o)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/verdict"
 )
 
@@ -34,7 +34,7 @@
 
 // Config configures a Claimer.
 type Config struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Service separates the keys of services from one another.
 	Service string
 	// Retention returns the time for which a key is kept; it is read at each claim.
--- a/internal/claim/layout.go
+++ b/internal/claim/layout.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 )
 
 const (
@@ -22,12 +22,12 @@
 // layout makes sure that all claimers of a store use one number of shards. The first claimer creates the
 // object layoutKey; the others take no claim unless it agrees with them.
 type layout struct {
-	store  platform.Store
+	store  objectstore.Store
 	agreed atomic.Bool
 	turn   chan struct{} // holds an element while a shard checks, so that others wait for the result
 }
 
-func newLayout(store platform.Store) *layout {
+func newLayout(store objectstore.Store) *layout {
 	return &layout{store: store, turn: make(chan struct{}, 1)}
 }
 
@@ -39,13 +39,13 @@
 	case l.turn <- struct{}{}:
 		defer func() { <-l.turn }()
 	case <-ctx.Done():
-		return errors.Mark(ctx.Err(), platform.ErrUnavailable)
+		return errors.Mark(ctx.Err(), objectstore.ErrUnavailable)
 	}
 	if l.agreed.Load() {
 		return nil
 	}
 	err := l.compare(ctx, shards)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		err = l.create(ctx, shards)
 	}
 	if err == nil {
@@ -72,16 +72,16 @@
 		return err
 	}
 	if len(old) > 0 {
-		if err := l.compare(ctx, shards); !errors.Is(err, platform.ErrNotFound) {
+		if err := l.compare(ctx, shards); !errors.Is(err, objectstore.ErrNotFound) {
 			return err
 		}
 		return errors.Wrapf(errLayout, "%d objects under %s without %s", len(old), claimsPrefix, layoutKey)
 	}
-	_, err = l.store.Put(ctx, layoutKey, []byte(strconv.Itoa(shards)), platform.MustNotExist)
+	_, err = l.store.Put(ctx, layoutKey, []byte(strconv.Itoa(shards)), objectstore.MustNotExist)
 	if err == nil {
 		return nil
 	}
-	if other := l.compare(ctx, shards); !errors.Is(other, platform.ErrNotFound) {
+	if other := l.compare(ctx, shards); !errors.Is(other, objectstore.ErrNotFound) {
 		return other // another claimer, or this write, created it
 	}
 	return err
--- a/internal/claim/layout_test.go
+++ b/internal/claim/layout_test.go
@@ -3,13 +3,13 @@
 import (
 	"testing"
 
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstoretest"
 	"dandelionspoke/internal/verdict"
 )
 
 // TestLayout guards against two numbers of shards in one store, with which a key could run twice.
 func TestLayout(t *testing.T) {
-	store := platformtest.New()
+	store := objectstoretest.New()
 	a, b := newClaimer(store), newClaimer(store)
 	defer a.Close()
 	defer b.Close()
@@ -22,7 +22,7 @@
 // TestClaimsWithoutLayout guards against a claimer that does not see the claims of a version that stored
 // no number of shards.
 func TestClaimsWithoutLayout(t *testing.T) {
-	store := platformtest.New()
+	store := objectstoretest.New()
 	a := newClaimer(store)
 	defer a.Close()
 	if _, err := store.Put(t.Context(), "claims/ordre/1000", nil, 0); err != nil {
--- a/internal/claim/message.go
+++ b/internal/claim/message.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
 )
@@ -31,7 +31,7 @@
 		}
 	}
 	id := identity{key: r.Key, digest: r.Digest, attempt: r.Attempt}
-	return id, platform.CheckKey(claimsPrefix + r.Service)
+	return id, objectstore.CheckKey(claimsPrefix + r.Service)
 }
 
 // answerOf returns the reply to an Acquire. An error has a verdict.Error with NotRun.
--- a/internal/claim/network_test.go
+++ b/internal/claim/network_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/wire"
 )
 
@@ -42,7 +42,7 @@
 }
 
 // newNetwork returns a network of routers, of which the first withStore have direct access to the store.
-func newNetwork(store platform.Store, size, withStore, shards int, writes float64) *network {
+func newNetwork(store objectstore.Store, size, withStore, shards int, writes float64) *network {
 	w := &network{dead: map[int]bool{}, services: make([]*Services, size), views: make([][]Node, size)}
 	for i := range withStore {
 		w.services[i] = NewServices(Config{
--- a/internal/claim/routed.go
+++ b/internal/claim/routed.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
@@ -139,7 +139,7 @@
 	defer cancel()
 	for attempt := 0; ; attempt++ {
 		err := k.settle(ctx, id, func(ctx context.Context, target Node) error { return k.completeAt(ctx, target, id, o) })
-		if err == nil || errors.Is(err, ErrFenced) || !sleep.For(ctx, platform.Backoff(attempt, rand.Float64)) {
+		if err == nil || errors.Is(err, ErrFenced) || !sleep.For(ctx, objectstore.Backoff(attempt, rand.Float64)) {
 			return err
 		}
 	}
@@ -211,7 +211,7 @@
 	ctx, cancel := context.WithTimeout(k.router.ctx, MinRetention)
 	defer cancel()
 	for attempt := 0; k.release(ctx, id) != nil; attempt++ {
-		if !sleep.For(ctx, platform.Backoff(attempt, rand.Float64)) {
+		if !sleep.For(ctx, objectstore.Backoff(attempt, rand.Float64)) {
 			return
 		}
 	}
--- a/internal/claim/router_test.go
+++ b/internal/claim/router_test.go
@@ -12,8 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
-	"dandelionspoke/internal/platform"
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstore"
+	"dandelionspoke/internal/objectstoretest"
 	"dandelionspoke/internal/verdict"
 )
 
@@ -38,7 +38,7 @@
 }
 
 func newRoutedTrial(t *testing.T) *trial {
-	tr := &trial{t: t, store: platformtest.New(), runs: map[int]string{}, taken: map[int]bool{}}
+	tr := &trial{t: t, store: objectstoretest.New(), runs: map[int]string{}, taken: map[int]bool{}}
 	w := newNetwork(tr.store, 5, 4, 1, 50)
 	for _, r := range w.routers {
 		tr.keys = append(tr.keys, r.For("ordre"))
@@ -99,7 +99,7 @@
 	for name, inject := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newNetwork(platformtest.New(), 3, 2, 1, 0)
+				w := newNetwork(objectstoretest.New(), 3, 2, 1, 0)
 				defer w.close()
 				inject(w)
 				keys := w.routers[2].For("ordre")
@@ -119,7 +119,7 @@
 // the answer took would then extend it.
 func TestPermitStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New()
+		store := objectstoretest.New()
 		store.SetSlow(300 * time.Millisecond)
 		w := newNetwork(store, 3, 2, 1, 0)
 		defer w.close()
@@ -138,7 +138,7 @@
 // between the claim and the outcome.
 func TestOwnerChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newNetwork(platformtest.New(), 4, 3, 1, 0)
+		w := newNetwork(objectstoretest.New(), 4, 3, 1, 0)
 		defer w.close()
 		keys := w.routers[3].For("ordre")
 		r, err := keys.Acquire(t.Context(), "key", []byte("digest"), []byte("1"))
@@ -169,7 +169,7 @@
 // node has been closed.
 func TestCloseEndsComplete(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New()
+		store := objectstoretest.New()
 		w := newNetwork(store, 2, 1, 1, 0)
 		defer w.close()
 		keys := w.routers[1].For("ordre")
@@ -189,13 +189,13 @@
 
 // silent is a store whose writes of claims are lost until a time.
 type silent struct {
-	platform.Store
+	objectstore.Store
 	until time.Time
 }
 
-func (s silent) Put(ctx context.Context, key string, value []byte, ifVersion int64) (platform.Object, error) {
+func (s silent) Put(ctx context.Context, key string, value []byte, ifVersion int64) (objectstore.Object, error) {
 	if strings.HasPrefix(key, claimsPrefix) && time.Now().Before(s.until) {
-		return platform.Object{}, platform.ErrUnknownOutcome
+		return objectstore.Object{}, objectstore.ErrUnknownOutcome
 	}
 	return s.Store.Put(ctx, key, value, ifVersion)
 }
@@ -204,7 +204,7 @@
 // claim later, releases the one that the same attempt has made through the next owner.
 func TestFailedOwnerReleases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New()
+		store := objectstoretest.New()
 		w := newNetwork(store, 3, 2, 1, 0)
 		defer w.close()
 		order := ranked(owners(w.nodes()), "ordre", 0)
@@ -226,7 +226,7 @@
 // TestNoOwner guards against a wait, or a verdict other than not-run, when no node with the store can be reached.
 func TestNoOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newNetwork(platformtest.New(), 3, 2, 1, 0)
+		w := newNetwork(objectstoretest.New(), 3, 2, 1, 0)
 		defer w.close()
 		w.kill(0)
 		w.kill(1)
@@ -243,7 +243,7 @@
 func TestSharedWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const writesPerOwner, seconds, claimsPerCaller = 10, 2, 8
-		store := platformtest.New()
+		store := objectstoretest.New()
 		store.SetSlow(3 * time.Millisecond)
 		w := newNetwork(store, 32, 32, 16, writesPerOwner)
 		defer w.close()
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 )
 
 type opKind uint8
@@ -67,7 +67,7 @@
 	wake    chan struct{} // ends the pause after a failure
 
 	// The fields below belong to the goroutine that runs the shard.
-	base   platform.Sealed
+	base   objectstore.Sealed
 	table  *table // nil: not cached
 	again  []*op  // operations to try again after a failure
 	orphan []*op  // releases of claims that no caller holds
@@ -131,7 +131,7 @@
 
 // pause waits with jitter until the next attempt. It returns false when ctx ended or wake was signalled first.
 func (s *shard) pause(ctx context.Context, wake <-chan struct{}, attempt int) bool {
-	timer := time.NewTimer(platform.Backoff(attempt, rand.Float64))
+	timer := time.NewTimer(objectstore.Backoff(attempt, rand.Float64))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -154,7 +154,7 @@
 			s.logState(nil)
 			return true
 		}
-		if !errors.Is(err, platform.ErrConflict) || !s.pause(ctx, nil, attempt) || s.claimer.shared.limiter.Wait(ctx) != nil {
+		if !errors.Is(err, objectstore.ErrConflict) || !s.pause(ctx, nil, attempt) || s.claimer.shared.limiter.Wait(ctx) != nil {
 			s.logState(err)
 			s.forget()
 			s.fail(batch, err)
@@ -203,8 +203,8 @@
 	}
 	if changed {
 		payload := next.encode()
-		stored, err := platform.PutResolved(ctx, s.claimer.config.Store, s.key, s.base, payload)
-		if errors.Is(err, platform.ErrUnknownOutcome) {
+		stored, err := objectstore.PutResolved(ctx, s.claimer.config.Store, s.key, s.base, payload)
+		if errors.Is(err, objectstore.ErrUnknownOutcome) {
 			s.orphanRuns(batch, replies, s.base.Version)
 		}
 		if err != nil {
@@ -262,7 +262,7 @@
 	if err := s.claimer.shared.layout.check(ctx, s.claimer.shards); err != nil {
 		return err
 	}
-	sealed, err := platform.GetSealed(ctx, s.claimer.config.Store, s.key)
+	sealed, err := objectstore.GetSealed(ctx, s.claimer.config.Store, s.key)
 	if err != nil {
 		return err
 	}
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -10,13 +10,13 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/verdict"
 )
 
 const (
 	// maxTableBytes leaves room for the header of a sealed value below the store's limit.
-	maxTableBytes = platform.MaxValueBytes - 16<<10
+	maxTableBytes = objectstore.MaxValueBytes - 16<<10
 	// maxClaimBytes is the size above which no new claim is taken. The rest is room to complete all
 	// claims without their answers, which adds less than a quarter to each.
 	maxClaimBytes = maxTableBytes * 3 / 4
--- a/internal/cli/bundle.go
+++ b/internal/cli/bundle.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionspoke/internal/bundle"
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/rollout"
 )
 
@@ -134,8 +134,8 @@
 }
 
 // open returns a client and a context with the time limit. The caller calls done.
-func (f *storeFlags) open() (ctx context.Context, client *platform.Client, done func(), err error) {
-	client, err = platform.NewClient(platform.Options{BaseURL: f.Store})
+func (f *storeFlags) open() (ctx context.Context, client *objectstore.Client, done func(), err error) {
+	client, err = objectstore.NewClient(objectstore.Options{BaseURL: f.Store})
 	if err != nil {
 		return nil, nil, nil, err
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -12,7 +12,7 @@
 	"strings"
 	"testing"
 
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstoretest"
 )
 
 func run(t *testing.T, args ...string) (code int, stdout, stderr string) {
@@ -119,7 +119,7 @@
 
 // Guards against a rollout that ignores the expected version, the second signature, or the winner of a race.
 func TestBundleCommands(t *testing.T) {
-	server := httptest.NewServer(platformtest.New())
+	server := httptest.NewServer(objectstoretest.New())
 	defer server.Close()
 	dir := t.TempDir()
 	path := func(name string) string { return filepath.Join(dir, name) }
--- a/internal/cli/store.go
+++ b/internal/cli/store.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstoretest"
 )
 
 // storeHeaderTimeout bounds the time in which a request header arrives.
@@ -27,7 +27,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: platformtest.New(), ReadHeaderTimeout: storeHeaderTimeout}
+	server := &http.Server{Handler: objectstoretest.New(), ReadHeaderTimeout: storeHeaderTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(ln) }()
 	fmt.Fprintf(o.out, "msg=listening store=http://%s\n", ln.Addr())
--- a/internal/demo/storeserver.go
+++ b/internal/demo/storeserver.go
@@ -7,14 +7,14 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionspoke/internal/bundle"
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstoretest"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
 )
 
 // storeServer is the stand-in object API with the workload's bundle rolled out.
 type storeServer struct {
-	objects *platformtest.Store
+	objects *objectstoretest.Store
 	server  *httptest.Server
 	url     string
 	// keys are the bundle keys that nodes trust.
@@ -22,7 +22,7 @@
 }
 
 func startStore(ctx context.Context, w Workload) (*storeServer, error) {
-	s := &storeServer{objects: platformtest.New()}
+	s := &storeServer{objects: objectstoretest.New()}
 	s.server = httptest.NewServer(s.objects)
 	s.url = s.server.URL
 	return s, errors.Wrap(s.rollout(ctx, w), "roll out the bundle")
--- a/internal/faulttest/fleet.go
+++ b/internal/faulttest/fleet.go
@@ -14,7 +14,7 @@
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/node"
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstoretest"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
 )
@@ -70,7 +70,7 @@
 type Fleet struct {
 	Options  Options
 	Network  *Network
-	Store    *platformtest.Store
+	Store    *objectstoretest.Store
 	Runs     *backendtest.RunLog
 	Members  []*Member
 	author   bundle.SigningKey
@@ -97,7 +97,7 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	f := &Fleet{Options: o, Network: NewNetwork(), Store: platformtest.New(), Runs: backendtest.NewRunLog()}
+	f := &Fleet{Options: o, Network: NewNetwork(), Store: objectstoretest.New(), Runs: backendtest.NewRunLog()}
 	if err := f.makeKeys(); err != nil {
 		return f, err
 	}
--- a/internal/faulttest/store.go
+++ b/internal/faulttest/store.go
@@ -6,18 +6,18 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 )
 
 // access is one node's way to the store; it can be cut while other nodes still reach the store.
 type access struct {
-	platform.Store
+	objectstore.Store
 	mu     sync.Mutex
 	down   bool
 	closed chan struct{} // closed while the access is cut
 }
 
-func newAccess(s platform.Store) *access { return &access{Store: s, closed: make(chan struct{})} }
+func newAccess(s objectstore.Store) *access { return &access{Store: s, closed: make(chan struct{})} }
 
 // setDown cuts the access, with its watches, or restores it.
 func (a *access) setDown(down bool) {
@@ -38,36 +38,36 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.down {
-		return nil, errors.Wrap(platform.ErrUnavailable, "no route to the store")
+		return nil, errors.Wrap(objectstore.ErrUnavailable, "no route to the store")
 	}
 	return a.closed, nil
 }
 
-// Get implements platform.Store.
-func (a *access) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (a *access) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if _, err := a.state(); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return a.Store.Get(ctx, key)
 }
 
-// List implements platform.Store.
-func (a *access) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+// List implements objectstore.Store.
+func (a *access) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
 	if _, err := a.state(); err != nil {
 		return nil, err
 	}
 	return a.Store.List(ctx, prefix)
 }
 
-// Put implements platform.Store.
-func (a *access) Put(ctx context.Context, key string, value []byte, ifVersion int64) (platform.Object, error) {
+// Put implements objectstore.Store.
+func (a *access) Put(ctx context.Context, key string, value []byte, ifVersion int64) (objectstore.Object, error) {
 	if _, err := a.state(); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return a.Store.Put(ctx, key, value, ifVersion)
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (a *access) Delete(ctx context.Context, key string, ifVersion int64) error {
 	if _, err := a.state(); err != nil {
 		return err
@@ -75,8 +75,8 @@
 	return a.Store.Delete(ctx, key, ifVersion)
 }
 
-// Watch implements platform.Store.
-func (a *access) Watch(ctx context.Context, prefix string, fromVersion int64) (<-chan platform.Event, error) {
+// Watch implements objectstore.Store.
+func (a *access) Watch(ctx context.Context, prefix string, fromVersion int64) (<-chan objectstore.Event, error) {
 	closed, err := a.state()
 	if err != nil {
 		return nil, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,8 +19,8 @@
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/ingress"
 	"dandelionspoke/internal/link"
+	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/peer"
-	"dandelionspoke/internal/platform"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
@@ -34,7 +34,7 @@
 	Settings settings.Settings
 	Logger   *slog.Logger // nil discards
 	// Store replaces the client that Settings.Store describes.
-	Store platform.Store
+	Store objectstore.Store
 	// Policy names the endpoint choice policy; empty means balance.Dandelionspoke.
 	Policy string
 }
@@ -48,7 +48,7 @@
 type Node struct {
 	settings settings.Settings
 	logger   *slog.Logger
-	store    platform.Store // nil without direct access
+	store    objectstore.Store // nil without direct access
 	instance uint64
 	started  time.Time
 
@@ -111,8 +111,8 @@
 	return n, nil
 }
 
-func newStoreClient(s settings.Store) (platform.Store, error) {
-	return platform.NewClient(platform.Options{
+func newStoreClient(s settings.Store) (objectstore.Store, error) {
+	return objectstore.NewClient(objectstore.Options{
 		BaseURL: s.URL, Token: s.Token, CallTimeout: s.Timeout, CallsPerSecond: s.CallsPerSecond,
 	})
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,8 +16,8 @@
 	"dandelionspoke/internal/backendtest"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/node"
-	"dandelionspoke/internal/platform"
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstore"
+	"dandelionspoke/internal/objectstoretest"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
 )
@@ -43,7 +43,7 @@
 // fleet is a few nodes in this process, each with a backend server, and a store.
 type fleet struct {
 	t        *testing.T
-	store    *platformtest.Store
+	store    *objectstoretest.Store
 	author   bundle.SigningKey
 	approver bundle.SigningKey
 	nodes    []*node.Node
@@ -62,7 +62,7 @@
 
 func newFleet(t *testing.T, size int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: platformtest.New(), author: key(t, "author"), approver: key(t, "approver"), log: backendtest.NewRunLog()}
+	f := &fleet{t: t, store: objectstoretest.New(), author: key(t, "author"), approver: key(t, "approver"), log: backendtest.NewRunLog()}
 	for i := range size {
 		f.addNode(i)
 	}
@@ -73,7 +73,7 @@
 func (f *fleet) addNode(i int) { f.addNodeWithStore(i, f.store) }
 
 // addNodeWithStore adds a node; without a store it has no direct access.
-func (f *fleet) addNodeWithStore(i int, store platform.Store) {
+func (f *fleet) addNodeWithStore(i int, store objectstore.Store) {
 	f.t.Helper()
 	s := settings.Default()
 	s.FailureDomain = fmt.Sprintf("local-%c", 'a'+i%2)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/table"
@@ -171,7 +171,7 @@
 	defer cancel()
 	key := membersPrefix + n.settings.FailureDomain
 	old, err := n.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return err
 	}
 	value, err := json.Marshal(domainMembers{FailureDomain: n.settings.FailureDomain, PeerAddresses: addresses})
@@ -179,7 +179,7 @@
 		return err
 	}
 	_, err = n.store.Put(ctx, key, value, old.Version)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		return nil
 	}
 	return err
--- a/internal/platform/api.go
+++ b/internal/objectstore/api.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"net/http"
@@ -73,5 +73,5 @@
 func ParseETag(tag string) (int64, error) {
 	digits := strings.TrimSuffix(strings.TrimPrefix(tag, `"`), `"`)
 	version, err := strconv.ParseInt(digits, 10, 64)
-	return version, errors.Wrapf(err, "platform: entity tag %q", tag)
+	return version, errors.Wrapf(err, "objectstore: entity tag %q", tag)
 }
--- a/internal/platform/client.go
+++ b/internal/objectstore/client.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"bytes"
@@ -59,10 +59,10 @@
 func NewClient(options Options) (*Client, error) {
 	base, err := url.Parse(options.BaseURL)
 	if err != nil {
-		return nil, errors.Wrap(err, "platform: base URL")
+		return nil, errors.Wrap(err, "objectstore: base URL")
 	}
 	if base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
-		return nil, errors.Newf("platform: base URL %q: allowed is http://HOST[:PORT] or https://HOST[:PORT]", options.BaseURL)
+		return nil, errors.Newf("objectstore: base URL %q: allowed is http://HOST[:PORT] or https://HOST[:PORT]", options.BaseURL)
 	}
 	options.setDefaults()
 	return &Client{
@@ -215,7 +215,7 @@
 	}
 	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
 	if err != nil {
-		return r, false, errors.Wrap(err, "platform: build request")
+		return r, false, errors.Wrap(err, "objectstore: build request")
 	}
 	c.authorize(request)
 	for name, values := range header {
@@ -239,7 +239,7 @@
 }
 
 func unavailable(cause error) error {
-	return errors.Mark(errors.Wrap(cause, "platform"), ErrUnavailable)
+	return errors.Mark(errors.Wrap(cause, "object store"), ErrUnavailable)
 }
 
 // isDialError reports that no connection was made, so that the server cannot have seen the request.
--- a/internal/platform/resolve.go
+++ b/internal/objectstore/resolve.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"bytes"
@@ -32,7 +32,7 @@
 func seal(writers []string, payload []byte) ([]byte, error) {
 	header, err := json.Marshal(sealHeader{Writers: writers})
 	if err != nil {
-		return nil, errors.Wrap(err, "platform: encode sealed value")
+		return nil, errors.Wrap(err, "objectstore: encode sealed value")
 	}
 	value := make([]byte, 0, len(header)+1+len(payload))
 	value = append(value, header...)
@@ -44,11 +44,11 @@
 func Unseal(o Object) (Sealed, error) {
 	line, payload, found := bytes.Cut(o.Value, []byte{'\n'})
 	if !found {
-		return Sealed{}, errors.Newf("platform: %s is not a sealed value", o.Key)
+		return Sealed{}, errors.Newf("objectstore: %s is not a sealed value", o.Key)
 	}
 	var header sealHeader
 	if err := json.Unmarshal(line, &header); err != nil {
-		return Sealed{}, errors.Wrapf(err, "platform: %s is not a sealed value", o.Key)
+		return Sealed{}, errors.Wrapf(err, "objectstore: %s is not a sealed value", o.Key)
 	}
 	return Sealed{Version: o.Version, Writers: header.Writers, Payload: payload}, nil
 }
@@ -99,7 +99,7 @@
 	}
 }
 
-var errStillAtBase = errors.New("platform: object is unchanged")
+var errStillAtBase = errors.New("objectstore: object is unchanged")
 
 // readBack decides a write of unknown outcome. It retries while the store is unavailable until ctx ends.
 func readBack(ctx context.Context, s Store, key string, base Sealed, token string) (Sealed, error) {
--- a/internal/platform/resolve_test.go
+++ b/internal/objectstore/resolve_test.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"fmt"
--- a/internal/platform/store.go
+++ b/internal/objectstore/store.go
@@ -1,6 +1,6 @@
-// Package platform is the access to the platform's object API: versioned objects with conditional
+// Package objectstore is the access to the platform's object API: versioned objects with conditional
 // updates and watches. Store is the interface; Client implements it over HTTP.
-package platform
+package objectstore
 
 import (
 	"context"
@@ -21,17 +21,17 @@
 // Errors of a Store. Compare with errors.Is.
 var (
 	// ErrNotFound reports that no object has the key.
-	ErrNotFound = errors.New("platform: object not found")
+	ErrNotFound = errors.New("objectstore: object not found")
 	// ErrConflict reports that the object does not have the expected version. The write did not take effect.
-	ErrConflict = errors.New("platform: version conflict")
+	ErrConflict = errors.New("objectstore: version conflict")
 	// ErrUnavailable reports that the store did not answer. A write that returns it did not take effect.
-	ErrUnavailable = errors.New("platform: store unavailable")
+	ErrUnavailable = errors.New("objectstore: store unavailable")
 	// ErrUnknownOutcome reports that a write may have taken effect or may still take effect.
-	ErrUnknownOutcome = errors.New("platform: outcome of the write is unknown")
+	ErrUnknownOutcome = errors.New("objectstore: outcome of the write is unknown")
 	// ErrTooLarge reports a value above MaxValueBytes.
-	ErrTooLarge = errors.New("platform: value exceeds 1 MiB")
+	ErrTooLarge = errors.New("objectstore: value exceeds 1 MiB")
 	// ErrInvalidKey reports a key that the object API does not accept.
-	ErrInvalidKey = errors.New("platform: invalid key")
+	ErrInvalidKey = errors.New("objectstore: invalid key")
 )
 
 // Object is one stored value. Versions come from one counter for the whole store, so that they rise
--- a/internal/platformtest/contract.go
+++ b/internal/objectstoretest/contract.go
@@ -1,4 +1,4 @@
-package platformtest
+package objectstoretest
 
 import (
 	"context"
@@ -8,18 +8,18 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 )
 
 // eventTimeout bounds the wait for an event that must come.
 const eventTimeout = 20 * time.Second
 
 // Factory returns a store under test and the stand-in behind it, which may be the same.
-type Factory func(t *testing.T) (platform.Store, *Store)
+type Factory func(t *testing.T) (objectstore.Store, *Store)
 
-// Contract checks what every platform.Store promises.
+// Contract checks what every objectstore.Store promises.
 func Contract(t *testing.T, factory Factory) {
-	cases := map[string]func(*testing.T, platform.Store, *Store){
+	cases := map[string]func(*testing.T, objectstore.Store, *Store){
 		"writes are conditional":          contractConditional,
 		"versions rise after a deletion":  contractRecreate,
 		"list is ordered by key":          contractList,
@@ -46,7 +46,7 @@
 	}
 }
 
-func mustPut(t *testing.T, s platform.Store, key, value string, ifVersion int64) platform.Object {
+func mustPut(t *testing.T, s objectstore.Store, key, value string, ifVersion int64) objectstore.Object {
 	t.Helper()
 	o, err := s.Put(t.Context(), key, []byte(value), ifVersion)
 	if err != nil {
@@ -55,7 +55,7 @@
 	return o
 }
 
-func wantValue(t *testing.T, s platform.Store, want platform.Object) {
+func wantValue(t *testing.T, s objectstore.Store, want objectstore.Object) {
 	t.Helper()
 	got, err := s.Get(t.Context(), want.Key)
 	if err != nil {
@@ -66,37 +66,37 @@
 	}
 }
 
-func contractConditional(t *testing.T, s platform.Store, _ *Store) {
+func contractConditional(t *testing.T, s objectstore.Store, _ *Store) {
 	_, err := s.Get(t.Context(), "a/b")
-	wantError(t, err, platform.ErrNotFound)
+	wantError(t, err, objectstore.ErrNotFound)
 	_, err = s.Put(t.Context(), "a/b", []byte("x"), 7)
-	wantError(t, err, platform.ErrConflict)
-	first := mustPut(t, s, "a/b", "one", platform.MustNotExist)
-	_, err = s.Put(t.Context(), "a/b", []byte("x"), platform.MustNotExist)
-	wantError(t, err, platform.ErrConflict)
+	wantError(t, err, objectstore.ErrConflict)
+	first := mustPut(t, s, "a/b", "one", objectstore.MustNotExist)
+	_, err = s.Put(t.Context(), "a/b", []byte("x"), objectstore.MustNotExist)
+	wantError(t, err, objectstore.ErrConflict)
 	second := mustPut(t, s, "a/b", "two", first.Version)
 	_, err = s.Put(t.Context(), "a/b", []byte("x"), first.Version)
-	wantError(t, err, platform.ErrConflict)
-	wantError(t, s.Delete(t.Context(), "a/b", first.Version), platform.ErrConflict)
+	wantError(t, err, objectstore.ErrConflict)
+	wantError(t, s.Delete(t.Context(), "a/b", first.Version), objectstore.ErrConflict)
 	wantValue(t, s, second)
 }
 
-func contractRecreate(t *testing.T, s platform.Store, _ *Store) {
-	first := mustPut(t, s, "k", "one", platform.MustNotExist)
+func contractRecreate(t *testing.T, s objectstore.Store, _ *Store) {
+	first := mustPut(t, s, "k", "one", objectstore.MustNotExist)
 	if err := s.Delete(t.Context(), "k", first.Version); err != nil {
 		t.Fatal(err)
 	}
-	wantError(t, s.Delete(t.Context(), "k", first.Version), platform.ErrNotFound)
-	second := mustPut(t, s, "k", "two", platform.MustNotExist)
+	wantError(t, s.Delete(t.Context(), "k", first.Version), objectstore.ErrNotFound)
+	second := mustPut(t, s, "k", "two", objectstore.MustNotExist)
 	if second.Version <= first.Version {
 		t.Fatalf("version %d after %d", second.Version, first.Version)
 	}
 }
 
-func contractList(t *testing.T, s platform.Store, _ *Store) {
-	b := mustPut(t, s, "p/b", "2", platform.MustNotExist)
-	a := mustPut(t, s, "p/a", "", platform.MustNotExist)
-	mustPut(t, s, "q/a", "3", platform.MustNotExist)
+func contractList(t *testing.T, s objectstore.Store, _ *Store) {
+	b := mustPut(t, s, "p/b", "2", objectstore.MustNotExist)
+	a := mustPut(t, s, "p/a", "", objectstore.MustNotExist)
+	mustPut(t, s, "q/a", "3", objectstore.MustNotExist)
 	got, err := s.List(t.Context(), "p/")
 	if err != nil {
 		t.Fatal(err)
@@ -105,53 +105,53 @@
 		got[i].Value = append([]byte{}, got[i].Value...)
 	}
 	a.Value = []byte{}
-	if diff := cmp.Diff([]platform.Object{a, b}, got); diff != "" {
+	if diff := cmp.Diff([]objectstore.Object{a, b}, got); diff != "" {
 		t.Fatal(diff)
 	}
 }
 
-func contractLimits(t *testing.T, s platform.Store, _ *Store) {
-	large := make([]byte, platform.MaxValueBytes+1)
-	_, err := s.Put(t.Context(), "k", large, platform.MustNotExist)
-	wantError(t, err, platform.ErrTooLarge)
-	wantValue(t, s, mustPut(t, s, "k", string(large[1:]), platform.MustNotExist))
-	_, err = s.Put(t.Context(), "a/../b", nil, platform.MustNotExist)
-	wantError(t, err, platform.ErrInvalidKey)
+func contractLimits(t *testing.T, s objectstore.Store, _ *Store) {
+	large := make([]byte, objectstore.MaxValueBytes+1)
+	_, err := s.Put(t.Context(), "k", large, objectstore.MustNotExist)
+	wantError(t, err, objectstore.ErrTooLarge)
+	wantValue(t, s, mustPut(t, s, "k", string(large[1:]), objectstore.MustNotExist))
+	_, err = s.Put(t.Context(), "a/../b", nil, objectstore.MustNotExist)
+	wantError(t, err, objectstore.ErrInvalidKey)
 }
 
-func contractDown(t *testing.T, s platform.Store, backing *Store) {
-	before := mustPut(t, s, "k", "one", platform.MustNotExist)
+func contractDown(t *testing.T, s objectstore.Store, backing *Store) {
+	before := mustPut(t, s, "k", "one", objectstore.MustNotExist)
 	backing.SetDown(true)
 	_, err := s.Put(t.Context(), "k", []byte("two"), before.Version)
-	wantError(t, err, platform.ErrUnavailable)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	wantError(t, err, objectstore.ErrUnavailable)
+	if errors.Is(err, objectstore.ErrUnknownOutcome) {
 		t.Fatalf("a refused write counts as unknown: %v", err)
 	}
 	_, err = s.Get(t.Context(), "k")
-	wantError(t, err, platform.ErrUnavailable)
+	wantError(t, err, objectstore.ErrUnavailable)
 	_, err = s.List(t.Context(), "k")
-	wantError(t, err, platform.ErrUnavailable)
+	wantError(t, err, objectstore.ErrUnavailable)
 	backing.SetDown(false)
 	wantValue(t, s, before)
 }
 
-func contractLostAnswers(t *testing.T, s platform.Store, backing *Store) {
+func contractLostAnswers(t *testing.T, s objectstore.Store, backing *Store) {
 	backing.LoseAnswers(1)
-	_, err := s.Put(t.Context(), "k", []byte("one"), platform.MustNotExist)
-	wantError(t, err, platform.ErrUnknownOutcome)
+	_, err := s.Put(t.Context(), "k", []byte("one"), objectstore.MustNotExist)
+	wantError(t, err, objectstore.ErrUnknownOutcome)
 	backing.DropWrites(1)
 	_, err = s.Put(t.Context(), "k", []byte("two"), 1)
-	wantError(t, err, platform.ErrUnknownOutcome)
-	wantValue(t, s, platform.Object{Key: "k", Value: []byte("one"), Version: 1})
+	wantError(t, err, objectstore.ErrUnknownOutcome)
+	wantValue(t, s, objectstore.Object{Key: "k", Value: []byte("one"), Version: 1})
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 	defer cancel()
 	backing.SetSlow(time.Minute)
 	_, err = s.Put(ctx, "k", []byte("three"), 1)
-	wantError(t, err, platform.ErrUnknownOutcome)
+	wantError(t, err, objectstore.ErrUnknownOutcome)
 }
 
-func contractResolve(t *testing.T, s platform.Store, backing *Store) {
-	base := platform.Sealed{}
+func contractResolve(t *testing.T, s objectstore.Store, backing *Store) {
+	base := objectstore.Sealed{}
 	inject := []func(){
 		func() { backing.LoseAnswers(1) },
 		func() { backing.DropWrites(2) },
@@ -160,11 +160,11 @@
 	for i, fault := range inject {
 		fault()
 		payload := []byte{byte('a' + i)}
-		next, err := platform.PutResolved(t.Context(), s, "k", base, payload)
+		next, err := objectstore.PutResolved(t.Context(), s, "k", base, payload)
 		if err != nil {
 			t.Fatalf("fault %d: %v", i, err)
 		}
-		found, err := platform.GetSealed(t.Context(), s, "k")
+		found, err := objectstore.GetSealed(t.Context(), s, "k")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -173,22 +173,22 @@
 		}
 		base = next
 	}
-	_, err := platform.PutResolved(t.Context(), s, "k", platform.Sealed{}, nil)
-	wantError(t, err, platform.ErrConflict)
+	_, err := objectstore.PutResolved(t.Context(), s, "k", objectstore.Sealed{}, nil)
+	wantError(t, err, objectstore.ErrConflict)
 }
 
-func nextEvent(t *testing.T, events <-chan platform.Event) (platform.Event, bool) {
+func nextEvent(t *testing.T, events <-chan objectstore.Event) (objectstore.Event, bool) {
 	t.Helper()
 	select {
 	case e, open := <-events:
 		return e, open
 	case <-time.After(eventTimeout):
 		t.Fatal("no event")
-		return platform.Event{}, false
+		return objectstore.Event{}, false
 	}
 }
 
-func wantEvent(t *testing.T, events <-chan platform.Event, want platform.Event) {
+func wantEvent(t *testing.T, events <-chan objectstore.Event, want objectstore.Event) {
 	t.Helper()
 	got, _ := nextEvent(t, events)
 	if diff := cmp.Diff(want, got); diff != "" {
@@ -196,26 +196,26 @@
 	}
 }
 
-func contractWatch(t *testing.T, s platform.Store, _ *Store) {
-	old := mustPut(t, s, "w/old", "1", platform.MustNotExist)
+func contractWatch(t *testing.T, s objectstore.Store, _ *Store) {
+	old := mustPut(t, s, "w/old", "1", objectstore.MustNotExist)
 	ctx, cancel := context.WithCancel(t.Context())
 	all, err := s.Watch(ctx, "w/", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	wantEvent(t, all, platform.Event{Object: old})
+	wantEvent(t, all, objectstore.Event{Object: old})
 	later, err := s.Watch(ctx, "w/", old.Version)
 	if err != nil {
 		t.Fatal(err)
 	}
-	mustPut(t, s, "other", "1", platform.MustNotExist)
-	created := mustPut(t, s, "w/new", "2", platform.MustNotExist)
-	wantEvent(t, all, platform.Event{Object: created})
-	wantEvent(t, later, platform.Event{Object: created})
+	mustPut(t, s, "other", "1", objectstore.MustNotExist)
+	created := mustPut(t, s, "w/new", "2", objectstore.MustNotExist)
+	wantEvent(t, all, objectstore.Event{Object: created})
+	wantEvent(t, later, objectstore.Event{Object: created})
 	if err := s.Delete(t.Context(), "w/new", created.Version); err != nil {
 		t.Fatal(err)
 	}
-	gone := platform.Event{Deleted: true, Object: platform.Object{Key: "w/new", Version: created.Version + 1}}
+	gone := objectstore.Event{Deleted: true, Object: objectstore.Object{Key: "w/new", Version: created.Version + 1}}
 	wantEvent(t, all, gone)
 	wantEvent(t, later, gone)
 	cancel()
@@ -225,13 +225,13 @@
 }
 
 // contractWatchCut guards against changes that are missed because they fall between a cut and the next watch.
-func contractWatchCut(t *testing.T, s platform.Store, backing *Store) {
-	first := mustPut(t, s, "w/a", "1", platform.MustNotExist)
+func contractWatchCut(t *testing.T, s objectstore.Store, backing *Store) {
+	first := mustPut(t, s, "w/a", "1", objectstore.MustNotExist)
 	events, err := s.Watch(t.Context(), "w/", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	wantEvent(t, events, platform.Event{Object: first})
+	wantEvent(t, events, objectstore.Event{Object: first})
 	backing.SetDown(true)
 	second, err := backing.putDirect("w/a", []byte("2"), first.Version)
 	if err != nil {
@@ -246,23 +246,23 @@
 		}
 		e, _ = nextEvent(t, events)
 	}
-	if diff := cmp.Diff(platform.Event{Object: second}, e); diff != "" {
+	if diff := cmp.Diff(objectstore.Event{Object: second}, e); diff != "" {
 		t.Fatal(diff)
 	}
 }
 
 // putDirect writes past the faults.
-func (s *Store) putDirect(key string, value []byte, ifVersion int64) (platform.Object, error) {
+func (s *Store) putDirect(key string, value []byte, ifVersion int64) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.putLocked(key, value, ifVersion)
 }
 
-func contractSpuriousConflict(t *testing.T, s platform.Store, backing *Store) {
-	first := mustPut(t, s, "k", "1", platform.MustNotExist)
+func contractSpuriousConflict(t *testing.T, s objectstore.Store, backing *Store) {
+	first := mustPut(t, s, "k", "1", objectstore.MustNotExist)
 	backing.ConflictNext(1)
 	_, err := s.Put(t.Context(), "k", []byte("2"), first.Version)
-	wantError(t, err, platform.ErrConflict)
+	wantError(t, err, objectstore.ErrConflict)
 	wantValue(t, s, first)
 	mustPut(t, s, "k", "2", first.Version)
 }
--- a/internal/platformtest/faults.go
+++ b/internal/objectstoretest/faults.go
@@ -1,4 +1,4 @@
-package platformtest
+package objectstoretest
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 )
 
 type faults struct {
@@ -118,13 +118,13 @@
 	down := s.faults.down
 	s.mu.Unlock()
 	if down {
-		return errors.Wrap(platform.ErrUnavailable, "store is down")
+		return errors.Wrap(objectstore.ErrUnavailable, "store is down")
 	}
 	if slow > 0 && !wait(ctx, nil, slow) {
-		return errors.Mark(errors.Wrap(ctx.Err(), "store is slow"), platform.ErrUnavailable)
+		return errors.Mark(errors.Wrap(ctx.Err(), "store is slow"), objectstore.ErrUnavailable)
 	}
 	if err := ctx.Err(); err != nil {
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, objectstore.ErrUnavailable)
 	}
 	return nil
 }
@@ -134,25 +134,25 @@
 func (s *Store) write(ctx context.Context, counter *int64, effect func() error) error {
 	if err := s.enter(ctx, counter); err != nil {
 		if ctx.Err() != nil {
-			return errors.Wrap(platform.ErrUnknownOutcome, "call ended")
+			return errors.Wrap(objectstore.ErrUnknownOutcome, "call ended")
 		}
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if take(&s.faults.conflicts) {
-		return errors.Wrap(platform.ErrConflict, "conflict by fault")
+		return errors.Wrap(objectstore.ErrConflict, "conflict by fault")
 	}
 	if take(&s.faults.drop) {
-		return errors.Wrap(platform.ErrUnknownOutcome, "write lost")
+		return errors.Wrap(objectstore.ErrUnknownOutcome, "write lost")
 	}
 	if take(&s.faults.delay) {
 		time.AfterFunc(s.faults.delayBy, func() { s.late(effect) })
-		return errors.Wrap(platform.ErrUnknownOutcome, "write delayed")
+		return errors.Wrap(objectstore.ErrUnknownOutcome, "write delayed")
 	}
 	err := effect()
 	if take(&s.faults.lose) {
-		return errors.Wrap(platform.ErrUnknownOutcome, "answer lost")
+		return errors.Wrap(objectstore.ErrUnknownOutcome, "answer lost")
 	}
 	return err
 }
--- a/internal/platformtest/server.go
+++ b/internal/objectstoretest/server.go
@@ -1,4 +1,4 @@
-package platformtest
+package objectstoretest
 
 import (
 	"encoding/json"
@@ -10,12 +10,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 )
 
 // ServeHTTP serves the HTTP form of the object API. A write whose answer is lost closes its connection.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	key, isObject := strings.CutPrefix(r.URL.Path, platform.ObjectsPath+"/")
+	key, isObject := strings.CutPrefix(r.URL.Path, objectstore.ObjectsPath+"/")
 	switch {
 	case isObject && r.Method == http.MethodGet:
 		s.serveGet(w, r, key)
@@ -23,9 +23,9 @@
 		s.servePut(w, r, key)
 	case isObject && r.Method == http.MethodDelete:
 		s.serveDelete(w, r, key)
-	case r.URL.Path == platform.ObjectsPath && r.Method == http.MethodGet:
+	case r.URL.Path == objectstore.ObjectsPath && r.Method == http.MethodGet:
 		s.serveList(w, r)
-	case r.URL.Path == platform.WatchPath && r.Method == http.MethodGet:
+	case r.URL.Path == objectstore.WatchPath && r.Method == http.MethodGet:
 		s.serveWatch(w, r)
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
@@ -38,17 +38,17 @@
 		writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", platform.FormatETag(o.Version))
+	w.Header().Set("ETag", objectstore.FormatETag(o.Version))
 	_, _ = w.Write(o.Value) // a broken connection shows at the client
 }
 
 func (s *Store) servePut(w http.ResponseWriter, r *http.Request, key string) {
-	ifVersion, err := platform.Condition(r.Header)
+	ifVersion, err := objectstore.Condition(r.Header)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValueBytes+1))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -58,11 +58,11 @@
 		writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", platform.FormatETag(o.Version))
+	w.Header().Set("ETag", objectstore.FormatETag(o.Version))
 }
 
 func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request, key string) {
-	ifVersion, err := platform.Condition(r.Header)
+	ifVersion, err := objectstore.Condition(r.Header)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -80,9 +80,9 @@
 		writeError(w, err)
 		return
 	}
-	list := platform.ListReply{Revision: revision}
+	list := objectstore.ListReply{Revision: revision}
 	for _, o := range objects {
-		list.Objects = append(list.Objects, platform.ListObject(o))
+		list.Objects = append(list.Objects, objectstore.ListObject(o))
 	}
 	_ = json.NewEncoder(w).Encode(list) // a broken connection shows at the client
 }
@@ -103,12 +103,12 @@
 }
 
 // streamEvents sends a first heartbeat at once, so that the client knows that the watch stands.
-func streamEvents(w http.ResponseWriter, events <-chan platform.Event) {
-	heartbeat := time.NewTicker(platform.HeartbeatInterval)
+func streamEvents(w http.ResponseWriter, events <-chan objectstore.Event) {
+	heartbeat := time.NewTicker(objectstore.HeartbeatInterval)
 	defer heartbeat.Stop()
 	encoder := json.NewEncoder(w)
 	flusher := http.NewResponseController(w)
-	line := platform.WatchLine{}
+	line := objectstore.WatchLine{}
 	for {
 		if encoder.Encode(line) != nil || flusher.Flush() != nil {
 			return
@@ -118,15 +118,15 @@
 			if !open {
 				return
 			}
-			line = platform.WatchLine{Key: e.Object.Key, Version: e.Object.Version, Value: e.Object.Value, Deleted: e.Deleted}
+			line = objectstore.WatchLine{Key: e.Object.Key, Version: e.Object.Version, Value: e.Object.Value, Deleted: e.Deleted}
 		case <-heartbeat.C:
-			line = platform.WatchLine{}
+			line = objectstore.WatchLine{}
 		}
 	}
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, objectstore.ErrUnknownOutcome) {
 		panic(http.ErrAbortHandler)
 	}
 	http.Error(w, err.Error(), errorStatus(err))
@@ -134,13 +134,13 @@
 
 func errorStatus(err error) int {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		return http.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return http.StatusPreconditionFailed
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrTooLarge):
 		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, platform.ErrInvalidKey):
+	case errors.Is(err, objectstore.ErrInvalidKey):
 		return http.StatusBadRequest
 	default:
 		return http.StatusServiceUnavailable
--- a/internal/platformtest/store_test.go
+++ b/internal/objectstoretest/store_test.go
@@ -1,4 +1,4 @@
-package platformtest_test
+package objectstoretest_test
 
 import (
 	"net/http"
@@ -9,36 +9,36 @@
 
 	"go.uber.org/goleak"
 
-	"dandelionspoke/internal/platform"
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstore"
+	"dandelionspoke/internal/objectstoretest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func TestContractInMemory(t *testing.T) {
-	platformtest.Contract(t, func(*testing.T) (platform.Store, *platformtest.Store) {
-		s := platformtest.New()
+	objectstoretest.Contract(t, func(*testing.T) (objectstore.Store, *objectstoretest.Store) {
+		s := objectstoretest.New()
 		return s, s
 	})
 }
 
 func TestContractOverHTTP(t *testing.T) {
-	platformtest.Contract(t, func(t *testing.T) (platform.Store, *platformtest.Store) {
-		backing := platformtest.New()
-		return newClient(t, backing, platform.Options{CallsPerSecond: 10000}), backing
+	objectstoretest.Contract(t, func(t *testing.T) (objectstore.Store, *objectstoretest.Store) {
+		backing := objectstoretest.New()
+		return newClient(t, backing, objectstore.Options{CallsPerSecond: 10000}), backing
 	})
 }
 
-func newClient(t *testing.T, backing *platformtest.Store, options platform.Options) *platform.Client {
+func newClient(t *testing.T, backing *objectstoretest.Store, options objectstore.Options) *objectstore.Client {
 	t.Helper()
 	return serve(t, backing, options)
 }
 
-func serve(t *testing.T, handler http.Handler, options platform.Options) *platform.Client {
+func serve(t *testing.T, handler http.Handler, options objectstore.Options) *objectstore.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	options.BaseURL = server.URL
-	client, err := platform.NewClient(options)
+	client, err := objectstore.NewClient(options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,8 +52,8 @@
 
 // TestRateBudget guards against a client that exceeds its share of the store's call rate.
 func TestRateBudget(t *testing.T) {
-	backing := platformtest.New()
-	client := newClient(t, backing, platform.Options{CallsPerSecond: 0.001, Burst: 3, CallTimeout: time.Second, ReadAttempts: 1})
+	backing := objectstoretest.New()
+	client := newClient(t, backing, objectstore.Options{CallsPerSecond: 0.001, Burst: 3, CallTimeout: time.Second, ReadAttempts: 1})
 	for range 10 {
 		_, _ = client.List(t.Context(), "") // calls above the budget fail without reaching the store
 	}
@@ -65,9 +65,9 @@
 
 // TestWatchDeletionInGap guards against objects that seem to live on because their deletion fell into a cut.
 func TestWatchDeletionInGap(t *testing.T) {
-	backing := platformtest.New()
-	client := newClient(t, backing, platform.Options{CallsPerSecond: 10000})
-	o, err := client.Put(t.Context(), "w/a", []byte("1"), platform.MustNotExist)
+	backing := objectstoretest.New()
+	client := newClient(t, backing, objectstore.Options{CallsPerSecond: 10000})
+	o, err := client.Put(t.Context(), "w/a", []byte("1"), objectstore.MustNotExist)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,20 +92,20 @@
 
 // TestSilentWatch guards against a client that waits for ever on a watch whose server has frozen.
 func TestSilentWatch(t *testing.T) {
-	backing := platformtest.New()
+	backing := objectstoretest.New()
 	var frozen atomic.Bool
 	client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == platform.WatchPath && frozen.CompareAndSwap(false, true) {
+		if r.URL.Path == objectstore.WatchPath && frozen.CompareAndSwap(false, true) {
 			<-r.Context().Done()
 			return
 		}
 		backing.ServeHTTP(w, r)
-	}), platform.Options{CallsPerSecond: 10000, WatchIdle: 50 * time.Millisecond})
+	}), objectstore.Options{CallsPerSecond: 10000, WatchIdle: 50 * time.Millisecond})
 	events, err := client.Watch(t.Context(), "w/", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Put(t.Context(), "w/a", []byte("1"), platform.MustNotExist); err != nil {
+	if _, err := client.Put(t.Context(), "w/a", []byte("1"), objectstore.MustNotExist); err != nil {
 		t.Fatal(err)
 	}
 	select {
--- a/internal/rollout/operator.go
+++ b/internal/rollout/operator.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionspoke/internal/bundle"
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 )
 
 // maxSpuriousConflicts bounds the retries after conflicts that leave bundle/current as it was.
@@ -37,13 +37,13 @@
 
 // Operator rolls out bundles. It is safe for concurrent use.
 type Operator struct {
-	store   platform.Store
+	store   objectstore.Store
 	trusted bundle.Trusted
 	now     func() time.Time
 }
 
 // NewOperator returns an Operator that refuses envelopes without signatures by trusted keys.
-func NewOperator(store platform.Store, trusted bundle.Trusted) *Operator {
+func NewOperator(store objectstore.Store, trusted bundle.Trusted) *Operator {
 	return &Operator{store: store, trusted: trusted, now: time.Now}
 }
 
@@ -56,7 +56,7 @@
 
 // Rollout makes e the current bundle with one conditional update. expect, when not nil, is the version
 // that must be in force (zero: none). A *ConflictError names the winner. Rolling out the content in force
-// again succeeds, so that an operator can repeat a rollout that ended with platform.ErrUnknownOutcome.
+// again succeeds, so that an operator can repeat a rollout that ended with objectstore.ErrUnknownOutcome.
 func (o *Operator) Rollout(ctx context.Context, e *bundle.Envelope, expect *uint64) (Result, error) {
 	if err := e.Verify(o.trusted); err != nil {
 		return Result{}, err
@@ -73,7 +73,7 @@
 			return Result{Record: record, HistoryError: o.archive(ctx, record)}, nil
 		}
 	}
-	return Result{}, errors.Wrap(platform.ErrConflict, "rollout: the store refuses the update")
+	return Result{}, errors.Wrap(objectstore.ErrConflict, "rollout: the store refuses the update")
 }
 
 // try makes one conditional update. done is false after a conflict, which a new read explains.
@@ -99,8 +99,8 @@
 	if err != nil {
 		return Record{}, false, errors.Wrap(err, "rollout: encode record")
 	}
-	_, err = platform.PutResolved(ctx, o.store, CurrentKey, sealed, payload)
-	if errors.Is(err, platform.ErrConflict) {
+	_, err = objectstore.PutResolved(ctx, o.store, CurrentKey, sealed, payload)
+	if errors.Is(err, objectstore.ErrConflict) {
 		return Record{}, false, nil
 	}
 	return next, err == nil, err
@@ -135,8 +135,8 @@
 	if err != nil {
 		return errors.Wrap(err, "rollout: encode record")
 	}
-	_, err = platform.PutResolved(ctx, o.store, historyKey(r.Version), platform.Sealed{}, payload)
-	if errors.Is(err, platform.ErrConflict) {
+	_, err = objectstore.PutResolved(ctx, o.store, historyKey(r.Version), objectstore.Sealed{}, payload)
+	if errors.Is(err, objectstore.ErrConflict) {
 		return nil
 	}
 	if err != nil || r.Version <= HistoryKeep {
@@ -150,7 +150,7 @@
 	if err == nil {
 		err = o.store.Delete(ctx, key, old.Version)
 	}
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil
 	}
 	return err
--- a/internal/rollout/reader.go
+++ b/internal/rollout/reader.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionspoke/internal/bundle"
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 )
 
 const (
@@ -63,7 +63,7 @@
 
 // Reader follows bundle/current. Only nodes for which IsReader holds run one.
 type Reader struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Deliver gets each envelope that is new to the reader, one at a time. The envelope is not verified.
 	Deliver func(*bundle.Envelope)
 	Log     *slog.Logger
@@ -88,7 +88,7 @@
 }
 
 // follow handles events and polls until the watch is lost. It reports whether the watch delivered anything.
-func (r *Reader) follow(ctx context.Context, events <-chan platform.Event, poll <-chan time.Time) (delivered bool) {
+func (r *Reader) follow(ctx context.Context, events <-chan objectstore.Event, poll <-chan time.Time) (delivered bool) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -111,19 +111,19 @@
 	case err == nil && o.Version != r.seen:
 		r.deliver(o)
 	case err == nil:
-	case !errors.Is(err, platform.ErrNotFound) && ctx.Err() == nil:
+	case !errors.Is(err, objectstore.ErrNotFound) && ctx.Err() == nil:
 		r.Log.Warn("bundle read failed", "error", err)
 	}
 }
 
 // handle drops events that a lagging watch sends after the poll has seen a later version.
-func (r *Reader) handle(e platform.Event) {
+func (r *Reader) handle(e objectstore.Event) {
 	if e.Object.Key == CurrentKey && !e.Deleted && e.Object.Version > r.seen {
 		r.deliver(e.Object)
 	}
 }
 
-func (r *Reader) deliver(o platform.Object) {
+func (r *Reader) deliver(o objectstore.Object) {
 	r.seen = o.Version
 	envelope, err := decodeCurrent(o)
 	if err != nil {
@@ -133,8 +133,8 @@
 	r.Deliver(envelope)
 }
 
-func decodeCurrent(o platform.Object) (*bundle.Envelope, error) {
-	sealed, err := platform.Unseal(o)
+func decodeCurrent(o objectstore.Object) (*bundle.Envelope, error) {
+	sealed, err := objectstore.Unseal(o)
 	if err != nil {
 		return nil, err
 	}
@@ -146,7 +146,7 @@
 }
 
 func (r *Reader) pause(ctx context.Context, losses int) {
-	timer := time.NewTimer(platform.Backoff(losses, rand.Float64))
+	timer := time.NewTimer(objectstore.Backoff(losses, rand.Float64))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionspoke/internal/bundle"
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 )
 
 // Keys of the object API.
@@ -60,8 +60,8 @@
 }
 
 // readRecord returns the record and its sealed form; both are zero when the object does not exist.
-func readRecord(ctx context.Context, s platform.Store, key string) (Record, platform.Sealed, error) {
-	sealed, err := platform.GetSealed(ctx, s, key)
+func readRecord(ctx context.Context, s objectstore.Store, key string) (Record, objectstore.Sealed, error) {
+	sealed, err := objectstore.GetSealed(ctx, s, key)
 	if err != nil || sealed.Version == 0 {
 		return Record{}, sealed, err
 	}
@@ -69,7 +69,7 @@
 	return r, sealed, errors.Wrap(err, key)
 }
 
-func decodeRecord(sealed platform.Sealed) (Record, error) {
+func decodeRecord(sealed objectstore.Sealed) (Record, error) {
 	var r Record
 	err := json.Unmarshal(sealed.Payload, &r)
 	return r, errors.Wrap(err, "rollout: decode record")
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -14,8 +14,8 @@
 
 	"dandelionspoke/internal/bundle"
 	_ "dandelionspoke/internal/fixedseed"
-	"dandelionspoke/internal/platform"
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstore"
+	"dandelionspoke/internal/objectstoretest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -87,7 +87,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		faults := rapid.SliceOfN(rapid.IntRange(0, 4), versions, versions).Draw(rt, "faults")
 		synctest.Test(t, func(t *testing.T) {
-			store := platformtest.New()
+			store := objectstoretest.New()
 			for v := range versions {
 				injectFault(store, faults[v])
 				race(t, store, c, envelopes, v)
@@ -97,7 +97,7 @@
 	})
 }
 
-func injectFault(store *platformtest.Store, fault int) {
+func injectFault(store *objectstoretest.Store, fault int) {
 	switch fault {
 	case 1:
 		store.LoseAnswers(3)
@@ -110,7 +110,7 @@
 	}
 }
 
-func race(t *testing.T, store platform.Store, c crew, envelopes [3][4]*bundle.Envelope, v int) {
+func race(t *testing.T, store objectstore.Store, c crew, envelopes [3][4]*bundle.Envelope, v int) {
 	errs := make([]error, len(envelopes))
 	var group sync.WaitGroup
 	for o := range envelopes {
@@ -136,7 +136,7 @@
 	}
 }
 
-func checkHistory(t *testing.T, store platform.Store, c crew, versions int) {
+func checkHistory(t *testing.T, store objectstore.Store, c crew, versions int) {
 	records, err := NewOperator(store, c.trusted).History(t.Context(), 100)
 	if err != nil {
 		t.Fatal(err)
@@ -153,7 +153,7 @@
 // TestRolloutRefused guards against rollouts without the signatures or the version that they need.
 func TestRolloutRefused(t *testing.T) {
 	c := newCrew(t, 1)
-	o := NewOperator(platformtest.New(), c.trusted)
+	o := NewOperator(objectstoretest.New(), c.trusted)
 	unsigned := c.envelope(t, 0, 1)
 	unsigned.Approver = nil
 	if _, err := o.Rollout(t.Context(), unsigned, nil); !errors.Is(err, bundle.ErrUntrusted) {
@@ -177,7 +177,7 @@
 // TestRestore guards against going back by lowering the version, which nodes would refuse.
 func TestRestore(t *testing.T) {
 	c := newCrew(t, 1)
-	o := NewOperator(platformtest.New(), c.trusted)
+	o := NewOperator(objectstoretest.New(), c.trusted)
 	a := bundle.NewAcceptor(c.trusted)
 	for v := range uint64(3) {
 		if _, err := o.Rollout(t.Context(), c.envelope(t, 0, v+1), nil); err != nil {
@@ -207,7 +207,7 @@
 // TestHistoryRepair guards against a version that is lost when its operator stops right after the update.
 func TestHistoryRepair(t *testing.T) {
 	c := newCrew(t, 1)
-	store := platformtest.New()
+	store := objectstoretest.New()
 	o := NewOperator(store, c.trusted)
 	for v := range uint64(3) {
 		if _, err := o.Rollout(t.Context(), c.envelope(t, 0, v+1), nil); err != nil {
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionspoke/internal/platform"
+	"dandelionspoke/internal/objectstore"
 )
 
 const (
@@ -60,7 +60,7 @@
 
 // StatusWriter writes the status of one failure domain. It is not safe for concurrent use.
 type StatusWriter struct {
-	Store   platform.Store
+	Store   objectstore.Store
 	tried   time.Time
 	written Status
 }
@@ -83,7 +83,7 @@
 func (w *StatusWriter) write(ctx context.Context, s Status) error {
 	key := StatusPrefix + s.FailureDomain
 	old, err := w.Store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return err
 	}
 	if isFresh(old, s) {
@@ -94,14 +94,14 @@
 		return errors.Wrap(err, "rollout: encode status")
 	}
 	_, err = w.Store.Put(ctx, key, value, old.Version)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		return nil
 	}
 	return err
 }
 
 // isFresh reports whether the other reader has just written the same progress.
-func isFresh(o platform.Object, s Status) bool {
+func isFresh(o objectstore.Object, s Status) bool {
 	var other Status
 	if json.Unmarshal(o.Value, &other) != nil {
 		return false
@@ -111,7 +111,7 @@
 }
 
 // Statuses returns the status of each failure domain, ordered by name.
-func Statuses(ctx context.Context, store platform.Store) ([]Status, error) {
+func Statuses(ctx context.Context, store objectstore.Store) ([]Status, error) {
 	objects, err := store.List(ctx, StatusPrefix)
 	if err != nil {
 		return nil, err
--- a/internal/rollout/transfer_test.go
+++ b/internal/rollout/transfer_test.go
@@ -14,18 +14,18 @@
 	"pgregory.net/rapid"
 
 	"dandelionspoke/internal/bundle"
-	"dandelionspoke/internal/platformtest"
+	"dandelionspoke/internal/objectstoretest"
 	"dandelionspoke/internal/wire"
 )
 
 // TestReader guards against a reader that stays behind after a cut, an outage or while its watch lags.
 func TestReader(t *testing.T) {
-	cases := map[string]func(*platformtest.Store){
-		"no fault":   func(*platformtest.Store) {},
-		"cut":        func(s *platformtest.Store) { s.CutWatches() },
-		"outage":     func(s *platformtest.Store) { s.SetDown(true); time.Sleep(time.Minute); s.SetDown(false) },
-		"watch lag":  func(s *platformtest.Store) { s.SetWatchLag(time.Hour) },
-		"late event": func(s *platformtest.Store) { s.SetWatchLag(30 * time.Second) }, // of the first of three versions
+	cases := map[string]func(*objectstoretest.Store){
+		"no fault":   func(*objectstoretest.Store) {},
+		"cut":        func(s *objectstoretest.Store) { s.CutWatches() },
+		"outage":     func(s *objectstoretest.Store) { s.SetDown(true); time.Sleep(time.Minute); s.SetDown(false) },
+		"watch lag":  func(s *objectstoretest.Store) { s.SetWatchLag(time.Hour) },
+		"late event": func(s *objectstoretest.Store) { s.SetWatchLag(30 * time.Second) }, // of the first of three versions
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -34,9 +34,9 @@
 	}
 }
 
-func checkReader(t *testing.T, fault func(*platformtest.Store)) {
+func checkReader(t *testing.T, fault func(*objectstoretest.Store)) {
 	c := newCrew(t, 1)
-	store := platformtest.New()
+	store := objectstoretest.New()
 	var delivered []uint64
 	r := &Reader{
 		Store:   store,
@@ -132,7 +132,7 @@
 
 // TestStatusWrites guards against a status that costs the store a write for each node and change.
 func TestStatusWrites(t *testing.T) {
-	store := platformtest.New()
+	store := objectstoretest.New()
 	writers := []*StatusWriter{{Store: store}, {Store: store}}
 	members := make([]Member, 500)
 	for i := range members {
