--- a/cmd/dandelionspoke/main.go
+++ b/cmd/dandelionspoke/main.go
@@ -5,6 +5,8 @@
 	"os"
 
 	"dandelionspoke/internal/cli"
+
+	_ "dandelionspoke/platform" // registers the adapter "prepared"
 )
 
 // linkedToLibc exists only in builds with cgo; a build without it fails here.
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -50,6 +50,56 @@
 	return nil
 }
 
+// Report is one heartbeat of a backend server over an interface that orders heartbeats.
+type Report struct {
+	Announcement
+	// Incarnation orders the processes of backend servers at one address: the start in unix milliseconds. Zero
+	// means that the interface states none; reports are then taken in the order of their arrival.
+	Incarnation int64
+	// Sequence orders the reports of one incarnation.
+	Sequence uint64
+	Draining bool
+}
+
+// Outcome says what became of a report.
+type Outcome string
+
+// Outcomes of reports.
+const (
+	Accepted Outcome = "accepted"
+	// Renewed means that nothing but the time of the last report has changed.
+	Renewed Outcome = "renewed"
+	// Stale means that a later report or incarnation was known.
+	Stale Outcome = "stale"
+)
+
+// state is what the registry knows of the backend server at its address.
+type state struct {
+	current     *Announcement // nil when none is announced
+	draining    bool
+	incarnation int64 // newest known, also after the server has gone
+	sequence    uint64
+	gone        bool // the newest incarnation has left
+}
+
+// apply returns the state after a report. A drain is final for an incarnation: a report that was delayed on
+// its way must not bring work to a server that is about to exit.
+func (s state) apply(r Report) (state, Outcome) {
+	if r.Incarnation != 0 && s.incarnation != 0 {
+		sameProcess := r.Incarnation == s.incarnation
+		if r.Incarnation < s.incarnation || sameProcess && (s.gone || r.Sequence <= s.sequence) {
+			return s, Stale
+		}
+		r.Draining = r.Draining || sameProcess && s.draining
+	}
+	next := state{current: &r.Announcement, draining: r.Draining, incarnation: r.Incarnation, sequence: r.Sequence}
+	if s.current != nil && *s.current == r.Announcement && s.draining == r.Draining && s.incarnation == r.Incarnation {
+		next.current = s.current
+		return next, Renewed
+	}
+	return next, Accepted
+}
+
 // Registry holds the backend server beside the node. It is safe for concurrent use.
 type Registry struct {
 	// OnChange is called, one call at a time, when the backend server appears, changes, drains or goes.
@@ -59,55 +109,78 @@
 	changes sync.Mutex // held during a change and its OnChange, so that changes are reported in order
 	renewed time.Time  // guarded by changes
 
-	mu       sync.Mutex
-	current  *Announcement
-	draining bool
+	mu    sync.Mutex
+	state state
 }
 
 // Current returns the announced backend server or nil, and whether it drains.
 func (r *Registry) Current() (*Announcement, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.current, r.draining
+	return r.state.current, r.state.draining
+}
+
+// Incarnation returns that of the newest report; 0 without one.
+func (r *Registry) Incarnation() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.incarnation
 }
 
 // Expire withdraws a backend server that has not repeated its announcement within Lifetime.
 func (r *Registry) Expire(now time.Time) {
 	r.changes.Lock()
 	defer r.changes.Unlock()
-	if r.current != nil && now.Sub(r.renewed) > Lifetime {
-		r.set(nil, false)
+	if r.state.current != nil && now.Sub(r.renewed) > Lifetime {
+		r.withdrawLocked(false)
 	}
 }
 
 // set is called with changes held.
-func (r *Registry) set(a *Announcement, draining bool) {
+func (r *Registry) set(next state, report bool) {
 	r.mu.Lock()
-	r.current, r.draining = a, draining
+	r.state = next
 	r.mu.Unlock()
-	if r.OnChange != nil {
-		r.OnChange(a, draining)
+	if report && r.OnChange != nil {
+		r.OnChange(next.current, next.draining)
 	}
 }
 
-func (r *Registry) announce(a *Announcement, now time.Time) {
+// Report takes a heartbeat. OnChange has returned when it returns.
+func (r *Registry) Report(report Report, now time.Time) Outcome {
 	r.changes.Lock()
 	defer r.changes.Unlock()
+	next, outcome := r.state.apply(report)
+	if outcome == Stale {
+		return outcome
+	}
 	r.renewed = now
-	if r.current != nil && *r.current == *a && !r.draining {
-		return
+	r.set(next, outcome == Accepted)
+	return outcome
+}
+
+// Leave takes the notice that the backend server with this ID leaves for good. It reports whether that server
+// was announced.
+func (r *Registry) Leave(id string) bool {
+	r.changes.Lock()
+	defer r.changes.Unlock()
+	if r.state.current == nil || r.state.current.ID != id {
+		return false
 	}
-	r.set(a, false)
+	r.withdrawLocked(true)
+	return true
 }
 
 func (r *Registry) drain() bool {
 	r.changes.Lock()
 	defer r.changes.Unlock()
-	if r.current == nil {
+	if r.state.current == nil {
 		return false
 	}
-	if !r.draining {
-		r.set(r.current, true)
+	if !r.state.draining {
+		next := r.state
+		next.draining = true
+		r.set(next, true)
 	}
 	return true
 }
@@ -115,11 +188,16 @@
 func (r *Registry) withdraw() {
 	r.changes.Lock()
 	defer r.changes.Unlock()
-	if r.current != nil {
-		r.set(nil, false)
+	if r.state.current != nil {
+		r.withdrawLocked(false)
 	}
 }
 
+// withdrawLocked is called with changes held.
+func (r *Registry) withdrawLocked(gone bool) {
+	r.set(state{incarnation: r.state.incarnation, sequence: r.state.sequence, draining: r.state.draining, gone: gone}, true)
+}
+
 // Handler serves PUT /v1/backend, POST /v1/backend/drain, DELETE /v1/backend and GET /v1/backend.
 func (r *Registry) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -155,6 +233,6 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	r.announce(a, time.Now())
+	r.Report(Report{Announcement: *a}, time.Now())
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/bundle/accept.go
+++ b/internal/bundle/accept.go
@@ -22,6 +22,7 @@
 type Acceptor struct {
 	authors   Trusted
 	approvers Trusted
+	unsigned  bool // the source of the envelopes vouches for them
 	inForce   *Envelope
 	root      Hash
 	bundle    *Bundle
@@ -36,6 +37,10 @@
 	return &Acceptor{authors: authors, approvers: approvers}
 }
 
+// NewUnsignedAcceptor returns an Acceptor with nothing in force that checks no signatures. It is for platforms
+// whose store lets only operators write the configuration.
+func NewUnsignedAcceptor() *Acceptor { return &Acceptor{unsigned: true} }
+
 // InForce returns the envelope in force, or nil. The caller must not modify it.
 func (a *Acceptor) InForce() *Envelope { return a.inForce }
 
@@ -57,8 +62,10 @@
 	if a.inForce != nil && e.Version == a.Version() && root == a.root {
 		return nil, ErrUnchanged
 	}
-	if err := e.verify(a.authors, a.approvers, root); err != nil {
-		return nil, err
+	if !a.unsigned {
+		if err := e.verify(a.authors, a.approvers, root); err != nil {
+			return nil, err
+		}
 	}
 	if a.inForce != nil && e.Version == a.Version() {
 		return nil, errors.Wrapf(ErrEquivocation, "version %d: root %s in force, %s offered by %q", e.Version, a.root, root, e.AuthorName())
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -2,6 +2,7 @@
 package bundle
 
 import (
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -43,8 +44,10 @@
 
 // Route maps requests to a service. The longest matching path prefix wins; a route with a host precedes one without.
 type Route struct {
-	Name       string   `toml:"name"`
-	Service    string   `toml:"service"`
+	Name    string `toml:"name"`
+	Service string `toml:"service"` // the first service of Split when that is set
+	// Split spreads the requests over several services by weight; empty: all go to Service.
+	Split      []Share  `toml:"split"`
 	Host       string   `toml:"host"`        // empty: any host
 	PathPrefix string   `toml:"path_prefix"` // empty: any path
 	Methods    []string `toml:"methods"`     // empty: any method
@@ -57,6 +60,31 @@
 	Timeout      Duration `toml:"timeout"`
 	Hedge        bool     `toml:"hedge"`
 	MaxBodyBytes int64    `toml:"max_body_bytes"`
+	// Objective is the latency within which an answer has its full value to the caller; zero: none is stated.
+	Objective Duration `toml:"objective"`
+	// MaxAttempts caps the endpoints that one request may be sent to; zero: the policy's value.
+	MaxAttempts int `toml:"max_attempts"`
+}
+
+// Share is one destination of a split route.
+type Share struct {
+	Service string  `toml:"service"`
+	Weight  float64 `toml:"weight"`
+}
+
+// Destination returns the service for a request. u, uniform in [0, 1), selects the part of a split route.
+func (r *Route) Destination(u float64) string {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	for _, s := range r.Split {
+		u -= s.Weight / total
+		if u < 0 {
+			return s.Service
+		}
+	}
+	return r.Service
 }
 
 // MaxPriority is the lowest priority of a route.
@@ -84,6 +112,9 @@
 	SubsetSize               int      `toml:"subset_size"`             // endpoints of a service that one node uses
 	MaxResponseKeepBytes     int      `toml:"max_response_keep_bytes"` // answer size that a gate keeps for a repeat
 	AttemptMemory            Duration `toml:"attempt_memory"`          // how long a gate remembers an attempt
+	// SlotShare is the part of an endpoint's slots that its gate uses, above 0 and up to 1. Backend servers
+	// that slow down when nearly full serve more requests in time with a value below 1.
+	SlotShare float64 `toml:"slot_share"`
 }
 
 // Duration is a time.Duration written as text, such as "250ms".
@@ -135,6 +166,7 @@
 	setDefault(&p.SubsetSize, 24)
 	setDefault(&p.MaxResponseKeepBytes, 16<<10)
 	setDefault(&p.AttemptMemory, Duration(time.Minute))
+	setDefault(&p.SlotShare, 1)
 	for name, s := range b.Services {
 		setDefault(&s.Slots, 12)
 		setDefault(&s.LongSlots, max(1, s.Slots/3))
@@ -164,6 +196,26 @@
 	return false
 }
 
+// LimitedTo returns the limits of an endpoint that has announced its slots and connections (0: none stated),
+// when gates use slotShare of the slots. The lanes of the queue shrink with the slots.
+func (s Service) LimitedTo(slots, connections int, slotShare float64) Service {
+	configured := s.Slots
+	if slots > 0 {
+		s.Slots = min(s.Slots, slots)
+	}
+	s.Slots = max(1, int(float64(s.Slots)*slotShare))
+	if s.Slots < configured {
+		scale := float64(s.Slots) / float64(configured)
+		s.LongSlots = max(1, min(int(math.Ceil(float64(s.LongSlots)*scale)), s.Slots-1))
+		s.QueueShort = max(1, int(float64(s.QueueShort)*scale))
+		s.QueueLong = max(1, int(float64(s.QueueLong)*scale))
+	}
+	if connections > 0 {
+		s.Connections = min(s.Connections, connections)
+	}
+	return s
+}
+
 func (r *Route) matches(method, host, path string) bool {
 	if r.Host != "" && !strings.EqualFold(r.Host, host) {
 		return false
@@ -178,7 +230,7 @@
 	return rest == "" || r.PathPrefix == "" || strings.HasSuffix(r.PathPrefix, "/") || rest[0] == '/'
 }
 
-// Match returns the route of a request, or nil. host carries no port.
+// Match returns the route of a request, or nil. host carries no port. An Index finds it faster.
 func (b *Bundle) Match(method, host, path string) *Route {
 	var best *Route
 	for i := range b.Routes {
--- /dev/null
+++ b/internal/bundle/index.go
@@ -0,0 +1,57 @@
+package bundle
+
+import (
+	"slices"
+	"strings"
+)
+
+// Index finds routes by host, so that the cost of a request does not grow with the number of hosts. It is
+// immutable and safe for concurrent use.
+type Index struct {
+	byHost map[string][]*Route // best match first; the empty host holds the routes of any host
+}
+
+// NewIndex returns the index of b, which must not change afterwards. A nil bundle has no route.
+func NewIndex(b *Bundle) *Index {
+	x := &Index{byHost: map[string][]*Route{}}
+	if b == nil {
+		return x
+	}
+	for i := range b.Routes {
+		r := &b.Routes[i]
+		host := strings.ToLower(r.Host)
+		x.byHost[host] = append(x.byHost[host], r)
+	}
+	for _, routes := range x.byHost {
+		slices.SortStableFunc(routes, compareMatch)
+	}
+	return x
+}
+
+func compareMatch(a, b *Route) int {
+	switch {
+	case a.precedes(b):
+		return -1
+	case b.precedes(a):
+		return 1
+	}
+	return 0
+}
+
+// Match returns what Bundle.Match returns.
+func (x *Index) Match(method, host, path string) *Route {
+	host = strings.ToLower(host)
+	if r := firstMatch(x.byHost[host], method, host, path); r != nil || host == "" {
+		return r
+	}
+	return firstMatch(x.byHost[""], method, host, path)
+}
+
+func firstMatch(routes []*Route, method, host, path string) *Route {
+	for _, r := range routes {
+		if r.matches(method, host, path) {
+			return r
+		}
+	}
+	return nil
+}
--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -90,6 +90,7 @@
 	inRange(v, parent, "subset_size", p.SubsetSize, 1, maxCount)
 	inRange(v, parent, "max_response_keep_bytes", p.MaxResponseKeepBytes, 0, 1<<20)
 	v.duration(parent, "attempt_memory", p.AttemptMemory, time.Second, maxWait)
+	inRange(v, parent, "slot_share", p.SlotShare, 0.1, 1)
 }
 
 func (v *validation) service(name string, s Service) {
@@ -117,6 +118,12 @@
 		v.route(parent, r)
 		_, known := b.Services[r.Service]
 		v.require(known, parent, "service", services, "the unknown service %q", r.Service)
+		for j, share := range r.Split {
+			field := fmt.Sprintf("split[%d]", j)
+			_, known := b.Services[share.Service]
+			v.require(known, parent, field+".service", services, "the unknown service %q", share.Service)
+			v.require(share.Weight > 0 && share.Weight <= maxRate, parent, field+".weight", "a number above 0", "%v", share.Weight)
+		}
 		v.require(!names[r.Name], parent, "name", "a name that no other route has", "the name %q a second time", r.Name)
 		names[r.Name] = true
 		v.overlap(parent, r, targets)
@@ -154,6 +161,8 @@
 	inRange(v, parent, "priority", r.Priority, 0, MaxPriority)
 	v.duration(parent, "timeout", r.Timeout, time.Millisecond, maxWait)
 	inRange(v, parent, "max_body_bytes", r.MaxBodyBytes, 1, 1<<40)
+	inRange(v, parent, "objective", r.Objective, 0, Duration(maxWait))
+	inRange(v, parent, "max_attempts", r.MaxAttempts, 0, 10)
 	hedgeable := r.Idempotent == nil || *r.Idempotent
 	v.require(!r.Hedge || hedgeable, parent, "hedge", hedgeAllowed, "true on a route that is not idempotent")
 }
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionspoke/internal/logging"
 	"dandelionspoke/internal/node"
+	"dandelionspoke/internal/settings"
 )
 
 type nodeCommand struct {
@@ -23,11 +24,15 @@
 	collectLessOften()
 	signals := catchSignals()
 	defer signals.release()
-	logger := slog.New(slog.NewTextHandler(o.err, &slog.HandlerOptions{Level: s.Log.Level}))
-	n, err := node.New(node.Options{Settings: s, Logger: logger})
+	sink := logging.New(o.out, s.Log.Level)
+	defer sink.Close()
+	n, err := node.New(node.Options{Settings: s, Logger: sink.Logger(), LogsDropped: sink.Dropped})
 	if err != nil {
 		return err
 	}
+	reload := func() { c.reload(n, sink) }
+	signals.onHangup(reload)
+	defer watchFile(signals.now, c.Settings, reload)()
 	if err := n.Start(signals.now); err != nil {
 		return errors.CombineErrors(err, n.Close())
 	}
@@ -38,3 +43,17 @@
 	defer cancel()
 	return errors.CombineErrors(errors.Wrap(n.Drain(ctx), "drain"), n.Close())
 }
+
+// reload applies the settings file to a running node. A file with faults changes nothing.
+func (c *nodeCommand) reload(n *node.Node, sink *logging.Sink) {
+	s, faults, err := settings.Load(c.Settings)
+	switch {
+	case err != nil:
+		sink.Logger().Error("settings not reloaded", "event", "settings_refused", "error", err)
+	case len(faults) > 0:
+		sink.Logger().Error("settings not reloaded", "event", "settings_refused", "faults", len(faults), "first", faults[0].Error())
+	default:
+		sink.SetLevel(s.Log.Level)
+		n.Reload(s)
+	}
+}
--- a/internal/cli/signals.go
+++ b/internal/cli/signals.go
@@ -41,6 +41,23 @@
 	}
 }
 
+// onHangup calls reload at each SIGHUP until release. Without it the signal would end the process.
+func (s *stopSignals) onHangup(reload func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	s.done.Go(func() {
+		defer signal.Stop(hangups)
+		for {
+			select {
+			case <-hangups:
+				reload()
+			case <-s.now.Done():
+				return
+			}
+		}
+	})
+}
+
 // release restores the default effect of the signals.
 func (s *stopSignals) release() {
 	signal.Stop(s.in)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -27,9 +26,13 @@
 // The slot stays held until it returns; by then the answer has ended or the connection is closed.
 func (c *call) forward(ctx context.Context, backend *Backend, body io.ReadCloser) error {
 	var written atomic.Bool
+	var used atomic.Pointer[httptrace.GotConnInfo]
 	trace := &httptrace.ClientTrace{
 		// From here on bytes may reach the backend server.
-		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			used.Store(&info)
+			written.Store(true)
+		},
 	}
 	req, err := c.backendRequest(httptrace.WithClientTrace(ctx, trace), backend, body)
 	if err != nil {
@@ -43,8 +46,17 @@
 		return c.roundTripError(ctx, backend, err, written.Load())
 	}
 	defer resp.Body.Close()
-	if refusedByBackend(resp) {
-		return verdict.New(verdict.NotRun, verdict.Overloaded, "the backend server refused the request")
+	answer := c.gate.protocol.Read(req.Header, resp)
+	c.gate.observeSlowness(answer.Slowness)
+	switch {
+	case answer.Foreign != "":
+		// Whatever follows on the connection belongs to another request as well.
+		_ = used.Load().Conn.Close()
+		return verdict.New(verdict.MayHaveRun, verdict.BackendBroken, "the answer is not to this request: %s", answer.Foreign)
+	case answer.OtherInstance:
+		return verdict.New(verdict.NotRun, verdict.WrongGate, "another backend server has the address %s", backend.Address)
+	case answer.NotRun:
+		return verdict.New(verdict.NotRun, verdict.BackendRefused, "the backend server refused the request")
 	}
 	return c.relay(resp)
 }
@@ -63,30 +75,21 @@
 	for _, h := range c.head.Headers {
 		req.Header[h.Name] = h.Values
 	}
-	if remaining, ok := ctx.Deadline(); ok {
-		req.Header.Set("Dandelionspoke-Deadline-Ms", strconv.FormatInt(time.Until(remaining).Milliseconds(), 10))
+	about := RequestContext{Endpoint: backend.ID, Depth: int(c.head.Depth) + 1, Priority: int(c.head.Priority)}
+	if deadline, ok := ctx.Deadline(); ok {
+		about.Remaining = max(time.Until(deadline), time.Millisecond)
 	}
-	req.Header.Set("Dandelionspoke-Depth", strconv.Itoa(int(c.head.Depth)+1))
-	req.Header.Set("Dandelionspoke-Priority", strconv.Itoa(int(c.head.Priority)))
+	c.gate.protocol.Prepare(req.Header, about)
 	if c.head.ContentLength == 0 {
-		c.setEmptyBody(req)
+		req.Body = emptyBody{}
 	} else {
 		req.Body = body
 	}
 	return req.WithContext(ctx), nil
 }
 
-// setEmptyBody gives non-idempotent requests a body that net/http can't replay: the transport
-// resends a request without a body by itself when it carries an Idempotency-Key header and
-// the reused connection breaks.
-func (c *call) setEmptyBody(req *http.Request) {
-	if c.head.Idempotent {
-		req.Body = http.NoBody
-		return
-	}
-	req.Body = emptyBody{}
-}
-
+// emptyBody is a body that net/http can't replay: the transport sends a request without a body again by itself
+// when the reused connection breaks, which would be an attempt that no budget knows of.
 type emptyBody struct{}
 
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
@@ -136,7 +139,29 @@
 	if resp.ContentLength >= 0 && resp.ContentLength <= wire.MaxChunkBytes {
 		return c.relayWhole(resp, head)
 	}
-	return c.relayStream(resp, head)
+	if endsWithConnection(resp) {
+		return c.relayUnframed(resp, head)
+	}
+	return c.relayStream(resp, head, nil)
+}
+
+// endsWithConnection reports whether only the end of the connection shows where the answer ends.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// relayUnframed holds the start of the answer back until it is known whether the connection ended well, so that a
+// small answer that is reset on the way becomes a failure and not a broken answer.
+func (c *call) relayUnframed(resp *http.Response, head *wire.ResponseHead) error {
+	start, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxChunkBytes))
+	if err != nil {
+		return verdict.New(verdict.Ran, verdict.BackendBroken, "the answer ended early: %v", err)
+	}
+	if len(start) < wire.MaxChunkBytes {
+		head.ContentLength = int64(len(start))
+		return c.sendWhole(resp, head, start)
+	}
+	return c.relayStream(resp, head, start)
 }
 
 // relayWhole sends a small answer with one write, once it has been read to the end.
@@ -145,6 +170,10 @@
 	if err != nil {
 		return verdict.New(verdict.Ran, verdict.BackendBroken, "the answer ended early: %v", err)
 	}
+	return c.sendWhole(resp, head, body)
+}
+
+func (c *call) sendWhole(resp *http.Response, head *wire.ResponseHead, body []byte) error {
 	c.keep.headSent = true
 	c.keep.add(body)
 	frames := []*wire.Frame{{Kind: &wire.Frame_Response{Response: head}}}
@@ -155,10 +184,16 @@
 	return nil
 }
 
-func (c *call) relayStream(resp *http.Response, head *wire.ResponseHead) error {
+// relayStream sends the answer as it arrives; start has been read already.
+func (c *call) relayStream(resp *http.Response, head *wire.ResponseHead, start []byte) error {
 	c.keep.headSent = true
+	frames := []*wire.Frame{{Kind: &wire.Frame_Response{Response: head}}}
+	if len(start) > 0 {
+		c.keep.add(start)
+		frames = append(frames, &wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: start}}})
+	}
 	// After a write error the answer is still read and kept: the ingress may ask for it.
-	sendErr := c.conn.Write(&wire.Frame{Kind: &wire.Frame_Response{Response: head}})
+	sendErr := c.conn.WriteAll(frames...)
 	buf := make([]byte, wire.MaxChunkBytes)
 	for {
 		n, err := resp.Body.Read(buf)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,7 +4,7 @@
 
 import (
 	"log/slog"
-	"net"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,6 +12,8 @@
 
 	"dandelionspoke/internal/admission"
 	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/metrics"
+	"dandelionspoke/internal/netopt"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
 )
@@ -40,6 +42,7 @@
 type Gate struct {
 	instance uint64
 	logger   *slog.Logger
+	protocol Protocol
 	Counters Counters
 
 	attempts *attemptMemory
@@ -51,6 +54,9 @@
 	// Pace returns the pacing of answers to a node in the named region; a nil result does not pace.
 	// Set it before the first request; nil means no pacing.
 	Pace func(region string, long bool) func(bytes int) error
+	// ServiceTime and QueueTime record the time at the backend server and the time in the queue. Set them before
+	// the first request; nil records nothing.
+	ServiceTime, QueueTime *metrics.Histogram
 	// IsQuarantined reports whether a fingerprint is refused. Nil means that none is.
 	IsQuarantined func(fingerprint []byte) bool
 
@@ -63,6 +69,7 @@
 	backendDraining bool
 	backendDown     bool
 	keepBytes       int
+	slowness        atomic.Uint64 // bits of the newest multiple of the usual service time
 	inFlight        sync.WaitGroup
 	expiry          *time.Timer // nil until a request has waited
 }
@@ -70,7 +77,7 @@
 // New returns a gate without a backend server. instance is the node's process identifier.
 func New(instance uint64, logger *slog.Logger) *Gate {
 	g := &Gate{
-		instance: instance, logger: logger,
+		instance: instance, logger: logger, protocol: nativeProtocol{},
 		attempts: newAttemptMemory(time.Now(), time.Minute),
 		waiters:  make(map[admission.Ticket]chan admission.Grant),
 	}
@@ -78,9 +85,19 @@
 	return g
 }
 
+// SetProtocol replaces the product's own protocol towards the backend server. Call it before the first request.
+func (g *Gate) SetProtocol(p Protocol) { g.protocol = p }
+
+// observeSlowness records how long work takes at the backend server, in multiples of the usual time.
+func (g *Gate) observeSlowness(slowness float64) {
+	if slowness > 0 {
+		g.slowness.Store(math.Float64bits(slowness))
+	}
+}
+
 // newTransport returns a transport with at most connections connections; 0 means no cap.
 func newTransport(connections int) *http.Transport {
-	dialer := &net.Dialer{Timeout: backendDialTimeout}
+	dialer := netopt.Dialer(backendDialTimeout)
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableCompression:  true,
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"dandelionspoke/internal/admission"
@@ -238,12 +237,3 @@
 	k.kept.HasAnswer = true
 	return &k.kept
 }
-
-// refusedByBackend reports whether the backend server itself states that it did no work.
-func refusedByBackend(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusServiceUnavailable && verdict.Parse(resp.Header.Get(verdict.Header)) == verdict.NotRun &&
-		resp.Header.Get(backendRefusalHeader) != ""
-}
-
-// backendRefusalHeader marks a 503 by which the backend server itself states that it did no work.
-const backendRefusalHeader = "Dandelionspoke-Backend-Refused"
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -60,7 +60,7 @@
 // head returns the first frame of an attempt at ep.
 func (in *Ingress) head(q *request, ep *table.Endpoint, remote *peer.Remote) *wire.RequestHead {
 	return &wire.RequestHead{
-		AttemptId: newAttemptID(), Service: q.route.Service, Route: q.route.Name, Endpoint: ep.ID,
+		AttemptId: newAttemptID(), Service: q.to, Route: q.route.Name, Endpoint: ep.ID,
 		Method: q.http.Method, Target: q.http.URL.RequestURI(), Host: q.http.Host, Headers: q.headers,
 		ContentLength: q.contentLength(), Streamed: q.rest != nil,
 		DeadlineMs: uint32(max(time.Until(q.deadline).Milliseconds(), 0)), Priority: uint32(q.priority),
@@ -111,7 +111,17 @@
 		outcome = balance.Failed
 	}
 	a.seen.end(outcome, r.Load)
-	return &verdict.Error{Verdict: v, Reason: verdict.Reason(r.Reason), Detail: r.Detail}
+	return &verdict.Error{Verdict: v, Reason: verdict.Reason(r.Reason), Detail: r.Detail, Wait: expectedWait(r.Load)}
+}
+
+// expectedWait is the time until a gate with this load has worked off what runs and waits, or 0 when its
+// service time is not known.
+func expectedWait(l *wire.Load) time.Duration {
+	if l == nil || l.Slots == 0 {
+		return 0
+	}
+	ahead := l.InFlight + l.QueuedShort + l.QueuedLong
+	return time.Duration(l.ServiceTimeUs) * time.Microsecond * time.Duration(ahead) / time.Duration(l.Slots)
 }
 
 // sendRequest writes the head and, unless the body is streamed, the whole body.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
+	"dandelionspoke/internal/metrics"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
@@ -43,7 +44,11 @@
 	Claimer func(service string) claim.Keys
 	Budget  *retry.Budget // of retries and hedges
 	Logger  *slog.Logger
-	Region  string // of this node
+	// Latency records the time of each request; nil records nothing.
+	Latency *metrics.Histogram
+	// Protocol of the callers; nil means the product's own.
+	Protocol Protocol
+	Region   string // of this node
 	// MaxBodyBytes bounds request bodies besides the route's limit; 0 means that only the route counts.
 	MaxBodyBytes int64
 	// IsQuarantined reports whether a fingerprint is refused; nil means that none is.
@@ -66,11 +71,17 @@
 	draining atomic.Bool
 	latency  sync.Map // service name to *retry.Latencies
 	classes  admission.Classes
+	splits   sync.Map // name of a split route to *splitCounter
 	inFlight sync.WaitGroup
 }
 
 // New returns an ingress.
-func New(cfg Config) *Ingress { return &Ingress{Config: cfg} }
+func New(cfg Config) *Ingress {
+	if cfg.Protocol == nil {
+		cfg.Protocol = nativeProtocol{}
+	}
+	return &Ingress{Config: cfg}
+}
 
 // SetDraining makes each answer close its connection while true, so that callers move to other nodes.
 // Requests that still arrive are served through the gates of other nodes.
@@ -99,7 +110,7 @@
 		return err
 	}
 	if q.service == nil {
-		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "service %s has no endpoint", q.route.Service)
+		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "service %s has no endpoint", q.to)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
@@ -149,13 +160,23 @@
 	e := verdict.As(err)
 	in.Logger.Debug("request failed", "event", "request_failed", "method", r.Method, "path", r.URL.Path,
 		"reason", e.Reason, "verdict", e.Verdict, "detail", e.Detail)
-	h := w.Header()
-	h.Set(verdict.Header, e.Verdict.String())
-	h.Set(verdict.ReasonHeader, string(e.Reason))
-	if e.Verdict == verdict.NotRun && e.Reason.Status() == http.StatusServiceUnavailable {
-		h.Set("Retry-After", "1")
+	in.Protocol.Fail(w, r, e, retryAfter(e))
+}
+
+// Bounds of the time after which a refused caller should try again. Below the least, the same endpoints would
+// most likely refuse again; above the most, load that changes within milliseconds can't be foreseen.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// retryAfter is the time after which a request that was refused may find room, or 0 when the refusal does not
+// depend on time.
+func retryAfter(e *verdict.Error) time.Duration {
+	if e.Verdict != verdict.NotRun || e.Reason.Status() < http.StatusInternalServerError || e.Reason == verdict.Quarantined {
+		return 0
 	}
-	http.Error(w, e.Error(), e.Reason.Status())
+	return min(max(e.Wait, minRetryAfter), maxRetryAfter)
 }
 
 // answer is a response whose head has arrived.
@@ -198,7 +219,7 @@
 	outcome := outcomeOf(q.http.Context(), a.head.Status, err)
 	a.seen.end(outcome, a.body.End().GetLoad())
 	if outcome == balance.Success {
-		in.classes.Record(q.route.Service, q.route.Name, q.route.Class == bundle.Long, a.seen.age())
+		in.classes.Record(q.to, q.route.Name, q.route.Class == bundle.Long, a.seen.age())
 		if q.route.Hedge {
 			in.latencies(q).Record(time.Now(), a.seen.age())
 		}
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -28,7 +28,7 @@
 	if in.Claimer == nil {
 		return verdict.New(verdict.NotRun, verdict.ClaimUnavailable, "this node has no access to claims")
 	}
-	claimer := in.Claimer(q.route.Service)
+	claimer := in.Claimer(q.to)
 	result, err := in.acquire(ctx, q, claimer)
 	if err != nil {
 		return err
@@ -116,7 +116,7 @@
 			err = claimer.Complete(ctx, q.key, o)
 		}
 		if err != nil {
-			in.Logger.Warn("claim not settled", "event", "claim_not_settled", "service", q.route.Service,
+			in.Logger.Warn("claim not settled", "event", "claim_not_settled", "service", q.to,
 				"verdict", o.Verdict, "error", err)
 		}
 	}()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -10,7 +10,6 @@
 
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
-	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
@@ -19,24 +18,18 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Headers that carry a call's context from hop to hop. They are trusted only from this VM.
-const (
-	depthHeader    = "Dandelionspoke-Depth"
-	priorityHeader = "Dandelionspoke-Priority"
-	deadlineHeader = "Dandelionspoke-Deadline-Ms"
-	keyHeader      = "Idempotency-Key"
-)
-
 const (
 	// prefixBytes of a body are read before the request is sent, so that small requests can be
 	// sent again after a refusal, and so that a slow caller holds no slot.
 	prefixBytes = 64 << 10
-	maxKeyBytes = 256
 )
 
 // request is one call that the ingress is serving.
 type request struct {
 	http       *http.Request
+	id         string // from the caller, for logs
+	started    time.Time
+	to         string // name of the service
 	route      *bundle.Route
 	service    *table.Service
 	snapshot   *table.Snapshot
@@ -55,7 +48,7 @@
 	headers     []*wire.Header
 }
 
-// parse matches the route and reads the context headers and the start of the body.
+// parse matches the route and reads what the caller states about the request.
 func (in *Ingress) parse(r *http.Request, snapshot *table.Snapshot) (*request, error) {
 	if snapshot == nil || snapshot.Bundle == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.NoBundle, "no bundle is in force at this node")
@@ -64,70 +57,30 @@
 	if h, _, err := net.SplitHostPort(r.Host); err == nil {
 		host = h
 	}
-	route := snapshot.Bundle.Match(r.Method, host, r.URL.Path)
+	route := snapshot.Match(r.Method, host, r.URL.Path)
 	if route == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.NoRoute, "no route for %s %s", r.Method, r.URL.Path)
 	}
-	q := &request{
-		http: r, route: route, snapshot: snapshot, service: snapshot.Service(route.Service),
-		idempotent: route.IsIdempotent(r.Method), key: r.Header.Get(keyHeader),
-		long:     in.classes.Long(route.Service, route.Name, route.Class == bundle.Long),
-		priority: route.Priority, deadline: time.Now().Add(route.Timeout.D()),
-	}
-	if len(q.key) > maxKeyBytes {
-		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "%s longer than %d bytes", keyHeader, maxKeyBytes)
-	}
-	if err := q.readContext(r, snapshot.Bundle.Policy.MaxDepth); err != nil {
+	call, err := in.Protocol.Call(r, snapshot.Bundle.Policy.MaxDepth)
+	if err != nil {
 		return nil, err
 	}
-	q.headers = forwardedHeaders(r)
-	return q, nil
-}
-
-func (q *request) readContext(r *http.Request, maxDepth int) error {
-	if !fromThisVM(r.RemoteAddr) {
-		return nil
-	}
-	if depth, err := strconv.Atoi(r.Header.Get(depthHeader)); err == nil && depth > 0 {
-		q.depth = depth
-	}
-	if q.depth >= maxDepth {
-		return verdict.New(verdict.NotRun, verdict.TooDeep, "call chain of more than %d calls", maxDepth)
-	}
-	if priority, err := strconv.Atoi(r.Header.Get(priorityHeader)); err == nil && priority >= 0 && priority <= bundle.MaxPriority {
-		q.priority = priority
-	}
-	if ms, err := strconv.ParseInt(r.Header.Get(deadlineHeader), 10, 64); err == nil {
-		inherited := time.Now().Add(time.Duration(ms) * time.Millisecond)
-		if inherited.Before(q.deadline) {
-			q.deadline = inherited
-		}
+	service := in.destination(route)
+	q := &request{
+		http: r, route: route, snapshot: snapshot, service: snapshot.Service(service), to: service, id: call.ID,
+		idempotent: route.IsIdempotent(r.Method), key: call.Key, depth: call.Depth,
+		long:     in.classes.Long(service, route.Name, route.Class == bundle.Long),
+		priority: route.Priority, started: time.Now(),
 	}
-	return nil
-}
-
-func fromThisVM(remote string) bool {
-	host, _, err := net.SplitHostPort(remote)
-	if err != nil {
-		return false
+	q.deadline = q.started.Add(route.Timeout.D())
+	if call.Priority >= 0 {
+		q.priority = call.Priority
 	}
-	ip := net.ParseIP(host)
-	return ip != nil && ip.IsLoopback()
-}
-
-func forwardedHeaders(r *http.Request) []*wire.Header {
-	headers := gate.HeadersToWire(r.Header)
-	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-		values := append(append([]string(nil), r.Header.Values("X-Forwarded-For")...), host)
-		kept := headers[:0]
-		for _, h := range headers {
-			if h.Name != "X-Forwarded-For" {
-				kept = append(kept, h)
-			}
-		}
-		headers = append(kept, &wire.Header{Name: "X-Forwarded-For", Values: values})
+	if call.Remaining > 0 && call.Remaining < route.Timeout.D() {
+		q.deadline = q.started.Add(call.Remaining)
 	}
-	return headers
+	q.headers = in.Protocol.Forwarded(r)
+	return q, nil
 }
 
 // readPrefix reads the start of a body of at most limit bytes and computes the fingerprint.
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -16,7 +16,7 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline.Add(verdictGrace))
 	stop := context.AfterFunc(q.http.Context(), cancel)
 	if in.OnStale != nil {
-		in.OnStale(q.route.Service)
+		in.OnStale(q.to)
 	}
 	in.Budget.First()
 	a, err := in.tryEndpoints(ctx, q)
@@ -32,7 +32,8 @@
 // tries is the state of one request's attempts.
 type tries struct {
 	number  int
-	placed  bool // refused as busy once; later attempts accept any wait
+	placed  bool // refused by a gate once; later attempts accept any wait
+	moves   int  // refusals by gates, which count as no attempt
 	exclude uint64
 	before  uint64 // exclude before the newest attempt
 	results chan result
@@ -52,7 +53,7 @@
 
 func (in *Ingress) tryEndpoints(ctx context.Context, q *request) (*answer, error) {
 	t := &tries{
-		results: make(chan result, q.snapshot.Bundle.Policy.MaxAttempts+1),
+		results: make(chan result, in.policy(q).MaxAttempts+retry.MaxMoves+1),
 		running: make(map[int]context.CancelFunc), ran: verdict.NotRun,
 	}
 	for {
@@ -88,7 +89,7 @@
 		i, ep = in.Chooser.pick(q.service, 0, q.long)
 	}
 	if ep == nil {
-		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "no endpoint of service %s can be used", q.route.Service)
+		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "no endpoint of service %s can be used", q.to)
 	}
 	in.begin(ctx, q, t, i, ep)
 	return nil
@@ -246,24 +247,33 @@
 	}()
 }
 
-func (in *Ingress) policy(q *request) retry.Policy { return retry.PolicyOf(q.snapshot.Bundle.Policy) }
+func (in *Ingress) policy(q *request) retry.Policy {
+	p := retry.PolicyOf(q.snapshot.Bundle.Policy)
+	if q.route.MaxAttempts > 0 {
+		p.MaxAttempts = q.route.MaxAttempts
+	}
+	return p
+}
 
 // retryAfter decides on another attempt after err and waits before it if need be.
 func (in *Ingress) retryAfter(ctx context.Context, q *request, t *tries, err error) bool {
 	e := verdict.As(err)
-	if e.Reason == verdict.Busy && !t.placed && !q.restUsed {
-		// The choice was stale; moving the request is part of choosing and needs no budget.
-		// Its endpoint stays a candidate: the next choice knows its load exactly.
-		t.placed = true
+	failed := retry.Attempt{
+		Idempotent: q.idempotent, Keyed: q.key != "", Number: t.number, Depth: q.depth, Verdict: e.Verdict,
+		Reason: e.Reason, Remaining: time.Until(q.deadline), Streamed: q.restUsed,
+	}
+	if in.policy(q).Move(failed, t.moves) {
+		t.moves++
 		t.number--
-		t.exclude = t.before
+		if e.Reason == verdict.Busy {
+			// The choice was stale; its endpoint stays a candidate, since the next choice knows its load exactly.
+			t.exclude = t.before
+		}
+		t.placed = true
 		in.Counters.Moved.Add(1)
 		return true
 	}
-	d := in.policy(q).Next(retry.Attempt{
-		Idempotent: q.idempotent, Keyed: q.key != "", Number: t.number, Depth: q.depth, Verdict: e.Verdict,
-		Reason: e.Reason, Remaining: time.Until(q.deadline), Streamed: q.restUsed,
-	}, in.Budget, time.Now(), rand.Float64())
+	d := in.policy(q).Next(failed, in.Budget, time.Now(), rand.Float64())
 	if !d.Retry {
 		return false
 	}
@@ -280,10 +290,10 @@
 
 // latencies returns the record of the service's recent latencies.
 func (in *Ingress) latencies(q *request) *retry.Latencies {
-	if l, ok := in.latency.Load(q.route.Service); ok {
+	if l, ok := in.latency.Load(q.to); ok {
 		return l.(*retry.Latencies)
 	}
 	quantile := q.snapshot.Bundle.Policy.HedgeAfterQuantile
-	l, _ := in.latency.LoadOrStore(q.route.Service, retry.NewLatencies(time.Now(), quantile))
+	l, _ := in.latency.LoadOrStore(q.to, retry.NewLatencies(time.Now(), quantile))
 	return l.(*retry.Latencies)
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -91,6 +91,9 @@
 		"link_wait_us":  n.link.WaitNanos.Load() / int64(time.Microsecond),
 		"peer_sessions": int64(n.pool.Len()), "peer_malformed": n.peers.Malformed.Load(),
 	}
+	if n.dropped != nil {
+		m["log_lines_dropped"] = n.dropped()
+	}
 	if p := n.counters.probeCounts.Load(); p != nil {
 		m["probe_messages"], m["probe_bytes"] = int64(p.Messages), int64(p.Bytes)
 		m["probe_link_messages"], m["probe_link_bytes"] = int64(p.LinkMessages), int64(p.LinkBytes)
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/membership"
+	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/wire"
@@ -42,8 +44,7 @@
 	if err := n.provider.Set(n.bundles.acceptor.InForce()); err != nil {
 		return err
 	}
-	now := time.Now()
-	n.budget.SetPolicy(now, b.Policy.RetryShare, b.Policy.RetryMinPerSecond)
+	n.applyRetryBudget(b.Policy)
 	n.quarantine.SetPolicy(b.Policy.QuarantineDeaths, b.Policy.QuarantineFor.D())
 	n.link.SetPolicy(b.Policy)
 	n.bundles.inForce.Store(b)
@@ -53,6 +54,22 @@
 	return nil
 }
 
+// applyRetryBudget sets this node's part of the budget of further attempts. A budget in the settings is that of
+// the fleet; its floor is divided among the live nodes.
+func (n *Node) applyRetryBudget(p bundle.Policy) {
+	share, perSecond := p.RetryShare, p.RetryMinPerSecond
+	if r := n.retry.Load(); r.Window > 0 {
+		live := 0
+		for _, m := range n.engine.Records() {
+			if membership.Live(m.State) {
+				live++
+			}
+		}
+		share, perSecond = retry.NodeShare(r.Share, r.Floor, r.Window, live)
+	}
+	n.budget.SetPolicy(time.Now(), share, perSecond)
+}
+
 func (n *Node) bundleRefused(source string, err error) {
 	if errors.Is(err, bundle.ErrUnchanged) || errors.Is(err, bundle.ErrOlder) ||
 		errors.Is(err, bundle.ErrBaseMismatch) || errors.Is(err, rollout.ErrNoBundle) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -153,14 +153,7 @@
 	if !ok {
 		return
 	}
-	if a.Slots > 0 && a.Slots < service.Slots {
-		service.Slots = a.Slots
-		service.LongSlots = min(service.LongSlots, max(1, a.Slots-1))
-	}
-	if a.Connections > 0 {
-		service.Connections = min(service.Connections, a.Connections)
-	}
-	n.gate.SetLimits(service, b.Policy)
+	n.gate.SetLimits(service.LimitedTo(a.Slots, a.Connections, b.Policy.SlotShare), b.Policy)
 }
 
 func (n *Node) isQuarantined(fingerprint []byte) bool {
@@ -220,6 +213,9 @@
 	for sleep.For(n.ctx, slowTick) {
 		now := time.Now()
 		n.registry.Expire(now)
+		if b := n.bundles.inForce.Load(); b != nil && n.retry.Load().Window > 0 {
+			n.applyRetryBudget(b.Policy)
+		}
 		n.pool.CloseIdle(now)
 	}
 }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -17,6 +17,11 @@
 // and closes the node. Callers that are still connected are served through other nodes meanwhile.
 // When ctx ends first, the remaining requests are cut off and Drain returns ctx's error.
 func (n *Node) Drain(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok && n.settings.DrainReserve > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-n.settings.DrainReserve))
+		defer cancel()
+	}
 	n.draining.Store(true)
 	n.logger.Info("drain started", "event", "drain_started", "node", n.settings.NodeID)
 	n.engine.SetLeaving()
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -40,7 +40,10 @@
 	if err != nil && l.closing.Load() {
 		return nil, errors.CombineErrors(net.ErrClosed, l.TCPListener.Close())
 	}
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return newReadAheadConn(conn), nil
 }
 
 // Close starts the end of the listener, which Accept completes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionspoke/internal/adapter"
 	"dandelionspoke/internal/announce"
 	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/bundle"
@@ -19,6 +20,7 @@
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/ingress"
 	"dandelionspoke/internal/link"
+	"dandelionspoke/internal/metrics"
 	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/retry"
@@ -37,11 +39,14 @@
 	Store objectstore.Store
 	// Policy names the endpoint choice policy; empty means balance.Dandelionspoke.
 	Policy string
+	// LogsDropped returns the number of log lines that were not written; nil means none.
+	LogsDropped func() int64
 }
 
 // Addresses are the bound addresses of a started node.
 type Addresses struct {
 	Ingress, Peer, UDP, Admin, Announce string
+	Health, Metrics                     string // empty without these listeners
 }
 
 // Node is one process of the system. Its methods are safe for concurrent use.
@@ -49,6 +54,11 @@
 	settings settings.Settings
 	logger   *slog.Logger
 	store    objectstore.Store // nil without direct access
+	adapter  *adapter.Adapter
+	service  atomic.Pointer[string] // backend.service, which a reload may change
+	retry    atomic.Pointer[settings.Retry]
+	dropped  func() int64
+	metrics  *metrics.Registry
 	instance uint64
 	started  time.Time
 
@@ -98,7 +108,16 @@
 	}
 	n := &Node{
 		settings: o.Settings, logger: o.Logger, store: o.Store, instance: rand.Uint64(), started: time.Now(),
-		registry: &announce.Registry{},
+		registry: &announce.Registry{}, dropped: o.LogsDropped, metrics: metrics.NewRegistry(),
+	}
+	n.service.Store(&o.Settings.Backend.Service)
+	n.retry.Store(&o.Settings.Retry)
+	n.adapter, err = adapter.New(o.Settings.Adapter, o.Settings, func() string { return *n.service.Load() }, o.Logger)
+	if err != nil {
+		return nil, err
+	}
+	if n.store == nil {
+		n.store = n.adapter.Store
 	}
 	if n.store == nil && o.Settings.Store.URL != "" {
 		if n.store, err = newStoreClient(o.Settings.Store); err != nil {
@@ -107,6 +126,9 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.bundles.acceptor = bundle.NewAcceptorByRole(o.Settings.Bundle.TrustedKeys, o.Settings.Bundle.ApproverKeys)
+	if o.Settings.Bundle.Unsigned {
+		n.bundles.acceptor = bundle.NewUnsignedAcceptor()
+	}
 	n.assemble(picker)
 	return n, nil
 }
@@ -128,13 +150,18 @@
 	n.probeRand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.link = link.NewBudget(policy)
 	n.gate = gate.New(n.instance, n.logger)
+	if n.adapter.Backends != nil {
+		n.gate.SetProtocol(n.adapter.Backends)
+	}
+	n.gate.ServiceTime = n.metrics.Histogram("gate_service_seconds")
+	n.gate.QueueTime = n.metrics.Histogram("gate_queue_seconds")
 	n.gate.IsQuarantined = n.isQuarantined
 	n.gate.OnCrash = n.crashed
 	n.gate.Pace = n.pace
 	n.registry.OnChange = n.backendChanged
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget,
-		Logger: n.logger, Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
+		Logger: n.logger, Protocol: n.adapter.Callers, Latency: n.metrics.Histogram("ingress_request_seconds"), Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
 		IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered,
 		Claimer: func(service string) claim.Keys { return n.router.For(service) },
 	})
@@ -182,7 +209,9 @@
 	}
 	n.background(n.maintain)
 	n.background(n.join)
-	n.background(n.checkHealth)
+	if n.settings.Backend.PortCheck > 0 {
+		n.background(n.checkHealth)
+	}
 	if n.store != nil {
 		n.background(n.followStore)
 	}
@@ -209,18 +238,48 @@
 	if err := n.startIngress(ctx); err != nil {
 		return err
 	}
-	timeout := n.settings.Ingress.HeaderTimeout
-	err := n.serveHTTP(ctx, "announce", n.settings.Announce.Listen, &n.addresses.Announce, &http.Server{
-		Handler: n.registry.Handler(), ReadHeaderTimeout: timeout, ReadTimeout: timeout,
-	})
-	if err != nil {
-		return err
+	announcements := n.registry.Handler()
+	if n.adapter.Announcements != nil {
+		announcements = n.adapter.Announcements(n.registry)
 	}
-	return n.serveHTTP(ctx, "admin", n.settings.Admin.Listen, &n.addresses.Admin, &http.Server{
-		Handler: n.adminHandler(), ReadHeaderTimeout: timeout, ReadTimeout: timeout,
+	listeners := []struct {
+		name, listen string
+		bound        *string
+		handler      http.Handler
+	}{
+		{"announce", n.settings.Announce.Listen, &n.addresses.Announce, announcements},
+		{"admin", n.settings.Admin.Listen, &n.addresses.Admin, n.adminHandler()},
+		{"health", n.settings.Health.Listen, &n.addresses.Health, n.healthHandler()},
+		{"metrics", n.settings.Metrics.Listen, &n.addresses.Metrics, n.metricsHandler()},
+	}
+	for _, l := range listeners {
+		if l.listen == "" {
+			continue
+		}
+		timeout := n.settings.Ingress.HeaderTimeout
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: timeout, ReadTimeout: timeout}
+		if err := n.serveHTTP(ctx, l.name, l.listen, l.bound, server); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// healthHandler answers 200 on any path while the node takes new work, unless the adapter has its own form.
+func (n *Node) healthHandler() http.Handler {
+	if n.adapter.Health != nil {
+		return n.adapter.Health(n.Ready)
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 	})
 }
 
+// Ready reports whether callers should send new work to this node.
+func (n *Node) Ready() bool { return n.bundles.inForce.Load() != nil && !n.draining.Load() }
+
 func (n *Node) startIngress(ctx context.Context) error {
 	in := n.settings.Ingress
 	l, err := listen(ctx, "ingress", in.Listen)
@@ -234,7 +293,8 @@
 	n.callers = &gracefulListener{TCPListener: tcp, busy: make(map[net.Conn]struct{})}
 	n.addresses.Ingress = l.Addr().String()
 	n.serveOn(n.callers, "ingress", &http.Server{
-		Handler: n.ingress, ReadHeaderTimeout: in.HeaderTimeout, MaxHeaderBytes: in.MaxHeaderBytes, ConnState: n.callers.track,
+		Handler: n.ingress, ReadHeaderTimeout: in.HeaderTimeout, IdleTimeout: in.IdleTimeout, MaxHeaderBytes: in.MaxHeaderBytes,
+		ConnState: n.callers.track, ConnContext: lostContext,
 	})
 	return nil
 }
--- /dev/null
+++ b/internal/node/reload.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"net/http"
+
+	"dandelionspoke/internal/settings"
+)
+
+// Reload puts the settings in force that a running node can change: backend.service, retry and the log level,
+// which the caller sets. It reports whether other settings differ, which need a restart.
+func (n *Node) Reload(s settings.Settings) (needsRestart bool) {
+	service, retry := s.Backend.Service, s.Retry
+	n.service.Store(&service)
+	n.retry.Store(&retry)
+	if b := n.bundles.inForce.Load(); b != nil {
+		n.applyRetryBudget(b.Policy)
+	}
+	same := n.settings
+	same.Backend.Service, same.Retry, same.Log = s.Backend.Service, s.Retry, s.Log
+	// The ports that were bound and the identifier may have been filled in at the start.
+	same.NodeID, same.Peer.Advertise = s.NodeID, s.Peer.Advertise
+	needsRestart = !settings.Equal(same, s)
+	n.logger.Info("settings reloaded", "event", "settings_reloaded", "service", service, "retry_share", retry.Share,
+		"retry_floor", retry.Floor, "log_level", s.Log.Level, "needs_restart", needsRestart)
+	return needsRestart
+}
+
+// metricsHandler serves counters and histograms as text on any path.
+func (n *Node) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		if err := n.metrics.Write(w, n.Metrics()); err != nil {
+			n.logger.Debug("metrics not sent", "event", "metrics_not_sent", "error", err)
+		}
+	})
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -127,7 +127,7 @@
 		}
 		ctx, cancel := context.WithCancel(n.ctx)
 		stop = cancel
-		r := &rollout.Reader{Store: n.store, Deliver: n.deliver, Log: n.logger}
+		r := &rollout.Reader{Store: n.store, Source: n.adapter.Bundles, Deliver: n.deliver, Log: n.logger}
 		n.background(func() { r.Run(ctx) })
 		n.background(func() { n.writeStatus(ctx) })
 	}
@@ -148,10 +148,13 @@
 func (n *Node) writeStatus(ctx context.Context) {
 	status := rollout.StatusWriter{Store: n.store}
 	var written []string
-	for sleep.For(ctx, membersWriteInterval) {
-		s := rollout.Summarize(n.settings.FailureDomain, n.settings.NodeID, n.liveMembers(), time.Now())
-		if err := status.Publish(ctx, s); err != nil {
-			n.logger.Info("status not written", "event", "store_write_failed", "error", err)
+	for first := true; first && ctx.Err() == nil || sleep.For(ctx, membersWriteInterval); first = false {
+		// Operators who write bundles to the store themselves read no status there.
+		if !n.settings.Bundle.Unsigned {
+			s := rollout.Summarize(n.settings.FailureDomain, n.settings.NodeID, n.liveMembers(), time.Now())
+			if err := status.Publish(ctx, s); err != nil {
+				n.logger.Info("status not written", "event", "store_write_failed", "error", err)
+			}
 		}
 		addresses := n.domainAddresses()
 		if slices.Equal(addresses, written) {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
+	"dandelionspoke/internal/netopt"
 	"dandelionspoke/internal/wire"
 
 	"github.com/cockroachdb/errors"
@@ -114,7 +114,7 @@
 }
 
 func (p *Pool) dial(addr string) (*yamux.Session, *Remote, error) {
-	raw, err := net.DialTimeout("tcp", addr, dialTimeout)
+	raw, err := netopt.Dialer(dialTimeout).Dial("tcp", addr)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "dial peer %s", addr)
 	}
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -113,7 +113,7 @@
 		return NoRetryReason, false
 	case a.Verdict == verdict.NotRun:
 		return SafeNotRun, true
-	case a.Verdict == verdict.Ran && !retryableStatus(a.Status):
+	case a.Verdict == verdict.Ran && a.Status != 0 && !retryableStatus(a.Status):
 		return NoRetryAnswer, false
 	case !a.Idempotent:
 		return NoRetryVerdict, false
@@ -154,12 +154,33 @@
 // busy reports whether the endpoint refused for its load, which its peers may share.
 func (a Attempt) busy() bool {
 	switch a.Reason {
-	case verdict.QueueFull, verdict.QueueTimeout, verdict.Overloaded, verdict.ConnectionLimit:
+	case verdict.QueueFull, verdict.QueueTimeout, verdict.Overloaded, verdict.ConnectionLimit, verdict.BackendRefused:
 		return true
 	}
 	return false
 }
 
+// refusedAtGate reports whether the request was turned away before it reached a backend server, so that another
+// endpoint adds no arrival to the service.
+func (a Attempt) refusedAtGate() bool {
+	switch a.Reason {
+	case verdict.Busy, verdict.QueueFull, verdict.Overloaded, verdict.Draining, verdict.WrongGate,
+		verdict.BackendDown, verdict.PeerUnreachable:
+		return a.Verdict == verdict.NotRun
+	}
+	return false
+}
+
+// MaxMoves bounds the endpoints that refuse one request before it counts as refused. The second and third gate
+// often have room when the first choice rested on an old report; beyond that, all of them are full.
+const MaxMoves = 3
+
+// Move reports whether the request may go to another endpoint without an attempt being counted and without the
+// retry budget. moves is the number of times that it has done so.
+func (p Policy) Move(a Attempt, moves int) bool {
+	return a.refusedAtGate() && !a.Streamed && moves < MaxMoves && a.Remaining >= minRemaining
+}
+
 // wait is the time before the next attempt: none unless the endpoint was busy, else exponential with
 // full jitter.
 func (a Attempt) wait(random float64) time.Duration {
--- a/internal/rollout/reader.go
+++ b/internal/rollout/reader.go
@@ -61,9 +61,34 @@
 
 func rendezvous(domain, node string) uint64 { return xxhash.Sum64String(domain + "\x00" + node) }
 
-// Reader follows bundle/current. Only nodes for which IsReader holds run one.
+// Source says where a store holds the bundle in force and how it is decoded. The zero value is the product's own
+// record at CurrentKey.
+type Source struct {
+	Key    string
+	Decode func(objectstore.Object) (*bundle.Envelope, error)
+	// NoPoll leaves out the reads beside the watch, for stores that count each call and end each watch by
+	// themselves within seconds.
+	NoPoll bool
+}
+
+func (s Source) key() string {
+	if s.Key == "" {
+		return CurrentKey
+	}
+	return s.Key
+}
+
+func (s Source) decode(o objectstore.Object) (*bundle.Envelope, error) {
+	if s.Decode == nil {
+		return decodeCurrent(o)
+	}
+	return s.Decode(o)
+}
+
+// Reader follows the bundle in a store. Only nodes for which IsReader holds run one.
 type Reader struct {
-	Store objectstore.Store
+	Store  objectstore.Store
+	Source Source
 	// Deliver gets each envelope that is new to the reader, one at a time. The envelope is not verified.
 	Deliver func(*bundle.Envelope)
 	Log     *slog.Logger
@@ -71,13 +96,16 @@
 	seen int64 // object version that was delivered last
 }
 
-// Run follows bundle/current until ctx ends. It watches, watches again when the watch is lost, and reads
+// Run follows the bundle until ctx ends. It watches, watches again when the watch is lost, and reads
 // the object at an interval.
 func (r *Reader) Run(ctx context.Context) {
 	poll := time.NewTicker(pollInterval)
 	defer poll.Stop()
+	if r.Source.NoPoll {
+		poll.Stop()
+	}
 	for losses := 0; ctx.Err() == nil; losses++ {
-		events, err := r.Store.Watch(ctx, CurrentKey, r.seen)
+		events, err := r.Store.Watch(ctx, r.Source.key(), r.seen)
 		if err != nil {
 			r.Log.Warn("bundle watch failed", "error", err)
 		} else if r.follow(ctx, events, poll.C) {
@@ -106,7 +134,7 @@
 }
 
 func (r *Reader) poll(ctx context.Context) {
-	o, err := r.Store.Get(ctx, CurrentKey)
+	o, err := r.Store.Get(ctx, r.Source.key())
 	switch {
 	case err == nil && o.Version != r.seen:
 		r.deliver(o)
@@ -118,14 +146,14 @@
 
 // handle drops events that a lagging watch sends after the poll has seen a later version.
 func (r *Reader) handle(e objectstore.Event) {
-	if e.Object.Key == CurrentKey && !e.Deleted && e.Object.Version > r.seen {
+	if e.Object.Key == r.Source.key() && !e.Deleted && e.Object.Version > r.seen {
 		r.deliver(e.Object)
 	}
 }
 
 func (r *Reader) deliver(o objectstore.Object) {
 	r.seen = o.Version
-	envelope, err := decodeCurrent(o)
+	envelope, err := r.Source.decode(o)
 	if err != nil {
 		r.Log.Error("bundle in the store is malformed", "object_version", o.Version, "error", err)
 		return
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -47,9 +47,12 @@
 		{Name: "failure_domain", Allowed: nameAllowed, Required: true, set: name(func(s *Settings) *string { return &s.FailureDomain })},
 		{Name: "seeds", Allowed: "a list of peer addresses, each ip:port with a specific IP address and a port from 1", Default: "empty", set: setSeeds},
 		{Name: "drain_timeout", Allowed: "a duration from \"1s\" to \"1h\"", Default: "30s", set: duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.DrainTimeout })},
+		{Name: "drain_reserve", Allowed: "a duration from \"0s\" to \"1h\", below drain_timeout", Default: "0s", set: duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.DrainReserve })},
+		{Name: "adapter", Allowed: nameAllowed + "; the name of an adapter of this build", Default: "none", set: name(func(s *Settings) *string { return &s.Adapter })},
 
 		{Name: "ingress.listen", Allowed: addressAllowed, Default: DefaultIngressListen, set: address(func(s *Settings) *string { return &s.Ingress.Listen })},
 		{Name: "ingress.header_timeout", Allowed: "a duration from \"100ms\" to \"1m\"", Default: "5s", set: duration(100*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Ingress.HeaderTimeout })},
+		{Name: "ingress.idle_timeout", Allowed: "a duration from \"0s\" (none) to \"1h\"", Default: "0s", set: duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.Ingress.IdleTimeout })},
 		{Name: "ingress.max_header_bytes", Allowed: "a whole number from 1024 to 1048576", Default: "65536", set: integer(1<<10, 1<<20, func(s *Settings, v int64) { s.Ingress.MaxHeaderBytes = int(v) })},
 		{Name: "ingress.max_body_bytes", Allowed: "a whole number from 1 to 1073741824", Default: "67108864", set: integer(1, 1<<30, func(s *Settings, v int64) { s.Ingress.MaxBodyBytes = v })},
 
@@ -59,16 +62,27 @@
 		{Name: "gossip.advertise", Allowed: advertiseAllowed, Default: "gossip.listen", set: specificAddress(func(s *Settings) *string { return &s.Gossip.Advertise })},
 		{Name: "admin.listen", Allowed: addressAllowed, Default: DefaultAdminListen, set: address(func(s *Settings) *string { return &s.Admin.Listen })},
 		{Name: "admin.token", Allowed: tokenAllowed, Default: "none", set: token(func(s *Settings) *string { return &s.Admin.Token })},
-		{Name: "announce.listen", Allowed: announceAllowed, Default: DefaultAnnounceListen, set: loopbackAddress(func(s *Settings) *string { return &s.Announce.Listen })},
+		{Name: "announce.listen", Allowed: announceAllowed, Default: DefaultAnnounceListen, set: address(func(s *Settings) *string { return &s.Announce.Listen })},
+
+		{Name: "backend.service", Allowed: nameAllowed, Default: "as announced", set: name(func(s *Settings) *string { return &s.Backend.Service })},
+		{Name: "backend.address", Allowed: addressAllowed, Default: "as announced", set: address(func(s *Settings) *string { return &s.Backend.Address })},
+		{Name: "backend.port_check", Allowed: "a duration from \"0s\" (never) to \"1m\"", Default: "500ms", set: duration(0, time.Minute, func(s *Settings) *time.Duration { return &s.Backend.PortCheck })},
+		{Name: "health.listen", Allowed: addressAllowed, Default: "none", set: address(func(s *Settings) *string { return &s.Health.Listen })},
+		{Name: "metrics.listen", Allowed: addressAllowed, Default: "none", set: address(func(s *Settings) *string { return &s.Metrics.Listen })},
+		{Name: "retry.share", Allowed: "a number from 0 to 1", Default: "the bundle's policy", set: number(0, 1, func(s *Settings) *float64 { return &s.Retry.Share })},
+		{Name: "retry.floor", Allowed: "a number from 0 to 1000000", Default: "the bundle's policy", set: number(0, 1e6, func(s *Settings) *float64 { return &s.Retry.Floor })},
+		{Name: "retry.window", Allowed: "a duration from \"1s\" to \"10m\"", Default: "the bundle's policy", set: duration(time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Retry.Window })},
 
 		{Name: "store.url", Allowed: "an http or https URL with a host", Default: "no direct store access", set: setStoreURL},
 		{Name: "store.region", Allowed: nameAllowed, Default: "unknown", set: name(func(s *Settings) *string { return &s.Store.Region })},
 		{Name: "store.token", Allowed: "printable ASCII text without spaces", Default: "none", set: token(func(s *Settings) *string { return &s.Store.Token })},
 		{Name: "store.timeout", Allowed: "a duration from \"10ms\" to \"1m\"", Default: "2s", set: duration(10*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Store.Timeout })},
-		{Name: "store.calls_per_second", Allowed: "a number from 0.1 to 2000", Default: "20", set: setCallsPerSecond},
+		{Name: "store.watch_wait", Allowed: "a duration from \"100ms\" to \"30s\"", Default: "20s", set: duration(100*time.Millisecond, 30*time.Second, func(s *Settings) *time.Duration { return &s.Store.WatchWait })},
+		{Name: "store.calls_per_second", Allowed: "a number from 0.1 to 2000", Default: "20", set: number(0.1, 2000, func(s *Settings) *float64 { return &s.Store.CallsPerSecond })},
 
-		{Name: "bundle.trusted_keys", Allowed: keysAllowed, Required: true, set: publicKeys(func(s *Settings) *map[string]ed25519.PublicKey { return &s.Bundle.TrustedKeys })},
-		{Name: "bundle.approver_keys", Allowed: keysAllowed, Required: true, set: publicKeys(func(s *Settings) *map[string]ed25519.PublicKey { return &s.Bundle.ApproverKeys })},
+		{Name: "bundle.unsigned", Allowed: "true or false", Default: "false", set: boolean(func(s *Settings) *bool { return &s.Bundle.Unsigned })},
+		{Name: "bundle.trusted_keys", Allowed: keysAllowed, Default: requiredIfSigned, set: publicKeys(func(s *Settings) *map[string]ed25519.PublicKey { return &s.Bundle.TrustedKeys })},
+		{Name: "bundle.approver_keys", Allowed: keysAllowed, Default: requiredIfSigned, set: publicKeys(func(s *Settings) *map[string]ed25519.PublicKey { return &s.Bundle.ApproverKeys })},
 
 		{Name: "log.level", Allowed: "\"debug\", \"info\", \"warn\" or \"error\"", Default: "info", set: setLogLevel},
 	}
@@ -76,7 +90,8 @@
 
 const (
 	advertiseAllowed = "ip:port that other nodes reach: a specific IP address and a port from 1; required when the listen address is 0.0.0.0 or [::]"
-	announceAllowed  = "ip:port with a loopback IP address"
+	announceAllowed  = "ip:port with a loopback IP address, or with any IP address when adapter is set"
+	requiredIfSigned = "required unless bundle.unsigned is true"
 	tokenAllowed     = "printable ASCII text without spaces; required when admin.listen is not a loopback address"
 )
 
@@ -127,10 +142,6 @@
 	return addressWhere(isSpecific, field)
 }
 
-func loopbackAddress(field func(*Settings) *string) func(*Settings, any) bool {
-	return addressWhere(func(a netip.AddrPort) bool { return a.Addr().IsLoopback() }, field)
-}
-
 func setSeeds(s *Settings, value any) bool {
 	list, ok := value.([]any)
 	if !ok {
@@ -185,6 +196,30 @@
 	}
 }
 
+func boolean(field func(*Settings) *bool) func(*Settings, any) bool {
+	return func(s *Settings, value any) bool {
+		v, ok := value.(bool)
+		if ok {
+			*field(s) = v
+		}
+		return ok
+	}
+}
+
+func number(low, high float64, field func(*Settings) *float64) func(*Settings, any) bool {
+	return func(s *Settings, value any) bool {
+		v, ok := value.(float64)
+		if whole, isWhole := value.(int64); isWhole {
+			v, ok = float64(whole), true
+		}
+		if !ok || !(v >= low && v <= high) { // false for NaN as well
+			return false
+		}
+		*field(s) = v
+		return true
+	}
+}
+
 func setStoreURL(s *Settings, value any) bool {
 	v, ok := text(value)
 	if !ok {
@@ -198,29 +233,6 @@
 	return true
 }
 
-// Limits of store.calls_per_second.
-const (
-	minCallsPerSecond = 0.1
-	maxCallsPerSecond = 2000
-)
-
-func setCallsPerSecond(s *Settings, value any) bool {
-	var rate float64
-	switch v := value.(type) {
-	case int64:
-		rate = float64(v)
-	case float64:
-		rate = v
-	default:
-		return false
-	}
-	if !(rate >= minCallsPerSecond && rate <= maxCallsPerSecond) { // false for NaN as well
-		return false
-	}
-	s.Store.CallsPerSecond = rate
-	return true
-}
-
 func publicKeys(field func(*Settings) *map[string]ed25519.PublicKey) func(*Settings, any) bool {
 	return func(s *Settings, value any) bool {
 		list, ok := value.([]any)
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -170,6 +170,20 @@
 	if !tokenGiven && !isLoopback(s.Admin.Listen) {
 		p.fault("admin.token", tokenAllowed, "is required because admin.listen is %s", s.Admin.Listen)
 	}
+	if s.Adapter == "" && !isLoopback(s.Announce.Listen) {
+		p.fault("announce.listen", announceAllowed, "the string %q is not allowed", s.Announce.Listen)
+	}
+	if s.DrainReserve >= s.DrainTimeout {
+		p.fault("drain_reserve", "a duration below drain_timeout", "is %s, drain_timeout is %s", s.DrainReserve, s.DrainTimeout)
+	}
+	if (s.Retry.Share > 0 || s.Retry.Floor > 0) && s.Retry.Window == 0 {
+		p.fault("retry.window", "a duration from \"1s\" to \"10m\"", "is required because another key of retry is set")
+	}
+	for _, name := range []string{"bundle.trusted_keys", "bundle.approver_keys"} {
+		if _, given := flat[name]; !given && !s.Bundle.Unsigned {
+			p.fault(name, keysAllowed, "is required because bundle.unsigned is false")
+		}
+	}
 	for owner, key := range s.Bundle.ApproverKeys {
 		if other, both := s.Bundle.TrustedKeys[owner]; both && !other.Equal(key) {
 			p.fault("bundle.approver_keys", keysAllowed, "%s has another key in bundle.trusted_keys", owner)
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -52,7 +52,9 @@
 failure_domain = "oslo-a"
 seeds = ["10.0.0.1:7070", "[fd00::1]:7070"]
 drain_timeout = "45s"
-ingress = { listen = "10.0.0.7:80", header_timeout = "2s", max_header_bytes = 2048, max_body_bytes = 4096 }
+drain_reserve = "5s"
+adapter = "prepared"
+ingress = { listen = "10.0.0.7:80", header_timeout = "2s", idle_timeout = "75s", max_header_bytes = 2048, max_body_bytes = 4096 }
 [peer]
 listen = "0.0.0.0:7070"
 advertise = "10.0.0.7:7070"
@@ -68,8 +70,22 @@
 url = "https://10.0.0.2:6443/objects"
 token = "other"
 timeout = "500ms"
+watch_wait = "3s"
 calls_per_second = 2.5
+[backend]
+service = "katalog"
+address = "10.0.0.7:8301"
+port_check = "0s"
+[health]
+listen = "10.0.0.7:8302"
+[metrics]
+listen = "10.0.0.7:9100"
+[retry]
+share = 0.2
+floor = 56
+window = "10s"
 [bundle]
+unsigned = true
 trusted_keys = ["` + testKey + `"]
 approver_keys = ["` + testKey + `"]
 [log]
@@ -81,16 +97,25 @@
 	}
 	want := Settings{
 		NodeID: "oslo-a-1", Region: "ostlandet", FailureDomain: "oslo-a",
-		Ingress:      Ingress{Listen: "10.0.0.7:80", HeaderTimeout: 2 * time.Second, MaxHeaderBytes: 2048, MaxBodyBytes: 4096},
+		Ingress:      Ingress{Listen: "10.0.0.7:80", HeaderTimeout: 2 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 2048, MaxBodyBytes: 4096},
 		Peer:         Peer{Listen: "0.0.0.0:7070", Advertise: "10.0.0.7:7070"},
 		Gossip:       Gossip{Listen: "0.0.0.0:7071", Advertise: "10.0.0.7:7071"},
 		Admin:        Admin{Listen: "10.0.0.7:9090", Token: "secret"},
 		Announce:     Announce{Listen: "[::1]:9191"},
 		Seeds:        []string{"10.0.0.1:7070", "[fd00::1]:7070"},
-		Store:        Store{URL: "https://10.0.0.2:6443/objects", Token: "other", Timeout: 500 * time.Millisecond, CallsPerSecond: 2.5},
+		Store:        Store{URL: "https://10.0.0.2:6443/objects", Token: "other", Timeout: 500 * time.Millisecond, WatchWait: 3 * time.Second, CallsPerSecond: 2.5},
 		Bundle:       got.Bundle,
 		Log:          Log{Level: slog.LevelDebug},
 		DrainTimeout: 45 * time.Second,
+		DrainReserve: 5 * time.Second,
+		Adapter:      "prepared",
+		Backend:      Backend{Service: "katalog", Address: "10.0.0.7:8301"},
+		Health:       Health{Listen: "10.0.0.7:8302"},
+		Metrics:      Metrics{Listen: "10.0.0.7:9100"},
+		Retry:        Retry{Share: 0.2, Floor: 56, Window: 10 * time.Second},
+	}
+	if !got.Bundle.Unsigned {
+		t.Error("bundle.unsigned is not stored")
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
@@ -120,6 +145,10 @@
 		{"rate is not a number", minimal + "[store]\ncalls_per_second = nan\n", 9, "store.calls_per_second"},
 		{"store URL without scheme", minimal + "[store]\nurl = \"10.0.0.1:80\"\n", 9, "store.url"},
 		{"admin token missing", minimal + "[admin]\nlisten = \"10.0.0.1:80\"\n", 8, "admin.token"},
+		{"reserve above the whole", "drain_timeout = \"2s\"\ndrain_reserve = \"2s\"\n" + minimal, 2, "drain_reserve"},
+		{"budget without a window", minimal + "[retry]\nshare = 0.1\n", 8, "retry.window"},
+		{"budget above 1", minimal + "[retry]\nshare = 1.1\nwindow = \"1s\"\n", 9, "retry.share"},
+		{"unsigned as text", minimal + "unsigned = \"yes\"\n", 8, "bundle.unsigned"},
 		{"announce not on loopback", minimal + "[announce]\nlisten = \"0.0.0.0:80\"\n", 9, "announce.listen"},
 		{"advertise missing", strings.Replace(minimal, "127.0.0.1:7070", "0.0.0.0:7070", 1) + "[gossip]\nlisten = \"127.0.0.1:1\"\n", 3, "peer.advertise"},
 		{"advertise unspecified", minimal + "[gossip]\nadvertise = \"0.0.0.0:80\"\n", 9, "gossip.advertise"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 	"crypto/ed25519"
 	"log/slog"
 	"maps"
+	"reflect"
 	"time"
 )
 
@@ -26,13 +27,53 @@
 	Log    Log
 	// DrainTimeout bounds a graceful shutdown; requests that are still running then are cut off.
 	DrainTimeout time.Duration
+	// DrainReserve is the part of DrainTimeout that is left for closing down after the last request.
+	DrainReserve time.Duration
+	// Adapter names the translation to a platform with interfaces of its own. Empty: the product's interfaces.
+	Adapter string
+	Backend Backend
+	Health  Health
+	Metrics Metrics
+	Retry   Retry
+}
+
+// Backend describes the backend server beside the node.
+type Backend struct {
+	// Service that it belongs to, for platforms that fix it. Empty: whatever the server announces.
+	Service string
+	// Address that it must announce. Empty: any.
+	Address string
+	// PortCheck is the time between two checks that its port is open; 0 checks never. Each check opens a connection.
+	PortCheck time.Duration
+}
+
+// Health configures the listener that tells a platform whether the node takes work.
+type Health struct {
+	Listen string // empty: none
+}
+
+// Metrics configures the listener for counters and histograms.
+type Metrics struct {
+	Listen string // empty: none
+}
+
+// Retry holds the fleet's budget of further attempts. It goes before the bundle's policy when Window is not 0.
+type Retry struct {
+	// Share of the first attempts at a service that may be repeated.
+	Share float64
+	// Floor is the number of further attempts in each Window that all nodes together may make at a service
+	// whatever the share says.
+	Floor  float64
+	Window time.Duration
 }
 
 // Ingress configures the HTTP listener for callers.
 type Ingress struct {
 	Listen string
 	// HeaderTimeout bounds the time in which a caller sends the whole request header.
-	HeaderTimeout  time.Duration
+	HeaderTimeout time.Duration
+	// IdleTimeout closes connections on which no request comes; 0 keeps them.
+	IdleTimeout    time.Duration
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
 }
@@ -68,14 +109,18 @@
 	// URL is empty when the node has no direct access; bundles and claims of keys then go through peers.
 	URL string
 	// Region is the region of the store. Nodes in it own the claims of keys. Empty means unknown.
-	Region         string
-	Token          string
-	Timeout        time.Duration
+	Region  string
+	Token   string
+	Timeout time.Duration
+	// WatchWait is the longest time that one call for changes waits, on platforms where a watch is a series of calls.
+	WatchWait      time.Duration
 	CallsPerSecond float64
 }
 
 // Bundle holds the public keys that a bundle must be signed with, by the names of their owners.
 type Bundle struct {
+	// Unsigned accepts bundles without signatures, for stores that let only operators write them.
+	Unsigned bool
 	// TrustedKeys are those of authors.
 	TrustedKeys map[string]ed25519.PublicKey
 	// ApproverKeys are those of approvers. An owner may be in both maps, with the same key.
@@ -108,6 +153,9 @@
 	DefaultStoreTimeout   = 2 * time.Second
 	DefaultCallsPerSecond = 20
 	DefaultDrainTimeout   = 30 * time.Second
+	DefaultDrainReserve   = 0
+	DefaultPortCheck      = 500 * time.Millisecond
+	DefaultWatchWait      = 20 * time.Second
 )
 
 // Default returns settings for tests: every listener on loopback with a port that the system picks, no store and no keys.
@@ -134,8 +182,13 @@
 		},
 		Admin:        Admin{Listen: DefaultAdminListen},
 		Announce:     Announce{Listen: DefaultAnnounceListen},
-		Store:        Store{Timeout: DefaultStoreTimeout, CallsPerSecond: DefaultCallsPerSecond},
+		Store:        Store{Timeout: DefaultStoreTimeout, WatchWait: DefaultWatchWait, CallsPerSecond: DefaultCallsPerSecond},
 		Log:          Log{Level: slog.LevelInfo},
 		DrainTimeout: DefaultDrainTimeout,
+		DrainReserve: DefaultDrainReserve,
+		Backend:      Backend{PortCheck: DefaultPortCheck},
 	}
 }
+
+// Equal reports whether two settings are the same.
+func Equal(a, b Settings) bool { return reflect.DeepEqual(a, b) }
--- a/internal/system/snapshot.go
+++ b/internal/system/snapshot.go
@@ -51,6 +51,13 @@
 		subset = All
 	}
 	snap := &table.Snapshot{Version: version, Bundle: b, Services: map[string]*table.Service{}, TakenAt: now}
+	switch {
+	case b == nil:
+	case prev != nil && prev.Bundle == b && prev.Routes != nil:
+		snap.Routes = prev.Routes
+	default:
+		snap.Routes = bundle.NewIndex(b)
+	}
 	suspects := suspectNodes(members)
 	size := 0
 	if b != nil {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -106,10 +106,19 @@
 type Snapshot struct {
 	Version  uint64
 	Bundle   *bundle.Bundle // nil until one has been accepted
+	Routes   *bundle.Index  // of Bundle; nil without one
 	Services map[string]*Service
 	TakenAt  time.Time
 }
 
+// Match returns the route of a request, or nil. host carries no port.
+func (s *Snapshot) Match(method, host, path string) *bundle.Route {
+	if s.Routes == nil {
+		return s.Bundle.Match(method, host, path)
+	}
+	return s.Routes.Match(method, host, path)
+}
+
 // Service returns the view of the named service, or nil.
 func (s *Snapshot) Service(name string) *Service {
 	if s == nil {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -74,6 +75,8 @@
 	Canceled         Reason = "canceled"
 	AttemptRefused   Reason = "attempt-refused"
 	Overloaded       Reason = "overloaded"
+	// BackendRefused means that the backend server itself turned the request away without running it.
+	BackendRefused Reason = "backend-refused"
 	// Busy refuses a request whose expected wait exceeds what it accepts, so that another endpoint can take it.
 	Busy Reason = "busy"
 )
@@ -89,6 +92,8 @@
 	Verdict Verdict
 	Reason  Reason
 	Detail  string
+	// Wait is the time until the endpoint that refused expects to have room; 0 when it is not known.
+	Wait time.Duration
 }
 
 // Error implements error.
