Pass requests on while an endpoint's machine is slow, and log each decision

The new log lines show why: runs that began while the backend server stated a slowness of 4 took 3 to 4 times as long. Ruled out: queueing (p90 wait 0), connections, the way between nodes (2 ms).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -60,6 +60,9 @@
 	// MaxWait is the longest expected wait that the request accepts; a longer one refuses it with the
 	// reason Busy. Zero accepts any wait.
 	MaxWait time.Duration
+	// Slowness is the time that work takes at the endpoint at this moment, in multiples of the usual time. Time
+	// beyond the usual counts as wait. Zero means unknown.
+	Slowness float64
 }
 
 // Ticket identifies an offered request that was admitted or queued. The zero value is never issued.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -123,9 +123,22 @@
 	if !e.request.Deadline.After(now) {
 		return verdict.DeadlineExceeded
 	}
+	if maxWait := e.request.MaxWait; maxWait > 0 && q.slowdown(e) > maxWait {
+		return verdict.Busy
+	}
 	return ""
 }
 
+// slowdown is the time that the request would take beyond the usual at the present speed of the endpoint. It
+// ends when the work of a neighbour on the same machine does, so only requests that can go elsewhere mind it.
+func (q *Queue) slowdown(e *entry) time.Duration {
+	estimate := q.shortTime
+	if e.long {
+		estimate = q.longTime
+	}
+	return time.Duration(max(e.request.Slowness-1, 0) * float64(estimate))
+}
+
 func (q *Queue) startsAtOnce(now time.Time, e *entry) bool {
 	if e.long {
 		return q.long.len() == 0 && q.longMayStart(now, e)
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -31,6 +31,8 @@
 	QueueLong  int `toml:"queue_long"`
 	// SlowStart is the time over which a new or re-admitted endpoint rises to its full share.
 	SlowStart Duration `toml:"slow_start"`
+	// LoadPath is where an endpoint states its load at once, also while it is busy. Empty: nowhere.
+	LoadPath string `toml:"load_path"`
 }
 
 // Class separates short from long work.
@@ -115,6 +117,8 @@
 	// SlotShare is the part of an endpoint's slots that its gate uses, above 0 and up to 1. Backend servers
 	// that slow down when nearly full serve more requests in time with a value below 1.
 	SlotShare float64 `toml:"slot_share"`
+	// LoadProbesPerSecond bounds the questions of a gate for its backend server's load; 0 asks never.
+	LoadProbesPerSecond float64 `toml:"load_probes_per_second"`
 }
 
 // Duration is a time.Duration written as text, such as "250ms".
--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -90,6 +90,7 @@
 	inRange(v, parent, "subset_size", p.SubsetSize, 1, maxCount)
 	inRange(v, parent, "max_response_keep_bytes", p.MaxResponseKeepBytes, 0, 1<<20)
 	v.duration(parent, "attempt_memory", p.AttemptMemory, time.Second, maxWait)
+	inRange(v, parent, "load_probes_per_second", p.LoadProbesPerSecond, 0, maxRate)
 	inRange(v, parent, "slot_share", p.SlotShare, 0.1, 1)
 }
 
@@ -102,6 +103,7 @@
 	inRange(v, parent, "queue_short", s.QueueShort, 1, maxCount)
 	inRange(v, parent, "queue_long", s.QueueLong, 1, maxCount)
 	v.duration(parent, "slow_start", s.SlowStart, time.Millisecond, maxWait)
+	v.require(s.LoadPath == "" || s.LoadPath[0] == '/', parent, "load_path", `a path that starts with "/", or none`, "%q", s.LoadPath)
 }
 
 // target is what a route matches. Two routes with one target would be decided by their order.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -46,8 +46,9 @@
 		return c.roundTripError(ctx, backend, err, written.Load())
 	}
 	defer resp.Body.Close()
+	c.status = resp.StatusCode
 	answer := c.gate.protocol.Read(req.Header, resp)
-	c.gate.observeSlowness(answer.Slowness)
+	c.gate.speed.observe(answer.Slowness, time.Now())
 	switch {
 	case answer.Foreign != "":
 		// Whatever follows on the connection belongs to another request as well.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,7 +4,6 @@
 
 import (
 	"log/slog"
-	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -35,7 +34,7 @@
 
 // Counters are totals since start. All are safe for concurrent use.
 type Counters struct {
-	Admitted, Queued, Refused, Ran, Broken, Canceled, Queries, Crashes, DuplicateAttempts atomic.Int64
+	Admitted, Queued, Refused, Ran, Broken, Canceled, Queries, Crashes, DuplicateAttempts, LoadProbes atomic.Int64
 }
 
 // Gate is safe for concurrent use.
@@ -69,7 +68,7 @@
 	backendDraining bool
 	backendDown     bool
 	keepBytes       int
-	slowness        atomic.Uint64 // bits of the newest multiple of the usual service time
+	speed           *speed
 	inFlight        sync.WaitGroup
 	expiry          *time.Timer // nil until a request has waited
 }
@@ -77,7 +76,7 @@
 // New returns a gate without a backend server. instance is the node's process identifier.
 func New(instance uint64, logger *slog.Logger) *Gate {
 	g := &Gate{
-		instance: instance, logger: logger, protocol: nativeProtocol{},
+		instance: instance, logger: logger, protocol: nativeProtocol{}, speed: newSpeed(),
 		attempts: newAttemptMemory(time.Now(), time.Minute),
 		waiters:  make(map[admission.Ticket]chan admission.Grant),
 	}
@@ -88,13 +87,6 @@
 // SetProtocol replaces the product's own protocol towards the backend server. Call it before the first request.
 func (g *Gate) SetProtocol(p Protocol) { g.protocol = p }
 
-// observeSlowness records how long work takes at the backend server, in multiples of the usual time.
-func (g *Gate) observeSlowness(slowness float64) {
-	if slowness > 0 {
-		g.slowness.Store(math.Float64bits(slowness))
-	}
-}
-
 // newTransport returns a transport with at most connections connections; 0 means no cap.
 func newTransport(connections int) *http.Transport {
 	dialer := netopt.Dialer(backendDialTimeout)
@@ -132,6 +124,7 @@
 	} else {
 		g.deliver(g.queue.SetLimits(time.Now(), limits))
 	}
+	g.speed.configure(s.LoadPath, p.LoadProbesPerSecond)
 	g.keepBytes = p.MaxResponseKeepBytes
 	g.attempts.mu.Lock()
 	g.attempts.keep = p.AttemptMemory.D()
@@ -149,6 +142,9 @@
 	l := &wire.Load{}
 	if g.queue != nil {
 		l = g.queue.Load()
+		if slowness := g.speed.current(time.Now()); slowness > 1 {
+			l.ServiceTimeUs = uint32(float64(l.ServiceTimeUs) * slowness)
+		}
 	}
 	l.Draining = l.Draining || g.draining || g.backendDraining || g.backendDown
 	l.Generation = g.attempts.currentGeneration()
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -28,6 +28,10 @@
 	body   *io.PipeWriter // the backend server's side of the request body
 	keep   *answerKeeper
 	cancel context.CancelCauseFunc
+	waited time.Duration // for a slot
+	// slowness of the backend server when the attempt was offered; 0 is unknown
+	slowness float64
+	status   int // of the backend server's answer; 0 without one
 }
 
 // Serve runs one attempt whose head has been read from conn, and writes the answer to conn.
@@ -70,17 +74,25 @@
 		c.finishRefused(err)
 		return
 	}
+	offered := time.Now()
+	if b := c.gate.Backend(); b != nil && c.head.MaxWaitUs > 0 {
+		c.slowness = c.gate.freshSlowness(ctx, b)
+	}
 	ticket, backend, err := c.gate.admit(ctx.Done(), admission.Request{
 		Route: c.head.Service + " " + c.head.Route, Long: c.head.Long, Priority: int(c.head.Priority), Deadline: deadline,
-		MaxWait: time.Duration(c.head.MaxWaitUs) * time.Microsecond,
+		MaxWait: time.Duration(c.head.MaxWaitUs) * time.Microsecond, Slowness: c.slowness,
 	})
 	if err != nil {
 		c.finishRefused(err)
 		return
 	}
 	started := time.Now()
+	c.waited = started.Sub(offered)
+	c.gate.QueueTime.Record(c.waited)
 	err = c.forward(ctx, backend, bodyReader)
 	ran := time.Since(started)
+	c.gate.ServiceTime.Record(ran)
+	c.logRan(ctx, backend, ran, err)
 	if err != nil && verdict.Of(err) == verdict.NotRun {
 		ran = 0
 	}
@@ -166,10 +178,9 @@
 // refuse answers with a verdict instead of a response.
 func (c *call) refuse(err error) {
 	e := verdict.As(err)
-	c.gate.logger.Debug("request refused", "event", "gate_refused", "reason", e.Reason, "verdict", e.Verdict, "detail", e.Detail)
-	refusal := &wire.Refusal{
-		Verdict: e.Verdict.Wire(), Reason: string(e.Reason), Detail: e.Detail, Load: c.gate.Load(),
-	}
+	load := c.gate.Load()
+	c.logRefused(e, load)
+	refusal := &wire.Refusal{Verdict: e.Verdict.Wire(), Reason: string(e.Reason), Detail: e.Detail, Load: load}
 	_ = c.conn.Write(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: refusal}})
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -96,6 +96,8 @@
 	in.inFlight.Add(1)
 	defer in.inFlight.Done()
 	in.Counters.Requests.Add(1)
+	started := time.Now()
+	defer func() { in.Latency.Record(time.Since(started)) }()
 	if err := in.serve(w, r); err != nil {
 		in.fail(w, r, err)
 	}
@@ -107,8 +109,17 @@
 	}
 	q, err := in.parse(r, in.firstSnapshot(r.Context()))
 	if err != nil {
+		e := verdict.As(err)
+		in.Logger.Info("request refused", "event", "request_refused", "method", r.Method, "host", r.Host, "path", r.URL.Path,
+			"verdict", e.Verdict, "reason", e.Reason, "detail", e.Detail)
 		return err
 	}
+	err = in.serveParsed(w, r, q)
+	in.logServed(r.Context(), q, err)
+	return err
+}
+
+func (in *Ingress) serveParsed(w http.ResponseWriter, r *http.Request, q *request) error {
 	if q.service == nil {
 		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "service %s has no endpoint", q.to)
 	}
@@ -158,8 +169,6 @@
 	}
 	in.Counters.Failed.Add(1)
 	e := verdict.As(err)
-	in.Logger.Debug("request failed", "event", "request_failed", "method", r.Method, "path", r.URL.Path,
-		"reason", e.Reason, "verdict", e.Verdict, "detail", e.Detail)
 	in.Protocol.Fail(w, r, e, retryAfter(e))
 }
 
@@ -208,6 +217,7 @@
 // relay writes the answer to the caller.
 func (in *Ingress) relay(w http.ResponseWriter, q *request, a *answer) error {
 	defer a.close()
+	q.status = int(a.head.Status)
 	writeHead(w, a.head)
 	if a.kept != nil {
 		_, _ = w.Write(a.kept.Body)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -26,20 +26,24 @@
 
 // request is one call that the ingress is serving.
 type request struct {
-	http       *http.Request
-	id         string // from the caller, for logs
-	started    time.Time
-	to         string // name of the service
-	route      *bundle.Route
-	service    *table.Service
-	snapshot   *table.Snapshot
-	idempotent bool
-	long       bool // class of the route, corrected by measured time
-	key        string
-	permit     *claim.Permit // of a keyed request's run; nil without a claim
-	depth      int
-	priority   int
-	deadline   time.Time
+	http    *http.Request
+	id      string // from the caller, for logs
+	started time.Time
+	to      string // name of the service
+	// sent, moved and last describe the attempts for logs; the goroutine of the request owns them.
+	sent, moved int
+	last        *table.Endpoint
+	status      int // of the answer that was relayed; 0 for none
+	route       *bundle.Route
+	service     *table.Service
+	snapshot    *table.Snapshot
+	idempotent  bool
+	long        bool // class of the route, corrected by measured time
+	key         string
+	permit      *claim.Permit // of a keyed request's run; nil without a claim
+	depth       int
+	priority    int
+	deadline    time.Time
 	// prefix holds the start of the body; rest holds what follows, or nil when prefix is the whole body.
 	prefix      []byte
 	rest        io.Reader
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -32,10 +32,10 @@
 // tries is the state of one request's attempts.
 type tries struct {
 	number  int
-	placed  bool // refused by a gate once; later attempts accept any wait
+	placed  bool // later attempts accept any wait
 	moves   int  // refusals by gates, which count as no attempt
 	exclude uint64
-	before  uint64 // exclude before the newest attempt
+	first   uint64 // exclude before the endpoints that refused as busy
 	results chan result
 	// running holds the attempts that have not ended, by their number at their start.
 	running  map[int]context.CancelFunc
@@ -97,13 +97,17 @@
 
 // begin sends the request to the endpoint at position i.
 func (in *Ingress) begin(ctx context.Context, q *request, t *tries, i int, ep *table.Endpoint) {
-	t.before = t.exclude
+	if !t.placed && t.moves == 0 {
+		t.first = t.exclude
+	}
 	if i < 64 {
 		t.exclude |= 1 << i
 	}
 	t.number++
 	t.started++
 	t.endpoint = ep
+	q.sent, q.last = t.started, ep
+	in.logChoice(ctx, q, t, ep)
 	ctx, t.running[t.started] = context.WithCancel(ctx)
 	attempt, maxWait := t.started, t.maxWait(q)
 	try := func() {
@@ -161,6 +165,9 @@
 }
 
 const (
+	// maxPlacements is the number of gates that may pass a request on because they are busy. After that it
+	// accepts any wait at the best one.
+	maxPlacements = 2
 	// suspectPoll is the time between two looks at the state of the endpoint's node.
 	suspectPoll = 200 * time.Millisecond
 	// maxOverlapping bounds the attempts of one request that run at the same time.
@@ -265,15 +272,18 @@
 	if in.policy(q).Move(failed, t.moves) {
 		t.moves++
 		t.number--
-		if e.Reason == verdict.Busy {
-			// The choice was stale; its endpoint stays a candidate, since the next choice knows its load exactly.
-			t.exclude = t.before
+		t.placed = e.Reason != verdict.Busy || t.moves >= maxPlacements
+		if t.placed && e.Reason == verdict.Busy {
+			// All that were asked are busy. They become candidates again, since the last choice knows their loads.
+			t.exclude = t.first
 		}
-		t.placed = true
+		q.moved = t.moves
 		in.Counters.Moved.Add(1)
+		in.logFailed(ctx, q, t, e, "move")
 		return true
 	}
 	d := in.policy(q).Next(failed, in.Budget, time.Now(), rand.Float64())
+	in.logFailed(ctx, q, t, e, string(d.Why))
 	if !d.Retry {
 		return false
 	}
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -8,8 +8,8 @@
 
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/membership"
-	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/wire"
 
