Keep the fleet's retry budget in every window and give notice before a drain

Cause (callers without a connection around restarts): a leaving node closed its listener 0.7 s after SIGTERM, before the platform had sent its callers elsewhere.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -43,6 +43,8 @@
 	// Claimer returns the keys of a service; nil refuses keyed requests.
 	Claimer func(service string) claim.Keys
 	Budget  *retry.Budget // of retries and hedges
+	// Windows holds the budgets of the services; they go before Budget. Nil or without limits: Budget counts.
+	Windows *retry.Windows
 	Logger  *slog.Logger
 	// Latency records the time of each request; nil records nothing.
 	Latency *metrics.Histogram
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -18,7 +18,7 @@
 	if in.OnStale != nil {
 		in.OnStale(q.to)
 	}
-	in.Budget.First()
+	in.countFirst(q)
 	a, err := in.tryEndpoints(ctx, q)
 	if err != nil {
 		stop()
@@ -177,7 +177,7 @@
 // failover starts another attempt beside one whose node does not answer pings. A frozen node would
 // otherwise hold the request until its deadline.
 func (in *Ingress) failover(ctx context.Context, q *request, t *tries) {
-	if t.number >= in.policy(q).MaxAttempts || !in.Budget.Spend(time.Now()) {
+	if t.number >= in.policy(q).MaxAttempts || !in.budget(q).Spend(time.Now()) {
 		return
 	}
 	if in.start(ctx, q, t) == nil {
@@ -187,7 +187,7 @@
 
 func (in *Ingress) hedge(ctx context.Context, q *request, t *tries) {
 	i, ep := in.Chooser.pickHedge(q.service, t.exclude, q.long)
-	if ep == nil || !in.Budget.Spend(time.Now()) {
+	if ep == nil || !in.budget(q).Spend(time.Now()) {
 		return
 	}
 	in.Counters.Hedges.Add(1)
@@ -254,6 +254,29 @@
 	}()
 }
 
+// window returns the budget of the request's service, or nil when the one of all services counts.
+func (in *Ingress) window(q *request) *retry.Window {
+	if in.Windows == nil {
+		return nil
+	}
+	return in.Windows.For(q.to)
+}
+
+func (in *Ingress) budget(q *request) retry.Spender {
+	if w := in.window(q); w != nil {
+		return w
+	}
+	return in.Budget
+}
+
+func (in *Ingress) countFirst(q *request) {
+	if w := in.window(q); w != nil {
+		w.First(time.Now())
+		return
+	}
+	in.Budget.First()
+}
+
 func (in *Ingress) policy(q *request) retry.Policy {
 	p := retry.PolicyOf(q.snapshot.Bundle.Policy)
 	if q.route.MaxAttempts > 0 {
@@ -282,7 +305,7 @@
 		in.logFailed(ctx, q, t, e, "move")
 		return true
 	}
-	d := in.policy(q).Next(failed, in.Budget, time.Now(), rand.Float64())
+	d := in.policy(q).Next(failed, in.budget(q), time.Now(), rand.Float64())
 	in.logFailed(ctx, q, t, e, string(d.Why))
 	if !d.Retry {
 		return false
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -55,19 +55,21 @@
 }
 
 // applyRetryBudget sets this node's part of the budget of further attempts. A budget in the settings is that of
-// the fleet; its floor is divided among the live nodes.
+// the fleet and is divided among the live nodes.
 func (n *Node) applyRetryBudget(p bundle.Policy) {
-	share, perSecond := p.RetryShare, p.RetryMinPerSecond
-	if r := n.retry.Load(); r.Window > 0 {
-		live := 0
-		for _, m := range n.engine.Records() {
-			if membership.Live(m.State) {
-				live++
-			}
+	n.budget.SetPolicy(time.Now(), p.RetryShare, p.RetryMinPerSecond)
+	r := n.retry.Load()
+	if r.Window == 0 {
+		return
+	}
+	live := 0
+	for _, m := range n.engine.Records() {
+		if membership.Live(m.State) {
+			live++
 		}
-		share, perSecond = retry.NodeShare(r.Share, r.Floor, r.Window, live)
 	}
-	n.budget.SetPolicy(time.Now(), share, perSecond)
+	share, floor := retry.NodeShare(r.Share, r.Floor, live)
+	n.windows.SetLimits(r.Window, share, floor)
 }
 
 func (n *Node) bundleRefused(source string, err error) {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -23,10 +23,11 @@
 		defer cancel()
 	}
 	n.draining.Store(true)
-	n.logger.Info("drain started", "event", "drain_started", "node", n.settings.NodeID)
+	n.ingress.SetDraining(true)
+	n.logger.Info("drain started", "event", "drain_started", "node", n.settings.NodeID, "notice", n.settings.DrainNotice)
+	sleep.For(ctx, n.settings.DrainNotice)
 	n.engine.SetLeaving()
 	n.gate.SetDraining(true)
-	n.ingress.SetDraining(true)
 	sleep.For(ctx, announceDelay)
 	finished := make(chan struct{})
 	go func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,7 @@
 	peers      *peer.Server
 	quarantine *retry.Quarantine
 	budget     *retry.Budget
+	windows    *retry.Windows
 	link       *link.Budget
 	probes     *balance.ProbePlanner
 	provider   rollout.Provider
@@ -79,6 +80,7 @@
 	claims     *claim.Services // nil without direct access to the store
 	router     *claim.Router
 	reader     atomic.Bool // this node reads the store for its failure domain
+	writer     atomic.Bool // this node writes the addresses of its failure domain to the store
 	// probePolicy and probeRand belong to the engine loop.
 	probePolicy uint64
 	probeRand   *rand.Rand
@@ -146,6 +148,7 @@
 	policy := defaults.Policy
 	n.quarantine = retry.NewQuarantine(policy.QuarantineDeaths, policy.QuarantineFor.D())
 	n.budget = retry.NewBudget(n.started, policy.RetryShare, policy.RetryMinPerSecond)
+	n.windows = retry.NewWindows()
 	n.probes = balance.NewProbePlanner(n.started.UnixNano(), policy, probeExchangeBytes)
 	n.probeRand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.link = link.NewBudget(policy)
@@ -160,7 +163,7 @@
 	n.gate.Pace = n.pace
 	n.registry.OnChange = n.backendChanged
 	n.ingress = ingress.New(ingress.Config{
-		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget,
+		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget, Windows: n.windows,
 		Logger: n.logger, Protocol: n.adapter.Callers, Latency: n.metrics.Histogram("ingress_request_seconds"), Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
 		IsQuarantined: n.isQuarantined, OnStale: n.freshen, OnSuccess: n.answered,
 		Claimer: func(service string) claim.Keys { return n.router.For(service) },
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -16,8 +16,12 @@
 )
 
 const (
-	membersPrefix     = "members/"
-	readersPerDomain  = 2
+	membersPrefix = "members/"
+	// readersPerDomain follow the store. Gossip alone brought a new bundle to some nodes of 16 only after 2.5 s
+	// when many nodes restarted, so that small failure domains read it with all nodes.
+	readersPerDomain = 4
+	// writersPerDomain of the readers keep the domain's addresses in the store.
+	writersPerDomain  = 2
 	storeTimeout      = 3 * time.Second
 	joinRetryInterval = 500 * time.Millisecond
 	// rejoinInterval is the time between attempts while a node with seeds or a store knows no other node.
@@ -114,7 +118,9 @@
 			continue
 		}
 		seen = snapshot
-		reader := rollout.IsReader(n.settings.NodeID, n.liveMembers(), readersPerDomain)
+		live := n.liveMembers()
+		reader := rollout.IsReader(n.settings.NodeID, live, readersPerDomain)
+		n.writer.Store(rollout.IsReader(n.settings.NodeID, live, writersPerDomain))
 		if reader == (stop != nil) {
 			continue
 		}
@@ -157,7 +163,7 @@
 			}
 		}
 		addresses := n.domainAddresses()
-		if slices.Equal(addresses, written) {
+		if !n.writer.Load() || slices.Equal(addresses, written) {
 			continue
 		}
 		if err := n.writeMembers(ctx, addresses); err != nil {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -105,17 +105,3 @@
 	b.spare += add
 	b.granted += add
 }
-
-const (
-	// budgetReserve is the part of a fleet's budget that nodes do not plan with. A window may begin within the
-	// saved-up tokens of the one before it, and nodes learn late of nodes that join.
-	budgetReserve = 0.5
-	// leastNodes is assumed when fewer live nodes are known, as right after a start or in a partition.
-	leastNodes = 8
-)
-
-// NodeShare divides a fleet's budget among its nodes: share of the first attempts, and floor further attempts in
-// each window. It returns the arguments of NewBudget for one of live nodes.
-func NodeShare(share, floor float64, window time.Duration, live int) (nodeShare, perSecond float64) {
-	return share * budgetReserve, floor * budgetReserve / window.Seconds() / float64(max(live, leastNodes))
-}
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -83,9 +83,15 @@
 // PolicyOf returns the policy of a bundle.
 func PolicyOf(p bundle.Policy) Policy { return Policy{MaxAttempts: p.MaxAttempts} }
 
+// Spender is a budget of further attempts.
+type Spender interface {
+	// Spend takes one further attempt, or reports false.
+	Spend(now time.Time) bool
+}
+
 // Next decides on another attempt after a failed one. It takes the attempt from the budget when it
 // permits one. random is uniform in [0, 1) and spreads the waits of callers that fail together.
-func (p Policy) Next(a Attempt, b *Budget, now time.Time, random float64) Decision {
+func (p Policy) Next(a Attempt, b Spender, now time.Time, random float64) Decision {
 	why, permitted := a.permitted()
 	if !permitted {
 		return Decision{Why: why}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -48,6 +48,7 @@
 		{Name: "seeds", Allowed: "a list of peer addresses, each ip:port with a specific IP address and a port from 1", Default: "empty", set: setSeeds},
 		{Name: "drain_timeout", Allowed: "a duration from \"1s\" to \"1h\"", Default: "30s", set: duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.DrainTimeout })},
 		{Name: "drain_reserve", Allowed: "a duration from \"0s\" to \"1h\", below drain_timeout", Default: "0s", set: duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.DrainReserve })},
+		{Name: "drain_notice", Allowed: "a duration from \"0s\" to \"1h\", below drain_timeout", Default: "0s", set: duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.DrainNotice })},
 		{Name: "adapter", Allowed: nameAllowed + "; the name of an adapter of this build", Default: "none", set: name(func(s *Settings) *string { return &s.Adapter })},
 
 		{Name: "ingress.listen", Allowed: addressAllowed, Default: DefaultIngressListen, set: address(func(s *Settings) *string { return &s.Ingress.Listen })},
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -173,8 +173,9 @@
 	if s.Adapter == "" && !isLoopback(s.Announce.Listen) {
 		p.fault("announce.listen", announceAllowed, "the string %q is not allowed", s.Announce.Listen)
 	}
-	if s.DrainReserve >= s.DrainTimeout {
-		p.fault("drain_reserve", "a duration below drain_timeout", "is %s, drain_timeout is %s", s.DrainReserve, s.DrainTimeout)
+	if s.DrainNotice+s.DrainReserve >= s.DrainTimeout {
+		p.fault("drain_reserve", "below drain_timeout, together with drain_notice", "is %s, with drain_notice %s and drain_timeout %s",
+			s.DrainReserve, s.DrainNotice, s.DrainTimeout)
 	}
 	if (s.Retry.Share > 0 || s.Retry.Floor > 0) && s.Retry.Window == 0 {
 		p.fault("retry.window", "a duration from \"1s\" to \"10m\"", "is required because another key of retry is set")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,9 @@
 	DrainTimeout time.Duration
 	// DrainReserve is the part of DrainTimeout that is left for closing down after the last request.
 	DrainReserve time.Duration
+	// DrainNotice is the part of DrainTimeout in which a leaving node still takes work, so that the platform can
+	// send callers elsewhere first.
+	DrainNotice time.Duration
 	// Adapter names the translation to a platform with interfaces of its own. Empty: the product's interfaces.
 	Adapter string
 	Backend Backend
