--- a/internal/admission/classifier_test.go
+++ b/internal/admission/classifier_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// Guards against a main route that counts as long, and is paced while slots are free, because a few routes with
+// trivial requests are far shorter.
+func TestClassifierKeepsTheMainRouteShort(t *testing.T) {
+	var c Classifier
+	for range 100 {
+		recordMany(&c, "browse", 8, 100*time.Millisecond)
+		recordMany(&c, "idle-1", 1, 2*time.Millisecond)
+		recordMany(&c, "idle-2", 1, 2*time.Millisecond)
+		recordMany(&c, "check", 4, 30*time.Millisecond)
+		if c.Long("browse", false) || c.Long("check", false) {
+			t.Fatal("the main route counts as long")
+		}
+	}
+}
+
 // Guards against unbounded memory when route names come from many bundle versions.
 func TestClassifierIsBounded(t *testing.T) {
 	var c Classifier
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,7 +80,6 @@
 	claims     *claim.Services // nil without direct access to the store
 	router     *claim.Router
 	reader     atomic.Bool // this node reads the store for its failure domain
-	writer     atomic.Bool // this node writes the addresses of its failure domain to the store
 	// probePolicy and probeRand belong to the engine loop.
 	probePolicy uint64
 	probeRand   *rand.Rand
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -17,11 +17,8 @@
 
 const (
 	membersPrefix = "members/"
-	// readersPerDomain follow the store. Gossip alone brought a new bundle to some nodes of 16 only after 2.5 s
-	// when many nodes restarted, so that small failure domains read it with all nodes.
-	readersPerDomain = 4
-	// writersPerDomain of the readers keep the domain's addresses in the store.
-	writersPerDomain  = 2
+	// readersPerDomain follow the store and keep the domain's addresses there.
+	readersPerDomain  = 2
 	storeTimeout      = 3 * time.Second
 	joinRetryInterval = 500 * time.Millisecond
 	// rejoinInterval is the time between attempts while a node with seeds or a store knows no other node.
@@ -118,9 +115,7 @@
 			continue
 		}
 		seen = snapshot
-		live := n.liveMembers()
-		reader := rollout.IsReader(n.settings.NodeID, live, readersPerDomain)
-		n.writer.Store(rollout.IsReader(n.settings.NodeID, live, writersPerDomain))
+		reader := rollout.IsReader(n.settings.NodeID, n.liveMembers(), readersPerDomain)
 		if reader == (stop != nil) {
 			continue
 		}
@@ -163,7 +158,7 @@
 			}
 		}
 		addresses := n.domainAddresses()
-		if !n.writer.Load() || slices.Equal(addresses, written) {
+		if slices.Equal(addresses, written) {
 			continue
 		}
 		if err := n.writeMembers(ctx, addresses); err != nil {
