Join groups of nodes that started apart, and serve first what can be in time

A reader that writes its domain's addresses now joins those that it finds there without knowing them. Ruled out: lost datagrams (the groups had no address of each other), the store (all lists answered).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -63,6 +63,8 @@
 	// Slowness is the time that work takes at the endpoint at this moment, in multiples of the usual time. Time
 	// beyond the usual counts as wait. Zero means unknown.
 	Slowness float64
+	// Objective is the time by which the answer has its full value to the caller; the zero value means none.
+	Objective time.Time
 }
 
 // Ticket identifies an offered request that was admitted or queued. The zero value is never issued.
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -14,6 +14,9 @@
 		for _, e := range l.takeExpired(now) {
 			grants = append(grants, q.refuse(now, e, verdict.QueueTimeout))
 		}
+		for _, e := range l.takeWhere(func(e *entry) bool { return e.hopeless(now) }) {
+			grants = append(grants, q.refuse(now, e, verdict.Overloaded))
+		}
 	}
 	for q.free() > 0 {
 		next := q.takeNext(now)
@@ -28,10 +31,10 @@
 // takeNext removes the waiter that the next free slot belongs to, or returns nil.
 func (q *Queue) takeNext(now time.Time) *entry {
 	if head := q.long.head(); head != nil && q.longMayStart(now, head) {
-		return q.long.pop()
+		return q.long.take(q.next(&q.long, now))
 	}
 	if q.short.len() > 0 {
-		return q.short.pop()
+		return q.short.take(q.next(&q.short, now))
 	}
 	return nil
 }
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -69,23 +69,29 @@
 	l.entries = slices.Delete(l.entries, position, position+1)
 }
 
-func (l *lane) pop() *entry {
-	first := l.entries[0]
-	l.entries = slices.Delete(l.entries, 0, 1)
-	return first
+// take removes and returns the entry at a position.
+func (l *lane) take(position int) *entry {
+	e := l.entries[position]
+	l.entries = slices.Delete(l.entries, position, position+1)
+	return e
 }
 
 // takeExpired removes and returns the entries whose deadline is not after now.
 func (l *lane) takeExpired(now time.Time) []*entry {
-	var expired []*entry
+	return l.takeWhere(func(e *entry) bool { return !e.request.Deadline.After(now) })
+}
+
+// takeWhere removes and returns the entries for which chosen holds.
+func (l *lane) takeWhere(chosen func(*entry) bool) []*entry {
+	var taken []*entry
 	l.entries = slices.DeleteFunc(l.entries, func(e *entry) bool {
-		late := !e.request.Deadline.After(now)
-		if late {
-			expired = append(expired, e)
+		if !chosen(e) {
+			return false
 		}
-		return late
+		taken = append(taken, e)
+		return true
 	})
-	return expired
+	return taken
 }
 
 // displaceable returns the newest entry of the lowest priority, or nil when none ranks below priority.
@@ -106,11 +112,15 @@
 	return victim
 }
 
+// earliestDeadline returns the earlier of a time, if it is not zero, and the first time at which a waiter is refused.
 func (l *lane) earliestDeadline(earliest time.Time) time.Time {
 	for _, e := range l.entries {
 		if earliest.IsZero() || e.request.Deadline.Before(earliest) {
 			earliest = e.request.Deadline
 		}
+		if limit, ok := e.lateLimit(); ok && limit.Before(earliest) {
+			earliest = limit
+		}
 	}
 	return earliest
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -51,11 +51,12 @@
 	shortTime  serviceTime
 	longTime   serviceTime
 	classifier Classifier
+	routes     routeTimesByName
 }
 
 // New returns an empty queue.
 func New(limits Limits) *Queue {
-	return &Queue{limits: limits.normalized(), entries: make(map[Ticket]*entry)}
+	return &Queue{limits: limits.normalized(), entries: make(map[Ticket]*entry), routes: routeTimesByName{}}
 }
 
 // Classifier returns the classifier of this queue, under the same rule of concurrent use.
@@ -132,11 +133,7 @@
 // slowdown is the time that the request would take beyond the usual at the present speed of the endpoint. It
 // ends when the work of a neighbour on the same machine does, so only requests that can go elsewhere mind it.
 func (q *Queue) slowdown(e *entry) time.Duration {
-	estimate := q.shortTime
-	if e.long {
-		estimate = q.longTime
-	}
-	return time.Duration(max(e.request.Slowness-1, 0) * float64(estimate))
+	return time.Duration(max(e.request.Slowness-1, 0) * float64(q.runTime(e)))
 }
 
 func (q *Queue) startsAtOnce(now time.Time, e *entry) bool {
@@ -180,6 +177,9 @@
 	if e.long {
 		estimate, slots = q.longTime, q.limits.LongSlots
 	}
+	if !e.request.Objective.IsZero() {
+		return q.refusalByObjective(now, e, l, estimate, slots)
+	}
 	wait := estimate.wait(l.ahead(e), slots)
 	remaining := e.request.Deadline.Sub(now)
 	if estimate.duration() > remaining {
@@ -227,6 +227,7 @@
 
 func (q *Queue) record(e *entry, ran time.Duration) {
 	q.classifier.Record(e.request.Route, e.request.Long, ran)
+	q.routes.record(e.request.Route, ran)
 	if q.classifier.Long(e.request.Route, e.request.Long) {
 		q.longTime.record(ran)
 		return
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -78,9 +78,14 @@
 	if b := c.gate.Backend(); b != nil && c.head.MaxWaitUs > 0 {
 		c.slowness = c.gate.freshSlowness(ctx, b)
 	}
+	var objective time.Time
+	if c.head.HasObjective {
+		objective = offered.Add(time.Duration(c.head.ObjectiveMs) * time.Millisecond)
+	}
 	ticket, backend, err := c.gate.admit(ctx.Done(), admission.Request{
 		Route: c.head.Service + " " + c.head.Route, Long: c.head.Long, Priority: int(c.head.Priority), Deadline: deadline,
 		MaxWait: time.Duration(c.head.MaxWaitUs) * time.Microsecond, Slowness: c.slowness,
+		Objective: objective,
 	})
 	if err != nil {
 		c.finishRefused(err)
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -59,7 +59,7 @@
 
 // head returns the first frame of an attempt at ep.
 func (in *Ingress) head(q *request, ep *table.Endpoint, remote *peer.Remote) *wire.RequestHead {
-	return &wire.RequestHead{
+	head := &wire.RequestHead{
 		AttemptId: newAttemptID(), Service: q.to, Route: q.route.Name, Endpoint: ep.ID,
 		Method: q.http.Method, Target: q.http.URL.RequestURI(), Host: q.http.Host, Headers: q.headers,
 		ContentLength: q.contentLength(), Streamed: q.rest != nil,
@@ -67,6 +67,11 @@
 		Long: q.long, Region: in.Region, Depth: uint32(q.depth), Idempotent: q.idempotent,
 		Fingerprint: q.fingerprint, IdempotencyKey: q.key, Generation: remote.Generation.Load(),
 	}
+	if objective := q.route.Objective.D(); objective > 0 {
+		head.HasObjective = true
+		head.ObjectiveMs = uint32(max(time.Until(q.started.Add(objective)).Milliseconds(), 0))
+	}
+	return head
 }
 
 // exchange sends the request and reads up to the head of the answer.
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
-	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/wire"
-
-	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -131,6 +127,7 @@
 		r := &rollout.Reader{Store: n.store, Source: n.adapter.Bundles, Deliver: n.deliver, Log: n.logger}
 		n.background(func() { r.Run(ctx) })
 		n.background(func() { n.writeStatus(ctx) })
+		n.background(func() { n.keepMembers(ctx) })
 	}
 }
 
@@ -144,47 +141,3 @@
 	}
 	return live
 }
-
-// writeStatus writes the domain's rollout progress and member addresses while this node is a reader.
-func (n *Node) writeStatus(ctx context.Context) {
-	status := rollout.StatusWriter{Store: n.store}
-	var written []string
-	for first := true; first && ctx.Err() == nil || sleep.For(ctx, membersWriteInterval); first = false {
-		// Operators who write bundles to the store themselves read no status there.
-		if !n.settings.Bundle.Unsigned {
-			s := rollout.Summarize(n.settings.FailureDomain, n.settings.NodeID, n.liveMembers(), time.Now())
-			if err := status.Publish(ctx, s); err != nil {
-				n.logger.Info("status not written", "event", "store_write_failed", "error", err)
-			}
-		}
-		addresses := n.domainAddresses()
-		if slices.Equal(addresses, written) {
-			continue
-		}
-		if err := n.writeMembers(ctx, addresses); err != nil {
-			n.logger.Info("members not written", "event", "store_write_failed", "error", err)
-			continue
-		}
-		written = addresses
-	}
-}
-
-// writeMembers replaces the domain's object. A conflict means that the domain's other reader wrote.
-func (n *Node) writeMembers(ctx context.Context, addresses []string) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	key := membersPrefix + n.settings.FailureDomain
-	old, err := n.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
-		return err
-	}
-	value, err := json.Marshal(domainMembers{FailureDomain: n.settings.FailureDomain, PeerAddresses: addresses})
-	if err != nil || string(value) == string(old.Value) {
-		return err
-	}
-	_, err = n.store.Put(ctx, key, value, old.Version)
-	if errors.Is(err, objectstore.ErrConflict) {
-		return nil
-	}
-	return err
-}
