--- a/internal/balance/dandelionspoke.go
+++ b/internal/balance/dandelionspoke.go
@@ -33,11 +33,11 @@
 	unknownLatency = 5 * time.Millisecond
 	// farLatency is the latency added for another region until an answer from there is known.
 	farLatency = 40 * time.Millisecond
-	// farBias is the factor by which the expected time in another region must be lower than that in the
-	// own one: the link is paid, and queues in the own region often drain before an answer crosses it.
-	farBias = 1.2
-	// fullFarBias applies instead when the other region has no free capacity either.
-	fullFarBias = 2
+	// leastFarBias applies to services that state no bias towards the own region: the link is paid, and queues in the
+	// own region often drain before an answer crosses it.
+	leastFarBias = 1.2
+	// fullFarRatio raises the bias when the other region has no free capacity either.
+	fullFarRatio = 5.0 / 3
 	// queueCost weighs the wait for a slot against the way to another region. A request that waits also
 	// delays those behind it: at 1, a region with lasting overload queued until the wait equalled the way.
 	queueCost = 3
@@ -76,7 +76,7 @@
 	if i := far.trial(rng, exclude); i != None {
 		return i
 	}
-	if i := overflow(&near, &far); i != None {
+	if i := overflow(&near, &far, svc.Config.FarBias); i != None {
 		return i
 	}
 	return lastResort(rng, svc, exclude)
@@ -96,15 +96,15 @@
 }
 
 // overflow chooses between regions when the own one has no free capacity: another region when it has
-// and the own one refuses work or takes longer by farBias, or when it has not and the own one takes
-// longer by fullFarBias.
-func overflow(near, far *sample) int {
-	n, f, factor := near.cheapest(), far.best(), farBias
+// and the own one refuses work or takes longer by bias, or when it has not and the own one takes longer by
+// fullFarRatio times that.
+func overflow(near, far *sample, bias float64) int {
+	n, f, factor := near.cheapest(), far.best(), max(bias, leastFarBias)
 	if n != None && f != None && near.c[n].closed && near.c[n].load >= closedLoad {
 		return far.c[f].index
 	}
 	if f == None {
-		f, factor = far.cheapest(), fullFarBias
+		f, factor = far.cheapest(), factor*fullFarRatio
 	}
 	switch {
 	case f != None && (n == None || far.c[f].waitingTime()*factor < near.c[n].waitingTime()):
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -78,6 +78,9 @@
 	if !long && e.Slots > 0 {
 		c.slots = float64(e.Slots)
 	}
+	if long && e.LongSlots > 0 {
+		c.slots = float64(e.LongSlots)
+	}
 	reported, atReport := 0.0, 0.0
 	if long {
 		c.own, atReport = float64(s.OwnLong.Load()), float64(s.OwnLongAtReport.Load())
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -33,6 +33,9 @@
 	SlowStart Duration `toml:"slow_start"`
 	// LoadPath is where an endpoint states its load at once, also while it is busy. Empty: nowhere.
 	LoadPath string `toml:"load_path"`
+	// FarBias is the factor by which the expected time in another region must be lower than that in the own one. A
+	// higher value saves bytes on the paid link.
+	FarBias float64 `toml:"far_bias"`
 }
 
 // Class separates short from long work.
@@ -178,6 +181,7 @@
 		setDefault(&s.QueueShort, 8*s.Slots)
 		setDefault(&s.QueueLong, 4*s.Slots)
 		setDefault(&s.SlowStart, Duration(2*time.Second))
+		setDefault(&s.FarBias, 1.2)
 		b.Services[name] = s
 	}
 	for i := range b.Routes {
--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -103,6 +103,7 @@
 	inRange(v, parent, "queue_short", s.QueueShort, 1, maxCount)
 	inRange(v, parent, "queue_long", s.QueueLong, 1, maxCount)
 	v.duration(parent, "slow_start", s.SlowStart, time.Millisecond, maxWait)
+	inRange(v, parent, "far_bias", s.FarBias, 1, maxRate)
 	v.require(s.LoadPath == "" || s.LoadPath[0] == '/', parent, "load_path", `a path that starts with "/", or none`, "%q", s.LoadPath)
 }
 
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -13,7 +13,8 @@
 
 const (
 	membersPrefix = "members/"
-	// readersPerDomain follow the store and keep the domain's addresses there.
+	// readersPerDomain follow the store and keep the domain's addresses there. When those of a domain fail,
+	// those of the other domains spread new bundles until others have taken over.
 	readersPerDomain  = 2
 	storeTimeout      = 3 * time.Second
 	joinRetryInterval = 500 * time.Millisecond
--- a/internal/system/snapshot.go
+++ b/internal/system/snapshot.go
@@ -118,8 +118,12 @@
 		Slots:         int32(min(record.Slots, maxSlots)),
 		Incarnation:   membership.Incarnation(m.Incarnation).Process(),
 	}
-	if e.Slots == 0 && b != nil {
-		e.Slots = int32(b.Services[record.Service].Slots)
+	if b == nil {
+		return e
+	}
+	if service, known := b.Services[record.Service]; known {
+		limits := service.LimitedTo(int(e.Slots), 0, b.Policy.SlotShare)
+		e.Slots, e.LongSlots = int32(limits.Slots), int32(limits.LongSlots)
 	}
 	return e
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -31,7 +31,9 @@
 	PeerAddr      string
 	UDPAddr       string
 	Locality      Locality
-	Slots         int32
+	// Slots and LongSlots are those that the gate uses; zero means the bundle's values.
+	Slots     int32
+	LongSlots int32
 	// Incarnation is that of the node beside the backend server.
 	Incarnation uint64
 	// Stats stays the same object across snapshots as long as the incarnation does.
