--- /dev/null
+++ b/internal/bundle/route_test.go
@@ -0,0 +1,85 @@
+package bundle
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against an index that finds another route than a look at all routes.
+func TestIndexMatchesLikeTheBundle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		host := rapid.SampledFrom([]string{"", "a.example", "b.example", "A.example"})
+		path := rapid.SampledFrom([]string{"", "/", "/a/", "/a/b/", "/a", "/ab/"})
+		b := &Bundle{}
+		for i := range rapid.IntRange(0, 12).Draw(t, "routes") {
+			r := Route{Name: fmt.Sprint("r", i), Host: host.Draw(t, "host"), PathPrefix: path.Draw(t, "prefix")}
+			if rapid.Bool().Draw(t, "method") {
+				r.Methods = []string{"POST"}
+			}
+			b.Routes = append(b.Routes, r)
+		}
+		method := rapid.SampledFrom([]string{"GET", "POST"}).Draw(t, "request method")
+		h, p := host.Draw(t, "request host"), path.Draw(t, "request path")+"x"
+		if want, got := b.Match(method, h, p), NewIndex(b).Match(method, h, p); want != got {
+			t.Fatalf("%s %s%s: %+v, want %+v", method, h, p, got, want)
+		}
+	})
+}
+
+// Guards against parts of a split route that get other shares than their weights.
+func TestDestinationFollowsWeights(t *testing.T) {
+	r := Route{Service: "a", Split: []Share{{"a", 90}, {"b", 9}, {"c", 1}}}
+	const draws = 10_000
+	got := map[string]float64{}
+	for i := range draws {
+		got[r.Destination(float64(i)/draws)]++
+	}
+	for _, s := range r.Split {
+		if share := 100 * got[s.Service] / draws; math.Abs(share-s.Weight) > 0.1 {
+			t.Errorf("%s: %v %%, want %v", s.Service, share, s.Weight)
+		}
+	}
+	if (&Route{Service: "a"}).Destination(0.5) != "a" {
+		t.Error("a route without parts has no destination")
+	}
+}
+
+// Guards against limits above those of the endpoint, or a queue that stays sized for more slots than are used.
+func TestLimitedTo(t *testing.T) {
+	s := Service{Slots: 100, LongSlots: 85, Connections: 220, QueueShort: 800, QueueLong: 400, SlowStart: Duration(time.Second)}
+	got := s.LimitedTo(12, 0, 0.8)
+	if got.Slots != 9 || got.LongSlots != 8 || got.QueueShort != 72 || got.QueueLong != 36 || got.Connections != 220 {
+		t.Errorf("limits %+v", got)
+	}
+	if one := s.LimitedTo(1, 5, 0.8); one.Slots != 1 || one.LongSlots != 1 || one.QueueShort < 1 || one.Connections != 5 {
+		t.Errorf("limits of one slot %+v", one)
+	}
+	if same := s.LimitedTo(0, 0, 1); same != s {
+		t.Errorf("limits without an announcement %+v", same)
+	}
+}
+
+// Guards against a bundle without signatures at a node that wants them.
+func TestUnsignedBundles(t *testing.T) {
+	b := &Bundle{Version: 1, Services: map[string]Service{"a": {}}}
+	envelope, err := NewEnvelope(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := NewAcceptor(Trusted{}).Offer(envelope); err == nil {
+		t.Error("accepted where signatures are wanted")
+	}
+	acceptor := NewUnsignedAcceptor()
+	if _, err := acceptor.Offer(envelope); err != nil {
+		t.Fatal(err)
+	}
+	older := *envelope
+	older.Version = 0
+	if _, err := acceptor.Offer(&older); err == nil {
+		t.Error("went back to an older version")
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -217,7 +217,8 @@
 	case backend == nil:
 		return verdict.New(verdict.NotRun, verdict.BackendDown, "no backend server has announced itself")
 	case g.queue == nil:
-		return verdict.New(verdict.NotRun, verdict.NoBundle, "no bundle is in force")
+		// Not NoBundle: other gates have one, so the request may go there.
+		return verdict.New(verdict.NotRun, verdict.BackendDown, "the node has no bundle yet")
 	}
 	return nil
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -13,8 +13,10 @@
 
 	"go.uber.org/goleak"
 
+	"dandelionspoke/internal/admission"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
 )
@@ -181,3 +183,17 @@
 		t.Errorf("two requests ran %d times", runs.Load())
 	}
 }
+
+// Guards against requests that are given up because the gate of a node that has just started has no bundle yet,
+// although other gates could take them.
+func TestGateWithoutBundleSendsRequestsElsewhere(t *testing.T) {
+	g := New(1, slog.New(slog.DiscardHandler))
+	g.SetBackend(&Backend{ID: "a", Service: "katalog", Address: "127.0.0.1:1"})
+	_, _, err := g.admit(nil, admission.Request{})
+	e := verdict.As(err)
+	policy := retry.Policy{MaxAttempts: 1}
+	moves := policy.Move(retry.Attempt{Number: 1, Verdict: e.Verdict, Reason: e.Reason, Remaining: time.Second}, 0)
+	if e.Verdict != verdict.NotRun || !moves {
+		t.Fatalf("verdict %s, reason %s, moves %v", e.Verdict, e.Reason, moves)
+	}
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -91,6 +91,8 @@
 		"link_wait_us":  n.link.WaitNanos.Load() / int64(time.Microsecond),
 		"peer_sessions": int64(n.pool.Len()), "peer_malformed": n.peers.Malformed.Load(),
 	}
+	windows := n.windows.Counts()
+	m["retry_window_spent"], m["retry_window_denied"] = int64(windows.Spent), int64(windows.Denied)
 	if n.dropped != nil {
 		m["log_lines_dropped"] = n.dropped()
 	}
--- /dev/null
+++ b/internal/node/readahead_test.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+)
+
+func readAheadPair(t *testing.T) (caller net.Conn, accepted *readAheadConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	caller, err = net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted = newReadAheadConn(raw)
+	t.Cleanup(func() { _ = caller.Close(); _ = accepted.Close() })
+	return caller, accepted
+}
+
+// Guards against work that goes on for a caller that has left: net/http does not notice the close of a connection
+// on which a further request has arrived.
+func TestCloseBehindPipelinedRequestEndsTheFirst(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	started, ended := make(chan struct{}), make(chan struct{})
+	server := &http.Server{ConnContext: lostContext, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		select {
+		case <-r.Context().Done():
+			close(ended)
+		case <-time.After(5 * time.Second):
+		}
+		panic(http.ErrAbortHandler)
+	})}
+	tcp := &gracefulListener{TCPListener: l.(*net.TCPListener), busy: map[net.Conn]struct{}{}}
+	go func() { _ = server.Serve(tcp) }()
+	defer server.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(caller, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-started
+	_ = caller.Close()
+	select {
+	case <-ended:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the request goes on for a caller that has left")
+	}
+}
+
+// Guards against deadlines that do not reach a waiting Read, or that stay in force.
+func TestReadAheadDeadline(t *testing.T) {
+	caller, accepted := readAheadPair(t)
+	buf := make([]byte, 8)
+	_ = accepted.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	if _, err := accepted.Read(buf); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("error %v", err)
+	}
+	_ = accepted.SetReadDeadline(time.Time{})
+	if _, err := io.WriteString(caller, "abc"); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := accepted.Read(buf); n != 3 || err != nil {
+		t.Fatalf("%d bytes, error %v", n, err)
+	}
+}
+
+// Guards against a buffer that grows without bound behind a request that nobody reads.
+func TestReadAheadIsBounded(t *testing.T) {
+	caller, accepted := readAheadPair(t)
+	_ = caller.SetWriteDeadline(time.Now().Add(time.Second))
+	block := make([]byte, 64<<10)
+	for range 1024 {
+		if _, err := caller.Write(block); err != nil {
+			break
+		}
+	}
+	accepted.mu.Lock()
+	held := len(accepted.buffer)
+	accepted.mu.Unlock()
+	if held > maxReadAhead+readAheadChunk {
+		t.Errorf("%d bytes held", held)
+	}
+	ctx := lostContext(context.Background(), accepted)
+	_ = accepted.Close()
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+		t.Error("the context outlives the connection")
+	}
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -128,6 +128,20 @@
 	return window
 }
 
+// Counts returns the totals of all services since the last change of the length.
+func (w *Windows) Counts() BudgetCounts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var sum BudgetCounts
+	for _, window := range w.byService {
+		c := window.Counts()
+		sum.First += c.First
+		sum.Spent += c.Spent
+		sum.Denied += c.Denied
+	}
+	return sum
+}
+
 const (
 	// fleetReserve is the part of a fleet's budget that nodes plan with. The rest covers the calls that repeated
 	// requests make again, and nodes that have not heard of others yet.
