--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -49,12 +49,26 @@
 func (n *Node) shutdownIngress(ctx context.Context) {
 	if len(n.servers) > 0 {
 		_ = n.callers.Close()
-		n.callers.waitQuiet(ctx)
+		n.callers.waitQuiet(ctx, quietLimit(ctx))
 		_ = n.servers[0].Shutdown(ctx)
 	}
 	n.ingress.Wait()
 }
 
+// quietShare is the part of the remaining drain time, as a divisor, in which idle connections are kept for callers
+// that may be sending. Callers that go on sending would otherwise hold the drain up to its end, at which the newest
+// requests are cut off.
+const quietShare = 4
+
+// quietLimit returns the longest time to wait for callers to become quiet.
+func quietLimit(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Hour
+	}
+	return time.Until(deadline) / quietShare
+}
+
 // Close ends the node at once. Requests in flight break.
 func (n *Node) Close() error {
 	n.closeOnce.Do(n.close)
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -65,10 +65,11 @@
 	delete(l.busy, c)
 }
 
-// waitQuiet returns when no connection has been busy for quietFor, or when ctx ends.
-func (l *gracefulListener) waitQuiet(ctx context.Context) {
+// waitQuiet returns when no connection has been busy for quietFor, after limit, or when ctx ends.
+func (l *gracefulListener) waitQuiet(ctx context.Context, limit time.Duration) {
 	quietSince := time.Now()
-	for time.Since(quietSince) < quietFor {
+	end := quietSince.Add(limit)
+	for time.Since(quietSince) < quietFor && time.Now().Before(end) {
 		if !sleep.For(ctx, quietPoll) {
 			return
 		}
