--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -25,7 +25,7 @@
 	conn   *peer.Conn
 	head   *wire.RequestHead
 	id     attemptID
-	body   *io.PipeWriter // the backend server's side of the request body
+	body   *requestBody
 	keep   *answerKeeper
 	cancel context.CancelCauseFunc
 	waited time.Duration // for a slot
@@ -38,7 +38,7 @@
 func (g *Gate) Serve(ctx context.Context, conn *peer.Conn, head *wire.RequestHead) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Done()
-	c := &call{gate: g, conn: conn, head: head}
+	c := &call{gate: g, conn: conn, head: head, body: newRequestBody()}
 	if g.Pace != nil {
 		conn.SetPace(g.Pace(head.Region, head.Long))
 	}
@@ -62,10 +62,8 @@
 
 func (c *call) run(ctx context.Context) {
 	deadline, _ := ctx.Deadline()
-	bodyReader, bodyWriter := io.Pipe()
 	// readRequest must not stay blocked on a body that nobody reads any more.
-	defer bodyReader.CloseWithError(io.ErrClosedPipe)
-	c.body = bodyWriter
+	defer c.body.Close()
 	c.keep = newAnswerKeeper(c.head.Idempotent, c.gate.keepLimit())
 	// The reader notices a caller that goes away while the request waits for a slot.
 	go c.readRequest()
@@ -94,7 +92,7 @@
 	started := time.Now()
 	c.waited = started.Sub(offered)
 	c.gate.QueueTime.Record(c.waited)
-	err = c.forward(ctx, backend, bodyReader)
+	err = c.forward(ctx, backend, c.body)
 	ran := time.Since(started)
 	c.gate.ServiceTime.Record(ran)
 	c.logRan(ctx, backend, ran, err)
@@ -136,9 +134,9 @@
 			// reading so that a cancellation is still noticed.
 			_, _ = c.body.Write(k.Chunk.Data)
 		case *wire.Frame_End:
-			_ = c.body.Close()
+			c.body.CloseWithError(nil)
 		default:
-			_ = c.body.CloseWithError(errors.Newf("unexpected frame %T in a request", k))
+			c.body.CloseWithError(errors.Newf("unexpected frame %T in a request", k))
 			c.cancel(errors.New("malformed request stream"))
 			return
 		}
@@ -147,14 +145,14 @@
 
 func (c *call) readFailed(err error) {
 	if !errors.Is(err, io.EOF) || c.conn.Broken() {
-		_ = c.body.CloseWithError(errPeerBroken)
+		c.body.CloseWithError(errPeerBroken)
 		// Work that must not run twice goes on, so that the ingress can ask for the kept answer.
 		if c.head.Idempotent {
 			c.cancel(errPeerBroken)
 		}
 		return
 	}
-	_ = c.body.CloseWithError(context.Canceled)
+	c.body.CloseWithError(context.Canceled)
 	c.cancel(context.Canceled)
 }
 
