--- a/internal/objectstore/watch.go
+++ b/internal/objectstore/watch.go
@@ -16,26 +16,24 @@
 // channel closes only when ctx ends.
 func (c *Client) Watch(ctx context.Context, prefix string, fromVersion int64) (<-chan Event, error) {
 	w := &watch{
-		client: c,
-		prefix: prefix,
-		from:   fromVersion,
-		known:  map[string]int64{},
-		events: make(chan Event),
+		client:  c,
+		prefix:  prefix,
+		from:    fromVersion,
+		tracker: NewTracker(),
 	}
 	go w.run(ctx)
-	return w.events, nil
+	return w.tracker.Events(), nil
 }
 
 type watch struct {
-	client *Client
-	prefix string
-	from   int64
-	known  map[string]int64 // version of each live object that has been sent
-	events chan Event
+	client  *Client
+	prefix  string
+	from    int64
+	tracker *Tracker
 }
 
 func (w *watch) run(ctx context.Context) {
-	defer close(w.events)
+	defer w.tracker.Close()
 	for failures := 0; ctx.Err() == nil; failures++ {
 		if w.stream(ctx) {
 			failures = 0
@@ -70,7 +68,7 @@
 			continue
 		}
 		object := Object{Key: line.Key, Value: line.Value, Version: line.Version}
-		if !w.send(ctx, Event{Deleted: line.Deleted, Object: object}) {
+		if !w.tracker.Send(ctx, Event{Deleted: line.Deleted, Object: object}) {
 			return delivered
 		}
 		w.from = max(w.from, line.Version)
@@ -105,35 +103,7 @@
 	if err != nil {
 		return
 	}
-	listed := make(map[string]bool, len(objects))
-	for _, o := range objects {
-		listed[o.Key] = true
-		version, sent := w.known[o.Key]
-		unseen := !sent && o.Version > w.from
-		changed := sent && o.Version != version
-		if (unseen || changed) && !w.send(ctx, Event{Object: o}) {
-			return
-		}
-	}
-	for key := range w.known {
-		gone := Event{Deleted: true, Object: Object{Key: key, Version: revision}}
-		if !listed[key] && !w.send(ctx, gone) {
-			return
-		}
-	}
-	w.from = revision
-}
-
-func (w *watch) send(ctx context.Context, e Event) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case w.events <- e:
-	}
-	if e.Deleted {
-		delete(w.known, e.Object.Key)
-	} else {
-		w.known[e.Object.Key] = e.Object.Version
+	if w.tracker.CloseGap(ctx, objects, w.from, revision) {
+		w.from = revision
 	}
-	return true
 }
