Ask another peer when a fetch of a bundle gets no answer, and peers before the store

A fetch over an established session then hung for 3 s and held off all others, while a bundle must be in force after 2.5 s. Ruled out: lost notices (every node that was told had the bundle within 0.2 s).

--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -18,7 +18,12 @@
 
 const (
 	fetchTimeout = 3 * time.Second
-	syncTimeout  = 5 * time.Second
+	// fetchPatience is the time after which another peer is asked beside one that has not answered: the node that
+	// tells of a new bundle may die right after it.
+	fetchPatience = 300 * time.Millisecond
+	// maxFetches bounds the peers that are asked at a time.
+	maxFetches  = 3
+	syncTimeout = 5 * time.Second
 )
 
 // bundleState guards the acceptor, which decides what is put in force.
@@ -27,8 +32,10 @@
 	acceptor *bundle.Acceptor
 	// lastError is why the newest bundle that was offered is not in force; empty if it is.
 	lastError string
-	fetching  bool
-	inForce   atomic.Pointer[bundle.Bundle]
+	// fetching counts the fetches under way, the newest of which began at fetchBegan.
+	fetching   int
+	fetchBegan time.Time
+	inForce    atomic.Pointer[bundle.Bundle]
 }
 
 // offer passes a candidate to the acceptor and puts the result in force.
@@ -99,20 +106,19 @@
 func (n *Node) fetchBundle(version uint64, peerAddr string) {
 	n.bundles.mu.Lock()
 	have := n.bundles.acceptor.Version()
-	busy := n.bundles.fetching
-	n.bundles.fetching = true
-	n.bundles.mu.Unlock()
-	if busy {
+	busy := n.bundles.fetching > 0 && time.Since(n.bundles.fetchBegan) < fetchPatience || n.bundles.fetching >= maxFetches
+	if busy || version <= have || n.ctx.Err() != nil {
+		n.bundles.mu.Unlock()
 		return
 	}
+	n.bundles.fetching++
+	n.bundles.fetchBegan = time.Now()
+	n.bundles.mu.Unlock()
 	defer func() {
 		n.bundles.mu.Lock()
-		n.bundles.fetching = false
+		n.bundles.fetching--
 		n.bundles.mu.Unlock()
 	}()
-	if version <= have || n.ctx.Err() != nil {
-		return
-	}
 	err := n.fetchFrom(peerAddr, have)
 	if errors.Is(err, bundle.ErrBaseMismatch) {
 		err = n.fetchFrom(peerAddr, 0)
--- /dev/null
+++ b/internal/node/fetch_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/settings"
+	"dandelionspoke/internal/wire"
+)
+
+// silentHandler answers nothing, as a node whose machine lost power after its sessions had been set up.
+type silentHandler struct{}
+
+func (silentHandler) ServePeer(ctx context.Context, _ *peer.Conn, _ *wire.Frame) { <-ctx.Done() }
+func (silentHandler) Generation() uint64                                         { return 0 }
+
+// Guards against a node that misses a bundle because the peer that told of it died: the fetch from it held off the
+// others for 3 s, longer than a bundle may take to be in force.
+func TestFetchGoesAroundASilentPeer(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := peer.NewServer("silent", 1, silentHandler{}, slog.New(slog.DiscardHandler))
+	server.Serve(silent)
+	defer server.Close()
+	nodes := make([]*Node, 2)
+	for i := range nodes {
+		s := settings.Default()
+		s.Bundle.Unsigned = true
+		if nodes[i], err = New(Options{Settings: s}); err != nil {
+			t.Fatal(err)
+		}
+		if err := nodes[i].Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		defer nodes[i].Close()
+	}
+	b := &bundle.Bundle{Version: 7, Services: map[string]bundle.Service{"katalog": {}}}
+	envelope, err := bundle.NewEnvelope(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodes[0].deliver(envelope)
+	go nodes[1].fetchBundle(7, silent.Addr().String())
+	began := time.Now()
+	for version := uint64(0); version != 7; version, _ = nodes[1].BundleVersion() {
+		if time.Since(began) > 2*time.Second {
+			t.Fatal("the bundle is not in force after 2 s")
+		}
+		time.Sleep(50 * time.Millisecond)
+		nodes[1].fetchBundle(7, nodes[0].Addrs().Peer)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	claims     *claim.Services // nil without direct access to the store
 	router     *claim.Router
 	reader     atomic.Bool // this node reads the store for its failure domain
+	joinTried  atomic.Bool // the first attempt to join other nodes has ended
 	// probePolicy and probeRand belong to the engine loop.
 	probePolicy uint64
 	probeRand   *rand.Rand
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -44,7 +44,7 @@
 // join contacts seeds, and nodes listed in the store, until another node answers. It goes on while the
 // node is alone, so that a node that started first, or during a cut, joins later.
 func (n *Node) join() {
-	if len(n.settings.Seeds) == 0 && !sleep.For(n.ctx, firstJoin) {
+	if len(n.settings.Seeds) == 0 && !sleep.For(n.ctx, min(firstJoin, n.bootstrapDelay())) {
 		return
 	}
 	for n.ctx.Err() == nil {
@@ -52,6 +52,7 @@
 		if n.alone() && !n.joinOnce() {
 			wait = joinRetryInterval
 		}
+		n.joinTried.Store(true)
 		if !sleep.For(n.ctx, wait) {
 			return
 		}
@@ -123,7 +124,7 @@
 		if snapshot == seen {
 			continue
 		}
-		if n.alone() && n.uptime() < n.bootstrapDelay() {
+		if !n.mayFollowStore() {
 			continue
 		}
 		seen = snapshot
@@ -148,6 +149,15 @@
 	}
 }
 
+// mayFollowStore reports whether a node that has started lately may read the store. Other nodes may hold a newer
+// bundle than the store, so they are asked first and have time to answer.
+func (n *Node) mayFollowStore() bool {
+	if n.alone() {
+		return n.joinTried.Load() && n.uptime() >= n.bootstrapDelay()
+	}
+	return n.uptime() >= readerCheckInterval
+}
+
 func (n *Node) readerCheckInterval() time.Duration {
 	if n.uptime() < bootstrapSpread {
 		return firstReaderChecks
