Remember servers that left before the node knew them

Ruled out: the other nodes (all requests came through the gate beside it) and the drain of the node. The registry now keeps the ends, also of unknown servers; only a later birth is taken. The case "end before the first report" of TestHeartbeats fails without it.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -111,6 +111,31 @@
 
 	mu    sync.Mutex
 	state state
+
+	// left holds the newest possible incarnation of each server that announced its end, by ID. Servers that this
+	// process has not heard of before are among them, since their delayed reports may follow. Guarded by changes.
+	left map[string]int64
+}
+
+// maxLeft bounds the memory of servers that have left.
+const maxLeft = 64
+
+// hasLeft reports whether a report is of a process that has announced its end. A server that starts again under its
+// old ID was born after that.
+func (r *Registry) hasLeft(report Report) bool {
+	at, left := r.left[report.ID]
+	return left && report.Incarnation != 0 && report.Incarnation <= at
+}
+
+// rememberLeft is called with changes held. The process that leaves was born before at, or at the known time.
+func (r *Registry) rememberLeft(id string, at int64) {
+	if r.state.current != nil && r.state.current.ID == id && r.state.incarnation != 0 {
+		at = r.state.incarnation
+	}
+	if r.left == nil || len(r.left) >= maxLeft {
+		r.left = map[string]int64{}
+	}
+	r.left[id] = at
 }
 
 // Current returns the announced backend server or nil, and whether it drains.
@@ -150,6 +175,9 @@
 func (r *Registry) Report(report Report, now time.Time) Outcome {
 	r.changes.Lock()
 	defer r.changes.Unlock()
+	if r.hasLeft(report) {
+		return Stale
+	}
 	next, outcome := r.state.apply(report)
 	if outcome == Stale {
 		return outcome
@@ -161,9 +189,10 @@
 
 // Leave takes the notice that the backend server with this ID leaves for good. It reports whether that server
 // was announced.
-func (r *Registry) Leave(id string) bool {
+func (r *Registry) Leave(id string, now time.Time) bool {
 	r.changes.Lock()
 	defer r.changes.Unlock()
+	r.rememberLeft(id, now.UnixMilli())
 	if r.state.current == nil || r.state.current.ID != id {
 		return false
 	}
