Remove an unused method and a needless fall-through

Cause: the last read of the change. Ruled out: a change of behaviour; vet, staticcheck and the tests of announce, gate, platform, node and ingress pass.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -145,13 +145,6 @@
 	return r.state.current, r.state.draining
 }
 
-// Incarnation returns that of the newest report; 0 without one.
-func (r *Registry) Incarnation() int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state.incarnation
-}
-
 // Expire withdraws a backend server that has not repeated its announcement within Lifetime.
 func (r *Registry) Expire(now time.Time) {
 	r.changes.Lock()
--- a/internal/gate/load.go
+++ b/internal/gate/load.go
@@ -60,8 +60,8 @@
 	return s.value
 }
 
-// begin returns the path to ask at, or a channel that ends with the probe under way, or neither when the figure is
-// fresh or the budget is spent.
+// begin returns a channel that ends with the probe under way, and the path to ask at when the caller is to make that
+// probe. It returns neither when the figure is fresh or the budget is spent.
 func (s *speed) begin(now time.Time) (path string, running chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,11 +88,10 @@
 // lately, and returns 0 when that takes too long.
 func (g *Gate) freshSlowness(ctx context.Context, b *Backend) float64 {
 	path, running := g.speed.begin(time.Now())
-	switch {
-	case path != "":
+	if path != "" {
 		go g.probeLoad(b.Address, path)
-		fallthrough
-	case running != nil:
+	}
+	if running != nil {
 		timer := time.NewTimer(loadProbeTimeout)
 		defer timer.Stop()
 		select {
