Cut a node's access to the store before later changes in the fault tests

Cause: the stand-in of a node's access ended a watch from a goroutine of its own, so that a change made right after the cut could be ready together with the end of the watch and was then delivered half of the time. Ruled out: messages between nodes, since the relay asks for the cut before each message and the cut comes before the rollout; the product, since the new test fails with the stand-in alone.

--- a/internal/faulttest/store.go
+++ b/internal/faulttest/store.go
@@ -87,12 +87,40 @@
 		cancel()
 		return nil, err
 	}
+	passed := make(chan objectstore.Event)
 	go func() {
 		defer cancel()
+		defer close(passed)
+		passUntil(ctx, closed, events, passed)
+	}()
+	return passed, nil
+}
+
+// passUntil carries the events of a watch until closed closes. A change that the store makes after that does not
+// pass, even when it is ready together with the end of the access.
+func passUntil(ctx context.Context, closed <-chan struct{}, events <-chan objectstore.Event, passed chan<- objectstore.Event) {
+	for {
 		select {
 		case <-closed:
-		case <-ctx.Done():
+			return
+		case e, open := <-events:
+			if !open || isClosed(closed) {
+				return
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case passed <- e:
+			}
 		}
-	}()
-	return events, nil
+	}
+}
+
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
 }
