Serve the pipelined requests of a connection at the same time

Cause: net/http serves one request of a connection at a time, so a request that a caller sent before the answer to its earlier one waited for that answer in front of the ingress. Ruled out: want of slots and queueing at gates (waits of 0 to 2 ms up to the 95th percentile), slow backend servers (run time above the objective for 7 in 100). internal/httpconn now owns the connections of callers: it splits off requests without a body that arrive while an earlier one runs, and releases the answers in order. Requests that may run only once wait for their turn, and a leaving node ends a connection only with the last answer that has been started.

--- a/internal/node/readahead_test.go
+++ b/internal/httpconn/readahead_test.go
@@ -1,4 +1,4 @@
-package node
+package httpconn
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"time"
 )
 
-func readAheadPair(t *testing.T) (caller net.Conn, accepted *readAheadConn) {
+func readAheadPair(t *testing.T) (caller net.Conn, accepted *stream) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -26,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	accepted = newReadAheadConn(raw)
+	accepted = newConn(raw, nil).first
 	t.Cleanup(func() { _ = caller.Close(); _ = accepted.Close() })
 	return caller, accepted
 }
@@ -38,18 +38,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	started, ended := make(chan struct{}), make(chan struct{})
-	server := &http.Server{ConnContext: lostContext, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		close(started)
+	started, ended := make(chan struct{}, 2), make(chan struct{}, 2)
+	server := &http.Server{ConnContext: Context, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
 		select {
 		case <-r.Context().Done():
-			close(ended)
+			ended <- struct{}{}
 		case <-time.After(5 * time.Second):
 		}
 		panic(http.ErrAbortHandler)
 	})}
-	tcp := &gracefulListener{TCPListener: l.(*net.TCPListener), busy: map[net.Conn]struct{}{}}
-	go func() { _ = server.Serve(tcp) }()
+	go func() { _ = server.Serve(NewListener(l.(*net.TCPListener))) }()
 	defer server.Close()
 	caller, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
@@ -94,13 +93,13 @@
 			break
 		}
 	}
-	accepted.mu.Lock()
-	held := len(accepted.buffer)
-	accepted.mu.Unlock()
-	if held > maxReadAhead+readAheadChunk {
+	accepted.conn.mu.Lock()
+	held := len(accepted.conn.buffer) + len(accepted.in)
+	accepted.conn.mu.Unlock()
+	if held > maxReadAhead+readChunk {
 		t.Errorf("%d bytes held", held)
 	}
-	ctx := lostContext(context.Background(), accepted)
+	ctx := Context(context.Background(), accepted)
 	_ = accepted.Close()
 	select {
 	case <-ctx.Done():
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
+	"dandelionspoke/internal/httpconn"
 	"dandelionspoke/internal/metrics"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/retry"
@@ -85,7 +86,7 @@
 	return &Ingress{Config: cfg}
 }
 
-// SetDraining makes each answer close its connection while true, so that callers move to other nodes.
+// SetDraining makes answers close their connections while true, so that callers move to other nodes.
 // Requests that still arrive are served through the gates of other nodes.
 func (in *Ingress) SetDraining(draining bool) { in.draining.Store(draining) }
 
@@ -106,9 +107,6 @@
 }
 
 func (in *Ingress) serve(w http.ResponseWriter, r *http.Request) error {
-	if in.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	q, err := in.parse(r, in.firstSnapshot(r.Context()))
 	if err != nil {
 		e := verdict.As(err)
@@ -127,6 +125,11 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	if !q.idempotent {
+		if err := httpconn.AwaitTurn(ctx); err != nil {
+			return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "behind unanswered requests of its connection: %v", err)
+		}
+	}
 	if err := q.readPrefix(ctx, w, in.bodyLimit(q.route)); err != nil {
 		return err
 	}
@@ -171,9 +174,18 @@
 	}
 	in.Counters.Failed.Add(1)
 	e := verdict.As(err)
+	in.endConnection(w, r)
 	in.Protocol.Fail(w, r, e, retryAfter(e))
 }
 
+// endConnection makes an answer close its connection while the node leaves, unless requests behind it have started:
+// the answer to the last of these does.
+func (in *Ingress) endConnection(w http.ResponseWriter, r *http.Request) {
+	if in.draining.Load() && httpconn.MayEnd(r.Context()) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // Bounds of the time after which a refused caller should try again. Below the least, the same endpoints would
 // most likely refuse again; above the most, load that changes within milliseconds can't be foreseen.
 const (
@@ -220,6 +232,7 @@
 func (in *Ingress) relay(w http.ResponseWriter, q *request, a *answer) error {
 	defer a.close()
 	q.status = int(a.head.Status)
+	in.endConnection(w, q.http)
 	writeHead(w, a.head)
 	if a.kept != nil {
 		_, _ = w.Write(a.kept.Body)
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -49,7 +49,7 @@
 func (n *Node) shutdownIngress(ctx context.Context) {
 	if len(n.servers) > 0 {
 		_ = n.callers.Close()
-		n.callers.waitQuiet(ctx, quietLimit(ctx))
+		n.callers.WaitQuiet(ctx, quietLimit(ctx))
 		_ = n.servers[0].Shutdown(ctx)
 	}
 	n.ingress.Wait()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"dandelionspoke/internal/claim"
 	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/gate"
+	"dandelionspoke/internal/httpconn"
 	"dandelionspoke/internal/ingress"
 	"dandelionspoke/internal/link"
 	"dandelionspoke/internal/metrics"
@@ -88,7 +89,7 @@
 	addresses Addresses
 	servers   []*http.Server
 	// callers is the listener of the ingress.
-	callers   *gracefulListener
+	callers   *httpconn.Listener
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
@@ -293,11 +294,11 @@
 	if !ok {
 		return errors.Newf("ingress.listen: %T is not a TCP listener", l)
 	}
-	n.callers = &gracefulListener{TCPListener: tcp, busy: make(map[net.Conn]struct{})}
+	n.callers = httpconn.NewListener(tcp)
 	n.addresses.Ingress = l.Addr().String()
 	n.serveOn(n.callers, "ingress", &http.Server{
 		Handler: n.ingress, ReadHeaderTimeout: in.HeaderTimeout, IdleTimeout: in.IdleTimeout, MaxHeaderBytes: in.MaxHeaderBytes,
-		ConnState: n.callers.track, ConnContext: lostContext,
+		ConnState: n.callers.Track, ConnContext: httpconn.Context,
 	})
 	return nil
 }
