Start long work after slow spells of a machine, not in them

Only first placements looked at the speed, long ones never, and waiters were started whatever the speed was when a slot became free. Ruled out: want of slots (members had waits of 0.9 s at half of their slots), the choice of endpoints (busiest/mean 1.2 to 1.5), processor time of nodes (0.02 of 0.16 cores). The queue now learns each stated speed. Work that loses more than the expected rest of a spell by a slow start waits for the end of the spell, for 1.2 s at most; gates ask for the speed meanwhile, within the 30 questions a second. Long requests with an objective may be passed on like short ones, and are no longer paced beside free slots.

--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -10,6 +10,7 @@
 // settle refuses expired waiters, then starts waiters while slots are free.
 func (q *Queue) settle(now time.Time) []Grant {
 	var grants []Grant
+	q.settled = now
 	for _, l := range []*lane{&q.short, &q.long} {
 		for _, e := range l.takeExpired(now) {
 			grants = append(grants, q.refuse(now, e, verdict.QueueTimeout))
@@ -31,10 +32,12 @@
 // takeNext removes the waiter that the next free slot belongs to, or returns nil.
 func (q *Queue) takeNext(now time.Time) *entry {
 	if head := q.long.head(); head != nil && q.longMayStart(now, head) {
-		return q.long.take(q.next(&q.long, now))
+		if next := q.next(&q.long, now); next >= 0 {
+			return q.long.take(next)
+		}
 	}
-	if q.short.len() > 0 {
-		return q.short.take(q.next(&q.short, now))
+	if next := q.next(&q.short, now); next >= 0 {
+		return q.short.take(next)
 	}
 	return nil
 }
@@ -58,9 +61,10 @@
 	return e.offered.Add(q.longPatience()), q.inUseLong == 0
 }
 
-// pace is the least wait of a long request. It is zero for the first one and while many slots are free.
+// pace is the least wait of a long request. It is zero for the first one and while many slots are free, and for
+// requests with an objective, which a wait beside free slots would use up.
 func (q *Queue) pace(e *entry) time.Duration {
-	if q.free() > q.limits.Slots/paceFreeDivisor {
+	if !e.request.Objective.IsZero() || q.free() > q.limits.Slots/paceFreeDivisor {
 		return 0
 	}
 	taken := float64(q.inUseLong) / float64(q.limits.LongSlots)
--- a/internal/admission/objective.go
+++ b/internal/admission/objective.go
@@ -99,18 +99,25 @@
 }
 
 // next returns the position of the waiter of a lane to start: of those with the highest priority the first that can
-// be answered in time, else the first.
+// be answered in time, else the first. Waiters that do better to wait for the end of a slow spell do not count. It
+// returns -1 for none.
 func (q *Queue) next(l *lane, now time.Time) int {
-	top := l.entries[0].request.Priority
+	first := -1
 	for i, e := range l.entries {
-		if e.request.Priority != top {
+		if q.holds(now, e) {
+			continue
+		}
+		if first >= 0 && e.request.Priority != l.entries[first].request.Priority {
 			break
 		}
 		if !q.late(e, now) {
 			return i
 		}
+		if first < 0 {
+			first = i
+		}
 	}
-	return 0
+	return first
 }
 
 // aheadInTime counts the waiters that start before e if e is to be answered in time.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -52,6 +52,8 @@
 	longTime   serviceTime
 	classifier Classifier
 	routes     routeTimesByName
+	speed      machineSpeed
+	settled    time.Time // time of the newest settle
 }
 
 // New returns an empty queue.
@@ -137,6 +139,9 @@
 }
 
 func (q *Queue) startsAtOnce(now time.Time, e *entry) bool {
+	if q.holds(now, e) {
+		return false
+	}
 	if e.long {
 		return q.long.len() == 0 && q.longMayStart(now, e)
 	}
@@ -255,11 +260,16 @@
 // After any other call it lies after the time passed to that call.
 func (q *Queue) NextDecision() (time.Time, bool) {
 	next := q.long.earliestDeadline(q.short.earliestDeadline(time.Time{}))
-	if head := q.long.head(); head != nil {
+	if head := q.long.head(); head != nil && !q.holds(q.settled, head) {
 		if start, ok := q.longStart(head); ok && start.Before(next) {
 			next = start
 		}
 	}
+	if !next.IsZero() && q.free() > 0 && q.speed.slowness >= slowFrom {
+		if end := q.holdEnds(); end.After(q.settled) && end.Before(next) {
+			next = end
+		}
+	}
 	return next, !next.IsZero()
 }
 
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -48,7 +48,7 @@
 	defer resp.Body.Close()
 	c.status = resp.StatusCode
 	answer := c.gate.protocol.Read(req.Header, resp)
-	c.gate.speed.observe(answer.Slowness, time.Now())
+	c.gate.observeSlowness(answer.Slowness)
 	switch {
 	case answer.Foreign != "":
 		// Whatever follows on the connection belongs to another request as well.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -71,6 +71,7 @@
 	speed           *speed
 	inFlight        sync.WaitGroup
 	expiry          *time.Timer // nil until a request has waited
+	polling         bool        // the load will be asked for within holdPoll
 }
 
 // New returns a gate without a backend server. instance is the node's process identifier.
@@ -277,6 +278,10 @@
 // without another request's end. It is called with mu held. Without waiting requests no timer runs, so that
 // an idle gate costs no processor time.
 func (g *Gate) scheduleExpiry() {
+	if !g.polling && len(g.waiters) > 0 && g.queue.Holding(time.Now()) {
+		g.polling = true
+		time.AfterFunc(holdPoll, g.pollLoad)
+	}
 	at, ok := g.queue.NextDecision()
 	if !ok || len(g.waiters) == 0 {
 		return
--- a/internal/gate/load.go
+++ b/internal/gate/load.go
@@ -17,6 +17,9 @@
 	loadFresh = 60 * time.Millisecond
 	// loadProbeTimeout bounds the delay of a request by a question for the load.
 	loadProbeTimeout = 10 * time.Millisecond
+	// holdPoll is the time between two questions for the load while requests wait for the end of a slow spell. It
+	// keeps within 30 questions a second.
+	holdPoll = 35 * time.Millisecond
 	// maxLoadBytes bounds the body of an answer that is read so that its connection can be used again.
 	maxLoadBytes = 4 << 10
 )
@@ -42,9 +45,6 @@
 }
 
 func (s *speed) observe(slowness float64, now time.Time) {
-	if slowness <= 0 || math.IsNaN(slowness) {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.value, s.at = slowness, now
@@ -61,12 +61,12 @@
 }
 
 // begin returns a channel that ends with the probe under way, and the path to ask at when the caller is to make that
-// probe. It returns neither when the figure is fresh or the budget is spent.
-func (s *speed) begin(now time.Time) (path string, running chan struct{}) {
+// probe. It returns neither when the figure is at most maxAge old or the budget is spent.
+func (s *speed) begin(now time.Time, maxAge time.Duration) (path string, running chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.path == "" || now.Sub(s.at) <= loadFresh:
+	case s.path == "" || now.Sub(s.at) <= maxAge:
 		return "", nil
 	case s.running != nil:
 		return "", s.running
@@ -87,7 +87,7 @@
 // freshSlowness returns the present speed of the backend server. It asks the server when no answer has stated it
 // lately, and returns 0 when that takes too long.
 func (g *Gate) freshSlowness(ctx context.Context, b *Backend) float64 {
-	path, running := g.speed.begin(time.Now())
+	path, running := g.speed.begin(time.Now(), loadFresh)
 	if path != "" {
 		go g.probeLoad(b.Address, path)
 	}
@@ -103,6 +103,39 @@
 	return g.speed.current(time.Now())
 }
 
+// observeSlowness records a statement of the backend server about its speed; 0 states nothing.
+func (g *Gate) observeSlowness(slowness float64) {
+	if slowness <= 0 || math.IsNaN(slowness) {
+		return
+	}
+	now := time.Now()
+	g.speed.observe(slowness, now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.queue != nil {
+		g.deliver(g.queue.SetSlowness(now, slowness))
+		g.scheduleExpiry()
+	}
+}
+
+// pollLoad asks for the speed while requests wait for the end of a slow spell.
+func (g *Gate) pollLoad() {
+	g.mu.Lock()
+	g.polling = false
+	backend := g.backend
+	g.mu.Unlock()
+	if backend == nil {
+		return
+	}
+	if path, _ := g.speed.begin(time.Now(), holdPoll/2); path != "" {
+		g.probeLoad(backend.Address, path)
+		return
+	}
+	g.mu.Lock()
+	g.scheduleExpiry()
+	g.mu.Unlock()
+}
+
 func (g *Gate) probeLoad(address, path string) {
 	defer g.speed.end()
 	ctx, cancel := context.WithTimeout(context.Background(), backendDialTimeout)
@@ -123,5 +156,5 @@
 		g.logger.Info("load not answered", "event", "load_probe_failed", "address", address, "error", err)
 		return
 	}
-	g.speed.observe(g.protocol.Read(req.Header, resp).Slowness, time.Now())
+	g.observeSlowness(g.protocol.Read(req.Header, resp).Slowness)
 }
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -73,7 +73,7 @@
 		return
 	}
 	offered := time.Now()
-	if b := c.gate.Backend(); b != nil && c.head.MaxWaitUs > 0 {
+	if b := c.gate.Backend(); b != nil && (c.head.MaxWaitUs > 0 || c.head.HasObjective) {
 		c.slowness = c.gate.freshSlowness(ctx, b)
 	}
 	var objective time.Time
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -123,7 +123,7 @@
 
 // maxWait is the expected wait that the next attempt accepts; 0 accepts any.
 func (t *tries) maxWait(q *request) time.Duration {
-	if t.placed || q.long {
+	if t.placed || q.long && q.route.Objective == 0 {
 		return 0
 	}
 	return retry.PlacementWait
