Serve at once after a start: read the first bundle from a copy of the store, and know cold endpoints

Cause: after all nodes had lost power at once, bundles were in force 0.4 to 2.1 s after the starts, since each node followed the store only after its part of 2 s. Endpoints are twice as slow in their first seconds, which counted as a slow spell that never ended: all gates passed requests on as busy, and real spells (a slowness of 8) were not waited out. Ruled out: discovery (nodes had joined 0.2 s after their starts) and the store (4 ms an answer). A starting node now reads the bundle with one call that may be answered from a copy, which neither counts towards the store's rate nor waits for peers. A spell is measured against the least slowness stated lately, and a route whose run time is not known yet is assumed to take a third of its objective.

--- a/internal/admission/objective.go
+++ b/internal/admission/objective.go
@@ -19,6 +19,8 @@
 	latePatience = 0.5
 	// lateDeadlineDivisor sets the least such wait, as a part of the time that the caller gave.
 	lateDeadlineDivisor = 8
+	// objectiveRuns is the number of run times that an objective is assumed to hold while none has been measured.
+	objectiveRuns = 3
 	// maxRouteTimes bounds the routes whose run times are kept.
 	maxRouteTimes = 256
 )
@@ -56,11 +58,15 @@
 	return ""
 }
 
-// runTime is the expected run time of a request; 0 when nothing has been measured.
+// runTime is the expected run time of a request. Until its route has been measured, as after a start, it is a part of
+// the objective, if there is one, else the average of the lane; 0 when nothing is known.
 func (q *Queue) runTime(e *entry) time.Duration {
 	if s := q.routes[e.request.Route]; s != nil {
 		return s.duration()
 	}
+	if !e.request.Objective.IsZero() {
+		return max(e.request.Objective.Sub(e.offered), 0) / objectiveRuns
+	}
 	return q.laneTime(e).duration()
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -265,7 +265,7 @@
 			next = start
 		}
 	}
-	if !next.IsZero() && q.free() > 0 && q.speed.slowness >= slowFrom {
+	if !next.IsZero() && q.free() > 0 && q.speed.excess(q.settled) > 0 {
 		if end := q.holdEnds(); end.After(q.settled) && end.Before(next) {
 			next = end
 		}
--- a/internal/admission/slowness.go
+++ b/internal/admission/slowness.go
@@ -7,32 +7,53 @@
 // long work does better to wait for the end of the spell.
 
 const (
-	// slowFrom is the slowness, in multiples of the usual time, from which an endpoint counts as slow.
+	// slowFrom is the slowness, in multiples of the least stated lately, from which an endpoint is in a slow spell.
 	slowFrom = 1.25
 	// slownessTrust is the age up to which a stated slowness decides on starts. Spells end within a few hundred
 	// milliseconds.
 	slownessTrust = 100 * time.Millisecond
 	// spellLength is the expected rest of a slow spell. Work that loses less by a slow start does not wait for it.
 	spellLength = 300 * time.Millisecond
-	// longestSpell is the time after which a slow endpoint counts as slow for good, so that waiting is of no use.
-	longestSpell = 1200 * time.Millisecond
+	// leastWindow is the time over which the least slowness is kept, between one and two times. An endpoint that is
+	// slow for longer, as in the seconds after its start, has no spell that could be waited out.
+	leastWindow = 700 * time.Millisecond
 )
 
-// machineSpeed is the newest statement of an endpoint about its speed.
+// machineSpeed is what an endpoint has stated about its speed, as the time that work takes in multiples of the usual
+// time; 0 is unknown.
 type machineSpeed struct {
-	slowness  float64 // time that work takes in multiples of the usual time; 0 is unknown
-	at        time.Time
-	slowSince time.Time // start of the present spell
+	slowness float64 // newest statement
+	at       time.Time
+	// least is the least slowness of the window that began at windowStart, leastBefore that of the window before.
+	least, leastBefore float64
+	windowStart        time.Time
+}
+
+func (s *machineSpeed) observe(now time.Time, slowness float64) {
+	switch age := now.Sub(s.windowStart); {
+	case age >= 2*leastWindow:
+		s.windowStart, s.leastBefore, s.least = now, slowness, slowness
+	case age >= leastWindow:
+		s.windowStart, s.leastBefore, s.least = now, s.least, slowness
+	}
+	s.least = min(s.least, slowness)
+	s.slowness, s.at = slowness, now
+}
+
+// excess is the time that work started now takes beyond that of a start after the spell, as a share of the latter.
+// It is 0 outside of spells and without a recent statement.
+func (s *machineSpeed) excess(now time.Time) float64 {
+	least := min(s.least, s.leastBefore)
+	if least <= 0 || now.Sub(s.at) > slownessTrust || s.slowness < slowFrom*least {
+		return 0
+	}
+	return s.slowness/least - 1
 }
 
 // SetSlowness records the time that work takes at the endpoint now, in multiples of the usual time. It starts the
 // waiters that waited for the end of a slow spell.
 func (q *Queue) SetSlowness(now time.Time, slowness float64) []Grant {
-	wasSlow := q.speed.slowness >= slowFrom && now.Sub(q.speed.at) <= longestSpell
-	if slowness >= slowFrom && !wasSlow {
-		q.speed.slowSince = now
-	}
-	q.speed.slowness, q.speed.at = slowness, now
+	q.speed.observe(now, slowness)
 	return q.settle(now)
 }
 
@@ -54,20 +75,14 @@
 
 // holds reports whether a request should not start now since it would be answered sooner after the present spell.
 func (q *Queue) holds(now time.Time, e *entry) bool {
-	s := q.speed
-	if s.slowness < slowFrom || now.Sub(s.at) > slownessTrust || now.Sub(s.slowSince) >= longestSpell {
+	excess := q.speed.excess(now)
+	if excess == 0 {
 		return false
 	}
 	run := q.runTime(e)
-	lost := time.Duration((s.slowness - 1) * float64(run))
+	lost := time.Duration(excess * float64(run))
 	return lost > spellLength && now.Add(spellLength+run).Before(e.request.Deadline)
 }
 
-// holdEnds returns the time at which the present slowness stops holding requests.
-func (q *Queue) holdEnds() time.Time {
-	untrusted, spellEnd := q.speed.at.Add(slownessTrust+1), q.speed.slowSince.Add(longestSpell)
-	if spellEnd.Before(untrusted) {
-		return spellEnd
-	}
-	return untrusted
-}
+// holdEnds returns the time from which the present slowness holds no request any more.
+func (q *Queue) holdEnds() time.Time { return q.speed.at.Add(slownessTrust + 1) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,6 +217,7 @@
 		n.background(n.checkHealth)
 	}
 	if n.store != nil {
+		n.background(n.readFirstBundle)
 		n.background(n.followStore)
 	}
 	n.logger.Info("node started", "event", "node_started", "node", n.settings.NodeID, "ingress", n.addresses.Ingress,
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
+	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/table"
@@ -108,6 +110,34 @@
 	return addresses
 }
 
+// firstReads bounds the reads of a starting node, and firstReadInterval is the time between them.
+const (
+	firstReads        = 4
+	firstReadInterval = 250 * time.Millisecond
+)
+
+// readFirstBundle gets a bundle from a copy of the store, so that a node that starts, alone or with the whole fleet,
+// serves at once. The copy may be some seconds old; newer bundles come from peers and readers as usual.
+func (n *Node) readFirstBundle() {
+	store, ok := n.store.(objectstore.StaleReader)
+	if !ok {
+		return
+	}
+	for try := 0; try < firstReads && n.bundles.inForce.Load() == nil; try++ {
+		ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+		envelope, err := n.adapter.Bundles.ReadStale(ctx, store)
+		cancel()
+		if err == nil {
+			n.deliver(envelope)
+			return
+		}
+		n.logger.Info("first bundle not read", "event", "store_read_failed", "try", try, "error", err)
+		if errors.Is(err, objectstore.ErrNotFound) || !sleep.For(n.ctx, firstReadInterval) {
+			return
+		}
+	}
+}
+
 // followStore runs the work of a store reader while this node is one for its failure domain.
 func (n *Node) followStore() {
 	var stop context.CancelFunc
--- a/internal/objectstore/store.go
+++ b/internal/objectstore/store.go
@@ -66,6 +66,12 @@
 	Watch(ctx context.Context, prefix string, fromVersion int64) (<-chan Event, error)
 }
 
+// StaleReader is implemented by stores that also answer from copies, which cost the store less than Get.
+type StaleReader interface {
+	// GetStale returns the object as it is or was some seconds ago, or ErrNotFound.
+	GetStale(ctx context.Context, key string) (Object, error)
+}
+
 // CheckKey returns ErrInvalidKey unless key is a relative path of non-empty segments.
 func CheckKey(key string) error {
 	if len(key) == 0 || len(key) > MaxKeyBytes {
--- a/internal/rollout/reader.go
+++ b/internal/rollout/reader.go
@@ -85,6 +85,16 @@
 	return s.Decode(o)
 }
 
+// ReadStale returns the envelope that the store's copies hold; it may be some seconds old and is not verified. Errors
+// are those of the store, or of a malformed object.
+func (s Source) ReadStale(ctx context.Context, store objectstore.StaleReader) (*bundle.Envelope, error) {
+	o, err := store.GetStale(ctx, s.key())
+	if err != nil {
+		return nil, err
+	}
+	return s.decode(o)
+}
+
 // Reader follows the bundle in a store. Only nodes for which IsReader holds run one.
 type Reader struct {
 	Store  objectstore.Store
