--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionspoke/internal/demo"
+	"dandelionspoke/internal/settings"
 )
 
 type demoCommand struct {
@@ -35,7 +36,7 @@
 
 // Run prints the result on stdout and progress on stderr. It fails when a promise to callers was broken.
 func (c *demoCommand) Run(o output) error {
-	collectLessOften()
+	setGCPercent(settings.DefaultGCPercent)
 	signals := catchSignals()
 	defer signals.release()
 	ctx := signals.untilFirst()
--- a/internal/cli/gc.go
+++ b/internal/cli/gc.go
@@ -5,13 +5,9 @@
 	"runtime/debug"
 )
 
-// gcPercent lets the heap grow to five times the live data between collections. Live data is small, so the default of
-// 100 collects often, and collections show in the p99 of requests.
-const gcPercent = 400
-
-// collectLessOften sets the garbage collection target unless the environment variable GOGC does.
-func collectLessOften() {
+// setGCPercent sets the garbage collection target unless the environment variable GOGC does.
+func setGCPercent(percent int) {
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
+		debug.SetGCPercent(percent)
 	}
 }
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return err
 	}
-	collectLessOften()
+	setGCPercent(s.GCPercent)
 	signals := catchSignals()
 	defer signals.release()
 	sink := logging.New(o.out, s.Log.Level)
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -49,6 +49,7 @@
 		{Name: "drain_timeout", Allowed: "a duration from \"1s\" to \"1h\"", Default: "30s", set: duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.DrainTimeout })},
 		{Name: "drain_reserve", Allowed: "a duration from \"0s\" to \"1h\", below drain_timeout", Default: "0s", set: duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.DrainReserve })},
 		{Name: "drain_notice", Allowed: "a duration from \"0s\" to \"1h\", below drain_timeout", Default: "0s", set: duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.DrainNotice })},
+		{Name: "gc_percent", Allowed: "a whole number from 10 to 1000", Default: "400", set: integer(10, 1000, func(s *Settings, v int64) { s.GCPercent = int(v) })},
 		{Name: "adapter", Allowed: nameAllowed + "; the name of an adapter of this build", Default: "none", set: name(func(s *Settings) *string { return &s.Adapter })},
 
 		{Name: "ingress.listen", Allowed: addressAllowed, Default: DefaultIngressListen, set: address(func(s *Settings) *string { return &s.Ingress.Listen })},
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -54,6 +54,7 @@
 drain_timeout = "45s"
 drain_reserve = "5s"
 drain_notice = "2s"
+gc_percent = 80
 adapter = "prepared"
 ingress = { listen = "10.0.0.7:80", header_timeout = "2s", idle_timeout = "75s", max_header_bytes = 2048, max_body_bytes = 4096 }
 [peer]
@@ -110,6 +111,7 @@
 		DrainTimeout: 45 * time.Second,
 		DrainReserve: 5 * time.Second,
 		DrainNotice:  2 * time.Second,
+		GCPercent:    80,
 		Adapter:      "prepared",
 		Backend:      Backend{Service: "katalog", Address: "10.0.0.7:8301"},
 		Health:       Health{Listen: "10.0.0.7:8302"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,9 @@
 	// DrainNotice is the part of DrainTimeout in which a leaving node still takes work, so that the platform can
 	// send callers elsewhere first.
 	DrainNotice time.Duration
+	// GCPercent is the growth of the heap, in percent of the live data, after which garbage is collected. A lower
+	// value takes more processor time and less memory.
+	GCPercent int
 	// Adapter names the translation to a platform with interfaces of its own. Empty: the product's interfaces.
 	Adapter string
 	Backend Backend
@@ -156,9 +159,11 @@
 	DefaultStoreTimeout   = 2 * time.Second
 	DefaultCallsPerSecond = 20
 	DefaultDrainTimeout   = 30 * time.Second
-	DefaultDrainReserve   = 0
-	DefaultPortCheck      = 500 * time.Millisecond
-	DefaultWatchWait      = 20 * time.Second
+	// Live data is small, so the runtime's own 100 collects often, and collections show in the p99 of requests.
+	DefaultGCPercent    = 400
+	DefaultDrainReserve = 0
+	DefaultPortCheck    = 500 * time.Millisecond
+	DefaultWatchWait    = 20 * time.Second
 )
 
 // Default returns settings for tests: every listener on loopback with a port that the system picks, no store and no keys.
@@ -187,6 +192,7 @@
 		Announce:     Announce{Listen: DefaultAnnounceListen},
 		Store:        Store{Timeout: DefaultStoreTimeout, WatchWait: DefaultWatchWait, CallsPerSecond: DefaultCallsPerSecond},
 		Log:          Log{Level: slog.LevelInfo},
+		GCPercent:    DefaultGCPercent,
 		DrainTimeout: DefaultDrainTimeout,
 		DrainReserve: DefaultDrainReserve,
 		Backend:      Backend{PortCheck: DefaultPortCheck},
