Withdraw waiting requests shortly before a drain ends

Ruled out: a request at work (the endpoint never got it), and the platform's kill (0.7 s later). 0.4 s before the deadline the ingress asks the gates to refuse what has not started, and answers 503.

--- a/internal/gate/attempts.go
+++ b/internal/gate/attempts.go
@@ -16,9 +16,11 @@
 
 // attempt is the fate of one attempt at this gate.
 type attempt struct {
-	done    chan struct{} // closed when the fields below are final
-	verdict verdict.Verdict
-	answer  *wire.AttemptFate // nil unless the whole answer was kept
+	// withdrawn is closed when the ingress no longer wants the attempt to start; nil unless the attempt is running.
+	withdrawn chan struct{}
+	done      chan struct{} // closed when the fields below are final
+	verdict   verdict.Verdict
+	answer    *wire.AttemptFate // nil unless the whole answer was kept
 }
 
 // attemptMemory remembers attempts for a bounded time so that an ingress whose connection broke can
@@ -65,18 +67,34 @@
 	return nil
 }
 
-// begin registers an attempt. It returns false when the attempt is already known, because it has been
+// begin registers an attempt and returns it. It returns nil when the attempt is already known, because it has been
 // refused by an earlier query or is a duplicate of a frame that arrived before, and when it is so old
 // that such a refusal may have been forgotten.
-func (m *attemptMemory) begin(id attemptID, generation uint64, now time.Time) bool {
+func (m *attemptMemory) begin(id attemptID, generation uint64, now time.Time) *attempt {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rotate(now)
 	if generation <= m.evicted || m.lookup(id) != nil {
-		return false
+		return nil
+	}
+	a := &attempt{withdrawn: make(chan struct{}), done: make(chan struct{})}
+	m.running[id] = a
+	return a
+}
+
+// withdraw asks for the refusal of a running attempt that has not started.
+func (m *attemptMemory) withdraw(id attemptID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := m.running[id]
+	if a == nil {
+		return
+	}
+	select {
+	case <-a.withdrawn:
+	default:
+		close(a.withdrawn)
 	}
-	m.running[id] = &attempt{done: make(chan struct{})}
-	return true
 }
 
 // finish records the final fate of a running attempt.
--- a/internal/gate/attempts_test.go
+++ b/internal/gate/attempts_test.go
@@ -34,7 +34,7 @@
 			},
 			"begin": func(t *rapid.T) {
 				n := pick(t)
-				if !m.begin(id(n), known[n], now) {
+				if m.begin(id(n), known[n], now) == nil {
 					return
 				}
 				if denied[n] || ran[n] {
@@ -74,7 +74,7 @@
 	now := time.Unix(1000, 0)
 	m := newAttemptMemory(now, time.Hour)
 	for n := range uint64(5 * maxAttemptsPerGeneration / 2) {
-		if m.begin(id(n), m.generation, now) {
+		if m.begin(id(n), m.generation, now) != nil {
 			m.finish(id(n), now, verdict.Ran, nil)
 		}
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -185,8 +185,8 @@
 // Attempts returns the number of remembered attempts.
 func (g *Gate) Attempts() int { return g.attempts.len() }
 
-// admit returns a held slot, or an error with verdict NotRun.
-func (g *Gate) admit(done <-chan struct{}, r admission.Request) (admission.Ticket, *Backend, error) {
+// admit returns a held slot, or an error with verdict NotRun. The wait for a slot ends with done or withdrawn.
+func (g *Gate) admit(done, withdrawn <-chan struct{}, r admission.Request) (admission.Ticket, *Backend, error) {
 	g.mu.Lock()
 	backend := g.backend
 	if err := g.checkOpen(backend); err != nil {
@@ -204,7 +204,7 @@
 	g.scheduleExpiry()
 	g.mu.Unlock()
 	g.Counters.Queued.Add(1)
-	return g.await(done, ticket, backend, granted)
+	return g.await(done, withdrawn, ticket, backend, granted)
 }
 
 func (g *Gate) checkOpen(backend *Backend) error {
@@ -233,11 +233,14 @@
 	return 0, nil, verdict.New(verdict.NotRun, reason, "refused by the gate")
 }
 
-func (g *Gate) await(done <-chan struct{}, t admission.Ticket, b *Backend, granted chan admission.Grant) (admission.Ticket, *Backend, error) {
+func (g *Gate) await(done, withdrawn <-chan struct{}, t admission.Ticket, b *Backend, granted chan admission.Grant) (admission.Ticket, *Backend, error) {
+	ended := verdict.New(verdict.NotRun, verdict.QueueTimeout, "ended while waiting for a slot")
 	select {
 	case grant := <-granted:
 		return g.decided(t, b, grant.Admitted, grant.Reason)
 	case <-done:
+	case <-withdrawn:
+		ended = verdict.New(verdict.NotRun, verdict.Draining, "withdrawn by the ingress while waiting for a slot")
 	}
 	g.mu.Lock()
 	_, waiting := g.waiters[t]
@@ -253,7 +256,7 @@
 		}
 	}
 	g.Counters.Canceled.Add(1)
-	return 0, nil, verdict.New(verdict.NotRun, verdict.QueueTimeout, "ended while waiting for a slot")
+	return 0, nil, ended
 }
 
 // deliver hands decisions to the waiting requests. It is called with mu held.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -189,7 +189,7 @@
 func TestGateWithoutBundleSendsRequestsElsewhere(t *testing.T) {
 	g := New(1, slog.New(slog.DiscardHandler))
 	g.SetBackend(&Backend{ID: "a", Service: "katalog", Address: "127.0.0.1:1"})
-	_, _, err := g.admit(nil, admission.Request{})
+	_, _, err := g.admit(nil, nil, admission.Request{})
 	e := verdict.As(err)
 	policy := retry.Policy{MaxAttempts: 1}
 	moves := policy.Move(retry.Attempt{Number: 1, Verdict: e.Verdict, Reason: e.Reason, Remaining: time.Second}, 0)
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -47,7 +47,8 @@
 		return
 	}
 	copy(c.id[:], head.AttemptId)
-	if !g.attempts.begin(c.id, head.Generation, time.Now()) {
+	attempt := g.attempts.begin(c.id, head.Generation, time.Now())
+	if attempt == nil {
 		g.Counters.DuplicateAttempts.Add(1)
 		c.refuse(verdict.New(verdict.NotRun, verdict.AttemptRefused, "the attempt was refused earlier or is a duplicate"))
 		return
@@ -57,10 +58,10 @@
 	defer cancelTimeout()
 	ctx, c.cancel = context.WithCancelCause(ctx)
 	defer c.cancel(nil)
-	c.run(ctx)
+	c.run(ctx, attempt.withdrawn)
 }
 
-func (c *call) run(ctx context.Context) {
+func (c *call) run(ctx context.Context, withdrawn <-chan struct{}) {
 	deadline, _ := ctx.Deadline()
 	// readRequest must not stay blocked on a body that nobody reads any more.
 	defer c.body.Close()
@@ -80,7 +81,7 @@
 	if c.head.HasObjective {
 		objective = offered.Add(time.Duration(c.head.ObjectiveMs) * time.Millisecond)
 	}
-	ticket, backend, err := c.gate.admit(ctx.Done(), admission.Request{
+	ticket, backend, err := c.gate.admit(ctx.Done(), withdrawn, admission.Request{
 		Route: c.head.Service + " " + c.head.Route, Long: c.head.Long, Priority: int(c.head.Priority), Deadline: deadline,
 		MaxWait: time.Duration(c.head.MaxWaitUs) * time.Microsecond, Slowness: c.slowness,
 		Objective: objective,
@@ -199,6 +200,9 @@
 		return &wire.AttemptFate{Verdict: wire.Verdict_MAY_HAVE_RUN}
 	}
 	copy(id[:], q.AttemptId)
+	if q.Withdraw {
+		g.attempts.withdraw(id)
+	}
 	a := g.attempts.query(id, q.Generation, time.Now())
 	if a == nil {
 		return &wire.AttemptFate{Verdict: wire.Verdict_MAY_HAVE_RUN}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -36,9 +36,13 @@
 	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	head := in.head(q, ep, conn.Remote())
 	head.MaxWaitUs = uint32(maxWait.Microseconds())
-	if err := in.exchange(ctx, q, a, head); err != nil {
+	query := &wire.AttemptQuery{AttemptId: head.AttemptId, Instance: conn.Remote().Instance, Generation: head.Generation}
+	in.waiting.Store(query, ep)
+	err = in.exchange(ctx, q, a, head)
+	in.waiting.Delete(query)
+	if err != nil {
 		a.close()
-		return in.resolve(ctx, a, head, err)
+		return in.resolve(ctx, a, query, err)
 	}
 	return a, nil
 }
@@ -166,7 +170,7 @@
 }
 
 // resolve turns a failed exchange into a verdict. When the connection broke, it asks the gate.
-func (in *Ingress) resolve(ctx context.Context, a *answer, head *wire.RequestHead, err error) (*answer, error) {
+func (in *Ingress) resolve(ctx context.Context, a *answer, query *wire.AttemptQuery, err error) (*answer, error) {
 	var refusal *verdict.Error
 	if errors.As(err, &refusal) {
 		return nil, refusal
@@ -181,9 +185,6 @@
 		return nil, verdict.New(verdict.MayHaveRun, verdict.Canceled, "the caller went away")
 	}
 	a.seen.end(balance.Failed, nil)
-	query := &wire.AttemptQuery{
-		AttemptId: head.AttemptId, Instance: a.conn.Remote().Instance, Generation: head.Generation,
-	}
 	fate := in.fateOf(ctx, a.endpoint, query)
 	in.Logger.Info("attempt resolved", "event", "attempt_resolved", "endpoint", a.endpoint.ID,
 		"verdict", verdict.FromWire(fate.Verdict), "has_answer", fate.HasAnswer, "cause", err)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -24,6 +24,7 @@
 	"dandelionspoke/internal/wire"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -76,6 +77,10 @@
 	classes  admission.Classes
 	splits   sync.Map // name of a split route to *splitCounter
 	inFlight sync.WaitGroup
+	// waiting holds the attempts without an answer: *wire.AttemptQuery to *table.Endpoint.
+	waiting sync.Map
+	// closing is set when no further attempt may start.
+	closing atomic.Bool
 }
 
 // New returns an ingress.
@@ -90,6 +95,29 @@
 // Requests that still arrive are served through the gates of other nodes.
 func (in *Ingress) SetDraining(draining bool) { in.draining.Store(draining) }
 
+// Withdraw ends what has not started: gates refuse the attempts that still wait for a slot, and no further attempt
+// starts. A node calls it shortly before it would cut off the requests in flight, whose callers then hear that theirs
+// has not run. Work that has started goes on. It returns when the gates have been told, or with ctx.
+func (in *Ingress) Withdraw(ctx context.Context) {
+	in.closing.Store(true)
+	var told sync.WaitGroup
+	in.waiting.Range(func(key, value any) bool {
+		query, ep := proto.CloneOf(key.(*wire.AttemptQuery)), value.(*table.Endpoint)
+		query.Withdraw = true
+		told.Go(func() {
+			conn, err := in.Opener.Open(ctx, ep, peer.LaneControl)
+			if err == nil {
+				_, err = exchangeQuery(ctx, conn, query)
+			}
+			if err != nil {
+				in.Logger.Info("attempt not withdrawn", "event", "withdraw_failed", "endpoint", ep.ID, "error", err)
+			}
+		})
+		return true
+	})
+	told.Wait()
+}
+
 // Wait blocks until no request is in flight.
 func (in *Ingress) Wait() { in.inFlight.Wait() }
 
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -79,6 +79,9 @@
 
 // start picks an endpoint and begins an attempt there.
 func (in *Ingress) start(ctx context.Context, q *request, t *tries) error {
+	if in.closing.Load() {
+		return verdict.New(verdict.NotRun, verdict.Draining, "the node is about to end")
+	}
 	if q.permit != nil && !q.permit.MayStart(time.Now()) {
 		return verdict.New(verdict.NotRun, verdict.ClaimUnavailable, "the permit of the claim has ended")
 	}
@@ -288,6 +291,10 @@
 // retryAfter decides on another attempt after err and waits before it if need be.
 func (in *Ingress) retryAfter(ctx context.Context, q *request, t *tries, err error) bool {
 	e := verdict.As(err)
+	if in.closing.Load() {
+		in.logFailed(ctx, q, t, e, "closing")
+		return false
+	}
 	failed := retry.Attempt{
 		Idempotent: q.idempotent, Keyed: q.key != "", Number: t.number, Depth: q.depth, Verdict: e.Verdict,
 		Reason: e.Reason, Remaining: time.Until(q.deadline), Streamed: q.restUsed,
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -29,6 +29,7 @@
 	n.engine.SetLeaving()
 	n.gate.SetDraining(true)
 	sleep.For(ctx, announceDelay)
+	defer n.withdrawBeforeEnd(ctx)()
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
@@ -45,6 +46,23 @@
 	return errors.CombineErrors(err, n.Close())
 }
 
+// withdrawLead is the time before the end of a drain at which requests that still wait for a slot are withdrawn. It
+// leaves time for the refusals to reach the callers.
+const withdrawLead = 400 * time.Millisecond
+
+// withdrawBeforeEnd withdraws what has not started shortly before the deadline of ctx. The result stops it.
+func (n *Node) withdrawBeforeEnd(ctx context.Context) (stop func()) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return func() {}
+	}
+	timer := time.AfterFunc(time.Until(deadline)-withdrawLead, func() {
+		n.logger.Info("waiting requests withdrawn", "event", "drain_withdraws", "node", n.settings.NodeID)
+		n.ingress.Withdraw(ctx)
+	})
+	return func() { timer.Stop() }
+}
+
 // shutdownIngress closes the listener for callers once its requests have been answered.
 func (n *Node) shutdownIngress(ctx context.Context) {
 	if len(n.servers) > 0 {
--- /dev/null
+++ b/internal/node/withdraw_test.go
@@ -0,0 +1,55 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"dandelionspoke/internal/backendtest"
+	"dandelionspoke/internal/verdict"
+)
+
+// Guards against requests that wait for a slot up to the end of a drain and are then cut off without an answer,
+// although it is known that they have not run.
+func TestWaitingRequestsAreAnsweredBeforeADrainEnds(t *testing.T) {
+	const slots, sent = 24, 40 // slots of both backend servers
+	f := newFleet(t, 2)
+	f.ready()
+	for _, b := range f.backends {
+		b.SetSlowdown(3000) // 6 s for a request: none ends within the drain
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	refused, cut := 0, 0
+	for i := range sent {
+		wg.Go(func() {
+			req, _ := http.NewRequest("GET", "http://"+f.nodes[0].Addrs().Ingress+"/preview", nil)
+			req.Header.Set(backendtest.RequestIDHeader, fmt.Sprint("waiting ", i))
+			resp, err := http.DefaultClient.Do(req)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				cut++
+				return
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(verdict.Header) == verdict.NotRun.String() {
+				refused++
+			}
+		})
+	}
+	f.waitFor(5*time.Second, "all slots in use", func() bool {
+		return f.nodes[0].Metrics()["gate_admitted"]+f.nodes[1].Metrics()["gate_admitted"] >= slots
+	})
+	time.Sleep(200 * time.Millisecond) // the others reach the queues
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_ = f.nodes[0].Drain(ctx) // ends with the deadline, since requests run on
+	wg.Wait()
+	if refused != sent-slots {
+		t.Errorf("%d requests refused as not run, %d cut off; %d of %d were waiting", refused, cut, sent-slots, sent)
+	}
+}
