Serve the first requests of a restarted node, also while the store is away

Ruled out: missing bundles (in force before), gates without backend servers (backend-down did not rise). Members ping those that have left lately, and pings to members that are not alive introduce the sender; a node that knows nobody takes it up and asks it for the others. Requests for services without endpoints wait within the first second of a node.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -30,6 +30,8 @@
 const (
 	firstBundleWait = 2 * time.Second
 	firstBundlePoll = 20 * time.Millisecond
+	// firstEndpointsWait is the time after the start in which a node learns the members of its fleet.
+	firstEndpointsWait = time.Second
 )
 
 // Opener opens a stream to the gate of an endpoint. Nothing has been sent when it returns.
@@ -74,6 +76,7 @@
 	Counters Counters
 	draining atomic.Bool
 	latency  sync.Map // service name to *retry.Latencies
+	started  time.Time
 	classes  admission.Classes
 	splits   sync.Map // name of a split route to *splitCounter
 	inFlight sync.WaitGroup
@@ -88,7 +91,7 @@
 	if cfg.Protocol == nil {
 		cfg.Protocol = nativeProtocol{}
 	}
-	return &Ingress{Config: cfg}
+	return &Ingress{Config: cfg, started: time.Now()}
 }
 
 // SetDraining makes answers close their connections while true, so that callers move to other nodes.
@@ -148,6 +151,7 @@
 }
 
 func (in *Ingress) serveParsed(w http.ResponseWriter, r *http.Request, q *request) error {
+	in.awaitEndpoints(r.Context(), q)
 	if q.service == nil {
 		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "service %s has no endpoint", q.to)
 	}
@@ -187,6 +191,16 @@
 	}
 }
 
+// awaitEndpoints lets a request to a service without endpoints wait while the node has just started: it hears of the
+// endpoints from its peers within some hundred milliseconds. Later such a request is refused at once.
+func (in *Ingress) awaitEndpoints(ctx context.Context, q *request) {
+	for (q.service == nil || len(q.service.Endpoints) == 0) && time.Since(in.started) < firstEndpointsWait && ctx.Err() == nil {
+		time.Sleep(firstBundlePoll)
+		q.snapshot = in.Snapshots.Load()
+		q.service = q.snapshot.Service(q.to)
+	}
+}
+
 func (in *Ingress) bodyLimit(r *bundle.Route) int64 {
 	if in.MaxBodyBytes == 0 {
 		return r.MaxBodyBytes
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -68,6 +68,7 @@
 		n.ping(now, target, urgent)
 	}
 	n.pingVerify(now)
+	n.pingLeaving(now)
 	if n.detector.periods%deadPingPeriods == 0 {
 		n.pingDead(now)
 	}
@@ -110,6 +111,19 @@
 	}
 }
 
+// pingLeaving pings one of the members that have left lately. It may have been restarted at the same address and know
+// nobody, when it can't read the store.
+func (n *Node) pingLeaving(now time.Time) {
+	if n.list.live+n.list.dead == len(n.list.order) {
+		return // nobody is leaving
+	}
+	for _, e := range n.list.sample(1, n.rng, func(e *entry) bool {
+		return e.record.State == wire.MemberState_LEAVING && now.Sub(e.since) < leavingTime && e.record.NodeId != n.self.NodeId
+	}) {
+		n.ping(now, e, bulk)
+	}
+}
+
 // pingDead keeps a path open to members that were cut off.
 func (n *Node) pingDead(now time.Time) {
 	if n.list.dead == 0 {
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -289,9 +289,11 @@
 	return n.transmit(now, to.record.UdpAddr, d, p, accused, spread)
 }
 
-// transmit adds the record of accused, when set, so that a node learns what is held against it. Without spread, the
+// transmit adds the record of accused, when set, so that a node learns what is held against it, and the own record, so
+// that one which has started again and knows nobody learns of a member. Without spread, the
 // datagram carries only the departures among the pending updates.
 func (n *Node) transmit(now time.Time, udpAddr string, d *wire.Datagram, p priority, accused string, spread bool) bool {
+	var introduction []*wire.Member
 	tokens := n.budget.TokensAt(now)
 	if p == bulk {
 		tokens -= bulkReserve * float64(n.budget.Burst())
@@ -301,14 +303,16 @@
 	d.BundleVersion = n.bundleVersion
 	if e := n.list.entries[accused]; e != nil {
 		d.Updates = append(d.Updates, e.record)
+		introduction = append(introduction, n.self)
 	}
-	size := proto.Size(d)
+	size := proto.Size(d) + proto.Size(&wire.Datagram{Updates: introduction})
 	if float64(size+headerBytes) > tokens {
 		n.counters.OverBudget.Add(1)
 		return false
 	}
 	room := min(wire.MaxDatagramBytes, int(tokens)-headerBytes) - size
 	n.piggyback(d, room, spread)
+	d.Updates = append(d.Updates, introduction...)
 	data, err := proto.Marshal(d)
 	if err != nil || len(data) > wire.MaxDatagramBytes {
 		n.counters.SendErrors.Add(1)
@@ -358,8 +362,11 @@
 }
 
 // Receive handles a datagram of a member. Datagrams of other senders are counted and dropped: the
-// answer could be directed at a third party.
+// answer could be directed at a third party. A node that knows no other takes up a sender that introduces itself.
 func (n *Node) Receive(now time.Time, d *wire.Datagram) error {
+	if n.list.live == 1 {
+		n.meet(now, d)
+	}
 	sender := n.list.entries[d.From]
 	if sender == nil || d.From == n.self.NodeId {
 		n.counters.UnknownSender.Add(1)
@@ -376,6 +383,20 @@
 	return nil
 }
 
+// meet adds the sender of a datagram that holds its own record, and asks it for all others. A node that starts again
+// while the store is away has no other way to its peers, which still know its address.
+func (n *Node) meet(now time.Time, d *wire.Datagram) {
+	for _, m := range d.Updates {
+		if m.GetNodeId() == d.From && m.State == wire.MemberState_ALIVE && n.list.entries[d.From] == nil {
+			n.apply(now, m, fromGossip)
+			if n.list.entries[d.From] != nil {
+				n.out.Sync(m.PeerAddr, n.SyncRequest())
+			}
+			return
+		}
+	}
+}
+
 // ErrUnknownSender reports a datagram of a node that is not a member.
 var ErrUnknownSender = errors.New("membership: unknown sender")
 
--- a/internal/membership/node_test.go
+++ b/internal/membership/node_test.go
@@ -245,3 +245,45 @@
 		t.Fatalf("with spread: %v", got)
 	}
 }
+
+// Guards against a node that is restarted while the store is away and serves nobody until the store is back: it knows
+// no address, but its peers know that of the process before.
+func TestRestartedNodeMeetsItsPeers(t *testing.T) {
+	for _, state := range []wire.MemberState{wire.MemberState_ALIVE, wire.MemberState_LEAVING, wire.MemberState_DEAD} {
+		var sent, received recorder
+		staying := newTestNode(t, &sent)
+		old := peer(0, state)
+		staying.apply(epoch, peer(0, wire.MemberState_ALIVE), fromReply)
+		staying.apply(epoch, old, fromReply)
+		now := epoch.Add(10 * time.Second)
+		restarted, err := NewNode(Config{NodeID: old.NodeId, UDPAddr: old.UdpAddr, PeerAddr: old.PeerAddr}, now,
+			rand.New(rand.NewPCG(2, 2)), &received, &Counters{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		limit := now.Add(6 * time.Second) // pings of dead members are 5 s apart
+		for ; now.Before(limit) && restarted.Live() == 1; now = now.Add(100 * time.Millisecond) {
+			staying.Tick(now)
+			for i, d := range sent.sent {
+				if sent.to[i] == old.UdpAddr {
+					_ = restarted.Receive(now, d) // unknown senders are refused with an error
+				}
+			}
+			sent.sent, sent.to = nil, nil
+		}
+		if restarted.Record("self") == nil || len(received.syncs) == 0 {
+			t.Errorf("known as %v: the restarted node knows %d members and asked for %d exchanges", state, restarted.Live(), len(received.syncs))
+		}
+	}
+}
+
+// Guards against a node of a fleet that takes up senders it does not know: answers could go to a third party.
+func TestOnlyALoneNodeMeetsStrangers(t *testing.T) {
+	n := newTestNode(t, &recorder{})
+	n.apply(epoch, peer(1, wire.MemberState_ALIVE), fromReply)
+	stranger := peer(2, wire.MemberState_ALIVE)
+	d := &wire.Datagram{From: stranger.NodeId, Updates: []*wire.Member{stranger}, Kind: &wire.Datagram_Ping{Ping: &wire.Ping{Seq: 1}}}
+	if err := n.Receive(epoch, d); err == nil || n.Record(stranger.NodeId) != nil {
+		t.Errorf("error %v, record %v", err, n.Record(stranger.NodeId))
+	}
+}
