Keep the retry budget for failures at backend servers

Cause: after three gates without room a request went on as a further attempt, which takes from the budget although a refusal by a gate costs backend servers nothing.

--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -296,7 +296,7 @@
 		return false
 	}
 	failed := retry.Attempt{
-		Idempotent: q.idempotent, Keyed: q.key != "", Number: t.number, Depth: q.depth, Verdict: e.Verdict,
+		Idempotent: q.idempotent, Keyed: q.key != "", Number: t.number, Moves: t.moves, Depth: q.depth, Verdict: e.Verdict,
 		Reason: e.Reason, Remaining: time.Until(q.deadline), Streamed: q.restUsed,
 	}
 	if in.policy(q).Move(failed, t.moves) {
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -38,6 +38,8 @@
 	Depth   int
 	Verdict verdict.Verdict
 	Reason  verdict.Reason
+	// Moves is the number of times that the request has gone to another endpoint after a refusal by a gate.
+	Moves int
 	// Status of an answer with the verdict Ran; 0 when there is none.
 	Status int
 	// Remaining time to the deadline.
@@ -62,6 +64,7 @@
 	NoRetryBudget  Why = "budget"
 	NoRetryStream  Why = "streamed"
 	NoRetryReason  Why = "reason"
+	NoRetryFull    Why = "full"
 )
 
 // Decision says whether another attempt follows.
@@ -100,6 +103,9 @@
 	switch {
 	case a.Depth > 0 && !a.misplaced():
 		return Decision{Why: NoRetryDepth}
+	case a.Moves >= MaxMoves && a.full():
+		// Several gates have said so. Going on would take the budget from requests that failed at a backend server.
+		return Decision{Why: NoRetryFull}
 	case a.Number >= p.MaxAttempts:
 		return Decision{Why: NoRetryMax}
 	case a.Remaining < wait+minRemaining:
@@ -166,15 +172,23 @@
 	return false
 }
 
+// full reports whether a gate refused for want of room.
+func (a Attempt) full() bool {
+	switch a.Reason {
+	case verdict.Busy, verdict.QueueFull, verdict.Overloaded:
+		return a.Verdict == verdict.NotRun
+	}
+	return false
+}
+
 // refusedAtGate reports whether the request was turned away before it reached a backend server, so that another
 // endpoint adds no arrival to the service.
 func (a Attempt) refusedAtGate() bool {
 	switch a.Reason {
-	case verdict.Busy, verdict.QueueFull, verdict.Overloaded, verdict.Draining, verdict.WrongGate,
-		verdict.BackendDown, verdict.PeerUnreachable:
+	case verdict.Draining, verdict.WrongGate, verdict.BackendDown, verdict.PeerUnreachable:
 		return a.Verdict == verdict.NotRun
 	}
-	return false
+	return a.full()
 }
 
 // MaxMoves bounds the endpoints that refuse one request before it counts as refused. The second and third gate
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -329,3 +329,33 @@
 		t.Errorf("quantile %v after all windows have passed", q)
 	}
 }
+
+// countingBudget counts the attempts that are taken from it.
+type countingBudget struct{ spent int }
+
+func (b *countingBudget) Spend(time.Time) bool { b.spent++; return true }
+
+// Guards against a budget that requests without room use up, so that none is left for those that failed at a backend
+// server.
+func TestFullGatesDoNotSpendTheBudget(t *testing.T) {
+	p := Policy{MaxAttempts: 3}
+	for _, tt := range []struct {
+		reason verdict.Reason
+		moves  int
+		retry  bool
+	}{
+		{verdict.Overloaded, MaxMoves, false},
+		{verdict.QueueFull, MaxMoves, false},
+		{verdict.Busy, MaxMoves, false},
+		{verdict.Overloaded, 0, true},
+		{verdict.BackendRefused, MaxMoves, true},
+		{verdict.PeerUnreachable, MaxMoves, true},
+	} {
+		var b countingBudget
+		a := Attempt{Number: 1, Moves: tt.moves, Verdict: verdict.NotRun, Reason: tt.reason, Remaining: time.Second}
+		d := p.Next(a, &b, time.Now(), 0)
+		if d.Retry != tt.retry || (b.spent == 1) != tt.retry {
+			t.Errorf("%s after %d moves: %+v, %d spent", tt.reason, tt.moves, d, b.spent)
+		}
+	}
+}
