--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -14,17 +15,6 @@
 	running bool
 }
 
-// precedes orders a lane by priority, then deadline, then arrival.
-func (e *entry) precedes(other *entry) bool {
-	if e.request.Priority != other.request.Priority {
-		return e.request.Priority < other.request.Priority
-	}
-	if !e.request.Deadline.Equal(other.request.Deadline) {
-		return e.request.Deadline.Before(other.request.Deadline)
-	}
-	return e.ticket < other.ticket
-}
-
 // lane is an ordered list of waiting entries; the first is served first.
 type lane struct {
 	entries []*entry
@@ -47,14 +37,13 @@
 	return position
 }
 
+// compareEntries orders a lane by priority, then deadline, then arrival.
 func compareEntries(a, b *entry) int {
-	switch {
-	case a.precedes(b):
-		return -1
-	case b.precedes(a):
-		return 1
-	}
-	return 0
+	return cmp.Or(
+		cmp.Compare(a.request.Priority, b.request.Priority),
+		a.request.Deadline.Compare(b.request.Deadline),
+		cmp.Compare(a.ticket, b.ticket),
+	)
 }
 
 func (l *lane) insert(e *entry, now time.Time) {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -93,6 +93,9 @@
 	}
 	windows := n.windows.Counts()
 	m["retry_window_spent"], m["retry_window_denied"] = int64(windows.Spent), int64(windows.Denied)
+	if n.callers != nil {
+		m["ingress_overlapping"] = n.callers.Overlapping.Load()
+	}
 	if n.dropped != nil {
 		m["log_lines_dropped"] = n.dropped()
 	}
--- a/internal/rollout/reader.go
+++ b/internal/rollout/reader.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// ReadersPerDomain is the number of nodes of a failure domain that read the store.
-	ReadersPerDomain = 2
 	// pollInterval is the time between reads of bundle/current beside the watch. It bounds the delay by
 	// a watch that stands but lags, and costs 30 readers 7.5 calls/s in total.
 	pollInterval = 4 * time.Second
--- a/internal/rollout/transfer_test.go
+++ b/internal/rollout/transfer_test.go
@@ -105,6 +105,7 @@
 
 // TestIsReader guards against a number of watches that grows with the fleet, and against a domain without a reader.
 func TestIsReader(t *testing.T) {
+	const readersPerDomain = 2
 	rapid.Check(t, func(rt *rapid.T) {
 		var members []Member
 		sizes := rapid.SliceOfN(rapid.IntRange(1, 40), 1, 5).Draw(rt, "sizes")
@@ -115,12 +116,12 @@
 		}
 		readers := map[string]int{}
 		for _, m := range members {
-			if IsReader(m.NodeID, members, ReadersPerDomain) {
+			if IsReader(m.NodeID, members, readersPerDomain) {
 				readers[m.FailureDomain]++
 			}
 		}
 		for d, size := range sizes {
-			if got := readers[fmt.Sprintf("d%d", d)]; got != min(size, ReadersPerDomain) {
+			if got := readers[fmt.Sprintf("d%d", d)]; got != min(size, readersPerDomain) {
 				rt.Fatalf("domain of %d nodes has %d readers", size, got)
 			}
 		}
