Replace pairs of equal code in ingress, bundle and the tests of admission

Routes are ordered by one comparison, which the index used to derive from precedes. Two tests of slow spells and two of the queue share their setup.

--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -29,6 +29,19 @@
 	return q
 }
 
+// loaded returns a measured queue with 2 slots, and with requests that run and that wait.
+func loaded(t *testing.T, running, waiting int) *Queue {
+	t.Helper()
+	q := measured(Limits{Slots: 2, LongSlots: 1, QueueShort: 9, QueueLong: 9}, 10, 200)
+	for range running {
+		offer(t, q, at(0), short("run", 3, 9000), Admitted, "")
+	}
+	for range waiting {
+		offer(t, q, at(0), short("wait", 3, 9000), Queued, "")
+	}
+	return q
+}
+
 func offer(t *testing.T, q *Queue, now time.Time, r Request, want State, reason verdict.Reason) Ticket {
 	t.Helper()
 	ticket, got := q.Offer(now, r)
@@ -155,13 +168,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			q := measured(Limits{Slots: 2, LongSlots: 1, QueueShort: 9, QueueLong: 9}, 10, 200)
-			for range test.running {
-				offer(t, q, at(0), short("run", 3, 9000), Admitted, "")
-			}
-			for range test.waiting {
-				offer(t, q, at(0), short("wait", 3, 9000), Queued, "")
-			}
+			q := loaded(t, test.running, test.waiting)
 			offer(t, q, at(0), test.request, test.state, test.reason)
 		})
 	}
@@ -367,13 +374,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			q := measured(Limits{Slots: 2, LongSlots: 1, QueueShort: 9, QueueLong: 9}, 10, 200)
-			for range test.running {
-				offer(t, q, at(0), short("run", 3, 9000), Admitted, "")
-			}
-			for range test.waiting {
-				offer(t, q, at(0), short("wait", 3, 9000), Queued, "")
-			}
+			q := loaded(t, test.running, test.waiting)
 			test.request.Deadline = at(9000)
 			offer(t, q, at(0), test.request, test.state, test.reason)
 		})
--- a/internal/admission/slowness_test.go
+++ b/internal/admission/slowness_test.go
@@ -113,13 +113,19 @@
 	}
 }
 
-// Guards against short calls that wait longer for the end of a spell than a slow start would cost them.
-func TestShortWorkStartsInASlowSpell(t *testing.T) {
+// slowed returns a queue that has seen one request of a route run for a time, in a slow spell that has just begun.
+func slowed(route string, ran time.Duration) *Queue {
 	q := New(Limits{Slots: 4, LongSlots: 1, QueueShort: 9, QueueLong: 9})
-	warm, _ := q.Offer(start, Request{Route: "call", Deadline: at(9000)})
-	q.Release(start, warm, 30*time.Millisecond)
+	warm, _ := q.Offer(start, Request{Route: route, Deadline: at(9000)})
+	q.Release(start, warm, ran)
 	q.SetSlowness(start, 1)
 	q.SetSlowness(start, 4)
+	return q
+}
+
+// Guards against short calls that wait longer for the end of a spell than a slow start would cost them.
+func TestShortWorkStartsInASlowSpell(t *testing.T) {
+	q := slowed("call", 30*time.Millisecond)
 	if _, outcome := q.Offer(at(1), Request{Route: "call", Deadline: at(9000)}); outcome.State != Admitted {
 		t.Errorf("outcome %+v", outcome)
 	}
@@ -128,11 +134,7 @@
 // Guards against a request that waits for ever at an endpoint that stays slow, or that no longer states its speed.
 func TestHoldIsBounded(t *testing.T) {
 	held := func() *Queue {
-		q := New(Limits{Slots: 4, LongSlots: 1, QueueShort: 9, QueueLong: 9})
-		warm, _ := q.Offer(start, Request{Route: "r", Deadline: at(9000)})
-		q.Release(start, warm, 400*time.Millisecond)
-		q.SetSlowness(start, 1)
-		q.SetSlowness(start, 4)
+		q := slowed("r", 400*time.Millisecond)
 		if _, outcome := q.Offer(at(1), Request{Route: "r", Deadline: at(9000)}); outcome.State != Queued {
 			t.Fatalf("outcome %+v", outcome)
 		}
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -2,6 +2,7 @@
 package bundle
 
 import (
+	"cmp"
 	"math"
 	"net/http"
 	"slices"
@@ -243,19 +244,30 @@
 	var best *Route
 	for i := range b.Routes {
 		r := &b.Routes[i]
-		if r.matches(method, host, path) && (best == nil || r.precedes(best)) {
+		if r.matches(method, host, path) && (best == nil || compareRoutes(r, best) < 0) {
 			best = r
 		}
 	}
 	return best
 }
 
-func (r *Route) precedes(other *Route) bool {
-	if (r.Host != "") != (other.Host != "") {
-		return r.Host != ""
-	}
-	if len(r.PathPrefix) != len(other.PathPrefix) {
-		return len(r.PathPrefix) > len(other.PathPrefix)
+// compareRoutes orders routes that match a request: the first one takes it. A route with a host comes before one
+// without, then the longer path prefix, then the one that names methods.
+func compareRoutes(a, b *Route) int {
+	return cmp.Or(
+		firstWith(a.Host != "", b.Host != ""),
+		cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
+		firstWith(len(a.Methods) > 0, len(b.Methods) > 0),
+	)
+}
+
+// firstWith orders a route that has a property before one that has not.
+func firstWith(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
 	}
-	return len(r.Methods) > 0 && len(other.Methods) == 0
+	return 1
 }
--- a/internal/bundle/index.go
+++ b/internal/bundle/index.go
@@ -23,21 +23,11 @@
 		x.byHost[host] = append(x.byHost[host], r)
 	}
 	for _, routes := range x.byHost {
-		slices.SortStableFunc(routes, compareMatch)
+		slices.SortStableFunc(routes, compareRoutes)
 	}
 	return x
 }
 
-func compareMatch(a, b *Route) int {
-	switch {
-	case a.precedes(b):
-		return -1
-	case b.precedes(a):
-		return 1
-	}
-	return 0
-}
-
 // Match returns what Bundle.Match returns.
 func (x *Index) Match(method, host, path string) *Route {
 	host = strings.ToLower(host)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -28,8 +28,8 @@
 )
 
 const (
-	firstBundleWait = 2 * time.Second
-	firstBundlePoll = 20 * time.Millisecond
+	firstBundleWait   = 2 * time.Second
+	firstSnapshotPoll = 20 * time.Millisecond
 	// firstEndpointsWait is the time after the start in which a node learns the members of its fleet.
 	firstEndpointsWait = time.Second
 )
@@ -181,23 +181,33 @@
 // firstSnapshot returns the newest snapshot. Right after the start it waits for the first bundle, which
 // comes from a peer or the store within about a second, so that callers of a restarted node are not refused.
 func (in *Ingress) firstSnapshot(ctx context.Context) *table.Snapshot {
-	deadline := time.Now().Add(firstBundleWait)
-	for {
-		snapshot := in.Snapshots.Load()
-		if snapshot != nil && snapshot.Bundle != nil || ctx.Err() != nil || time.Now().After(deadline) {
-			return snapshot
-		}
-		time.Sleep(firstBundlePoll)
-	}
+	return in.awaitSnapshot(ctx, time.Now().Add(firstBundleWait), func(s *table.Snapshot) bool {
+		return s != nil && s.Bundle != nil
+	})
 }
 
 // awaitEndpoints lets a request to a service without endpoints wait while the node has just started: it hears of the
 // endpoints from its peers within some hundred milliseconds. Later such a request is refused at once.
 func (in *Ingress) awaitEndpoints(ctx context.Context, q *request) {
-	for (q.service == nil || len(q.service.Endpoints) == 0) && time.Since(in.started) < firstEndpointsWait && ctx.Err() == nil {
-		time.Sleep(firstBundlePoll)
-		q.snapshot = in.Snapshots.Load()
-		q.service = q.snapshot.Service(q.to)
+	known := func(s *table.Service) bool { return s != nil && len(s.Endpoints) > 0 }
+	if known(q.service) {
+		return
+	}
+	q.snapshot = in.awaitSnapshot(ctx, in.started.Add(firstEndpointsWait), func(s *table.Snapshot) bool {
+		return known(s.Service(q.to))
+	})
+	q.service = q.snapshot.Service(q.to)
+}
+
+// awaitSnapshot returns the newest snapshot as soon as ok accepts it, and at the latest when the deadline has passed or
+// the request has ended.
+func (in *Ingress) awaitSnapshot(ctx context.Context, deadline time.Time, ok func(*table.Snapshot) bool) *table.Snapshot {
+	for {
+		snapshot := in.Snapshots.Load()
+		if ok(snapshot) || ctx.Err() != nil || time.Now().After(deadline) {
+			return snapshot
+		}
+		time.Sleep(firstSnapshotPoll)
 	}
 }
 
