--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -93,11 +93,15 @@
 
 // payFor moves the time of the next early exchange by the share of the byte budget that a reply has used.
 func (n *Node) payFor(now time.Time, replyBytes int) {
-	if earliest := now.Add(-syncCredit); n.syncFloor.Before(earliest) {
-		n.syncFloor = earliest
+	paid := n.syncFloor
+	if earliest := now.Add(-syncCredit); paid.Before(earliest) {
+		paid = earliest
+	}
+	if paid.After(now) {
+		paid = now // regular exchanges are not held back, so they must not hold back the early ones for ever
 	}
 	cost := float64(replyBytes) / float64(n.cfg.BytesPerSecond)
-	n.syncFloor = n.syncFloor.Add(time.Duration(cost * float64(time.Second)))
+	n.syncFloor = paid.Add(time.Duration(cost * float64(time.Second)))
 }
 
 // syncSoon brings the next exchange forward after something that shows that views differ: after the
@@ -117,6 +121,7 @@
 	}
 }
 
+// youngPause is the shortest pause between the exchanges of a process of up to youngTime.
 func (n *Node) youngPause() time.Duration { return time.Duration(youngShare * float64(n.cfg.Period)) }
 
 func (n *Node) newerThan(reply *wire.SyncReply, theirs map[string]*wire.Member) []*wire.Member {
