Join mostly through nodes of the own region

Cause: the stored addresses are of all regions alike, so half of the 250 joins of a start exchanged the list of 86 members over the paid link. The stored object now names the region. About 8 nodes of each region contact one of another region first; the others get its members from their own region. TestJoinOrderKeepsMostlyToTheRegion.

An attempt to join takes 32 of all stored addresses at random, not the first 8 of each failure domain, which all starting nodes used to contact.

--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -21,11 +21,17 @@
 	// joinContacts is the number of nodes that a starting node joins through. After a loss of power all nodes join each
 	// other; through one contact each, they form groups that meet only seconds later.
 	joinContacts = 3
+	// maxJoinTries bounds the addresses that one attempt tries; the next one reads the list anew.
+	maxJoinTries = 32
+	// farJoins is about the number of the nodes of a region, when all of them start, that join through one of another
+	// region first. An exchange of 86 members takes up to 40 kB of the paid link.
+	farJoins = 8
 )
 
 // domainMembers is the object members/DOMAIN: the addresses through which a starting node can join.
 type domainMembers struct {
 	FailureDomain string   `json:"failure_domain"`
+	Region        string   `json:"region"`
 	PeerAddresses []string `json:"peer_addresses"`
 }
 
@@ -58,11 +64,13 @@
 // stored address may be gone, and connects to it hang.
 const joinStagger = 100 * time.Millisecond
 
-// joinOnce contacts the known addresses in random order until joinContacts have answered. It reports whether one has.
+// joinOnce contacts seeds and stored addresses until joinContacts have answered. It reports whether one has.
 func (n *Node) joinOnce() bool {
-	addresses := slices.Concat(n.settings.Seeds, n.storedAddresses())
-	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == n.settings.Peer.Advertise })
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	isSelf := func(a string) bool { return a == n.settings.Peer.Advertise }
+	near, far := splitMembers(n.storedMembers(), n.settings.Region)
+	near = slices.DeleteFunc(append(near, n.settings.Seeds...), isSelf)
+	addresses := joinOrder(near, slices.DeleteFunc(far, isSelf))
+	addresses = addresses[:min(len(addresses), maxJoinTries)]
 	answered := make(chan bool, len(addresses))
 	next := time.NewTimer(0)
 	defer next.Stop()
@@ -104,10 +112,35 @@
 	return true
 }
 
-// maxStoredJoins bounds the stored addresses that one attempt to join tries.
-const maxStoredJoins = 8
+// joinOrder returns the addresses in the order in which they are contacted: random, those of the own region first. In
+// about farJoins of the nodes of a region, one of another region comes in front, so that the regions meet.
+func joinOrder(near, far []string) []string {
+	shuffle(near)
+	shuffle(far)
+	if len(far) > 0 && rand.IntN(max(len(near), 1)) < farJoins {
+		return slices.Concat(far[:1], near, far[1:])
+	}
+	return slices.Concat(near, far)
+}
 
-func (n *Node) storedAddresses() []string {
+func shuffle(addresses []string) {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+}
+
+// splitMembers returns the addresses in the given region and those in others.
+func splitMembers(domains []domainMembers, region string) (near, far []string) {
+	for _, d := range domains {
+		if d.Region == region {
+			near = append(near, d.PeerAddresses...)
+		} else {
+			far = append(far, d.PeerAddresses...)
+		}
+	}
+	return near, far
+}
+
+// storedMembers returns the objects under membersPrefix that can be read.
+func (n *Node) storedMembers() []domainMembers {
 	if n.store == nil {
 		return nil
 	}
@@ -118,13 +151,20 @@
 		n.logger.Info("members not read", "event", "store_read_failed", "error", err)
 		return nil
 	}
-	var addresses []string
+	var domains []domainMembers
 	for _, o := range objects {
-		d := domainMembers{}
-		if json.Unmarshal(o.Value, &d) != nil {
-			continue
+		if d, ok := n.decodeMembers(o.Key, o.Value); ok {
+			domains = append(domains, d)
 		}
-		addresses = append(addresses, d.PeerAddresses[:min(len(d.PeerAddresses), maxStoredJoins)]...)
 	}
-	return addresses
+	return domains
+}
+
+func (n *Node) decodeMembers(key string, value []byte) (domainMembers, bool) {
+	d := domainMembers{}
+	if err := json.Unmarshal(value, &d); err != nil {
+		n.logger.Warn("members not read", "event", "members_malformed", "key", key, "error", err)
+		return d, false
+	}
+	return d, true
 }
--- a/internal/node/join_test.go
+++ b/internal/node/join_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,3 +49,45 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Guards against a start of all nodes that sends the lists of all members over the paid link many times, and against
+// regions that never meet.
+func TestJoinOrderKeepsMostlyToTheRegion(t *testing.T) {
+	addresses := func(region string, n int) []string {
+		var out []string
+		for i := range n {
+			out = append(out, fmt.Sprintf("%s-%d", region, i))
+		}
+		return out
+	}
+	const starts = 1000
+	for _, c := range []struct {
+		near, far   int
+		least, most float64 // of the nodes that join through another region first, per node of the own region
+	}{
+		{43, 43, 4, 13},
+		{600, 600, 2, 18},
+		{3, 3, 3, 3},
+		{0, 5, 1, 1},
+		{5, 0, 0, 0},
+	} {
+		first := 0
+		for range starts {
+			order := joinOrder(addresses("near", c.near), addresses("far", c.far))
+			if len(order) != c.near+c.far {
+				t.Fatalf("%+v: %d addresses", c, len(order))
+			}
+			if strings.HasPrefix(order[0], "far") {
+				first++
+			}
+			for _, a := range order[1:max(1, min(joinContacts, c.near))] {
+				if strings.HasPrefix(a, "far") {
+					t.Fatalf("%+v: order %v", c, order[:joinContacts])
+				}
+			}
+		}
+		if joins := float64(first) / starts * float64(max(c.near, 1)); joins < c.least || joins > c.most {
+			t.Errorf("%+v: %.1f joins between regions", c, joins)
+		}
+	}
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -20,6 +20,8 @@
 	// most of these meet within seconds.
 	membersCheckFirst = membersWriteInterval
 	membersCheckMost  = 30 * time.Second
+	// maxStoredJoins bounds the unknown addresses that one check of the domain's object tries.
+	maxStoredJoins = 8
 )
 
 // writeStatus writes the domain's rollout progress while this node is a reader.
@@ -71,7 +73,9 @@
 	}
 	n.joinUnknown(key, old.Value)
 	addresses := n.domainAddresses()
-	value, err := json.Marshal(domainMembers{FailureDomain: n.settings.FailureDomain, PeerAddresses: addresses})
+	value, err := json.Marshal(domainMembers{
+		FailureDomain: n.settings.FailureDomain, Region: n.settings.Region, PeerAddresses: addresses,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -88,19 +92,22 @@
 	if len(stored) == 0 {
 		return
 	}
-	d := domainMembers{}
-	if err := json.Unmarshal(stored, &d); err != nil {
-		n.logger.Warn("members not read", "event", "members_malformed", "key", key, "error", err)
+	d, ok := n.decodeMembers(key, stored)
+	if !ok {
 		return
 	}
 	known := map[string]bool{n.settings.Peer.Advertise: true}
 	for _, m := range n.engine.Records() {
 		known[m.PeerAddr] = known[m.PeerAddr] || m.State != wire.MemberState_DEAD
 	}
-	for _, addr := range d.PeerAddresses[:min(len(d.PeerAddresses), maxStoredJoins)] {
+	tries := 0
+	for _, addr := range d.PeerAddresses {
 		if known[addr] {
 			continue
 		}
+		if tries++; tries > maxStoredJoins {
+			return
+		}
 		err := n.trySync(addr, n.engine.SyncRequest())
 		n.logger.Info("unknown member found in the store", "event", "member_found", "address", addr, "error", err)
 		if err == nil {
