Ask further contacts only while few members are known

At 23,000 members each of three contacts would send its list of 2.7 MB to every node that starts. The contacts are asked one after the other, each with the digests of what is known by then, and no more once 64 members are known.

--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -21,6 +21,9 @@
 	// joinContacts is the number of nodes that a starting node joins through. After a loss of power all nodes join each
 	// other; through one contact each, they form groups that meet only seconds later.
 	joinContacts = 3
+	// joinEnough is the number of members from which further contacts are not asked: the fleet has not just started, and
+	// each would send its whole list.
+	joinEnough = 64
 	// maxJoinTries bounds the addresses that one attempt tries; the next one reads the list anew.
 	maxJoinTries = 32
 	// farJoins is about the number of the nodes of a region, when all of them start, that join through one of another
@@ -64,7 +67,8 @@
 // stored address may be gone, and connects to it hang.
 const joinStagger = 100 * time.Millisecond
 
-// joinOnce contacts seeds and stored addresses until joinContacts have answered. It reports whether one has.
+// joinOnce contacts seeds and stored addresses, one after the other, until joinContacts have answered. It reports
+// whether one has.
 func (n *Node) joinOnce() bool {
 	isSelf := func(a string) bool { return a == n.settings.Peer.Advertise }
 	near, far := splitMembers(n.storedMembers(), n.settings.Region)
@@ -76,6 +80,9 @@
 	defer next.Stop()
 	joined := 0
 	for started, ended := 0, 0; ended < len(addresses) && joined < joinContacts; {
+		if joined > 0 && len(n.engine.Records()) >= joinEnough {
+			break
+		}
 		select {
 		case <-n.ctx.Done():
 			return false
@@ -92,11 +99,7 @@
 			addr := addresses[started]
 			started++
 			n.background(func() { answered <- n.joinThrough(addr) })
-			if started < joinContacts {
-				next.Reset(0)
-			} else {
-				next.Reset(joinStagger)
-			}
+			next.Reset(joinStagger)
 		}
 	}
 	return joined > 0
