--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -28,6 +28,8 @@
 )
 
 const (
+	// firstBundleWait is the longest time for which a request waits for the first bundle, and firstSnapshotPoll the time
+	// between two looks at the published snapshot.
 	firstBundleWait   = 2 * time.Second
 	firstSnapshotPoll = 20 * time.Millisecond
 	// firstEndpointsWait is the time after the start in which a node learns the members of its fleet.
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -24,7 +24,9 @@
 	fromReply
 )
 
-// maxSpreadMembers is the number of records up to which a node gossips what is sent to it in a sync.
+// maxSpreadMembers is the number of records up to which a node gossips what is sent to it in a sync. More of them follow
+// the start of a fleet or a cut, when all nodes exchange lists. With 64, the updates still to be sent 5 s after 300 nodes
+// had joined were 22,860 instead of 9,405.
 const maxSpreadMembers = 8
 
 func syncOrigin(members []*wire.Member) origin {
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -116,14 +116,19 @@
 }
 
 // joinOrder returns the addresses in the order in which they are contacted: random, those of the own region first. In
-// about farJoins of the nodes of a region, one of another region comes in front, so that the regions meet.
+// about farJoins of the nodes of a region, one of another region comes in front, so that the regions meet; in the
+// others it comes after joinContacts, so that a node also joins when nobody in its region answers.
 func joinOrder(near, far []string) []string {
 	shuffle(near)
 	shuffle(far)
-	if len(far) > 0 && rand.IntN(max(len(near), 1)) < farJoins {
-		return slices.Concat(far[:1], near, far[1:])
+	if len(far) == 0 {
+		return near
 	}
-	return slices.Concat(near, far)
+	place := min(joinContacts, len(near))
+	if rand.IntN(max(len(near), 1)) < farJoins {
+		place = 0
+	}
+	return slices.Concat(near[:place], far[:1], near[place:], far[1:])
 }
 
 func shuffle(addresses []string) {
@@ -163,6 +168,7 @@
 	return domains
 }
 
+// decodeMembers decodes an object under membersPrefix. It logs one that can't be read.
 func (n *Node) decodeMembers(key string, value []byte) (domainMembers, bool) {
 	d := domainMembers{}
 	if err := json.Unmarshal(value, &d); err != nil {
--- a/internal/node/join_test.go
+++ b/internal/node/join_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -80,6 +81,9 @@
 			if strings.HasPrefix(order[0], "far") {
 				first++
 			}
+			if c.far > 0 && !slices.ContainsFunc(order[:joinContacts+1], func(a string) bool { return strings.HasPrefix(a, "far") }) {
+				t.Fatalf("%+v: nobody of another region among the first in %v", c, order)
+			}
 			for _, a := range order[1:max(1, min(joinContacts, c.near))] {
 				if strings.HasPrefix(a, "far") {
 					t.Fatalf("%+v: order %v", c, order[:joinContacts])
