State in one place when a missing ack counts

askRelays looked the pinged member up again, to see whether it is live, after its caller had found it and asked concerns. The condition is part of concerns now. Behaviour stays as it is: suspect already passes over members that are not ALIVE, and relays are asked for the same pings as before.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -34,11 +34,11 @@
 	requestSeq uint64
 }
 
-// concerns reports whether a missing ack says something about the member as it is known now. A newer incarnation shows
-// that the member has lived since, as a new process or as one that takes work again. Such a member must not become
-// suspect: the refutation that follows spreads once more to all members.
+// concerns reports whether a missing ack says something about the member as it is known now: it was and is live, in the
+// same incarnation. A newer one shows that it has lived since, as a new process or as one that takes
+// work again. Such a member must not become suspect: the refutation that follows spreads once more to all members.
 func (o *outstanding) concerns(known *wire.Member) bool {
-	return Live(o.target.State) && o.target.Incarnation == known.Incarnation
+	return Live(o.target.State) && Live(known.State) && o.target.Incarnation == known.Incarnation
 }
 
 type detector struct {
@@ -172,9 +172,6 @@
 }
 
 func (n *Node) askRelays(now time.Time, seq uint64, o *outstanding) {
-	if target := n.list.entries[o.target.NodeId]; !Live(target.record.State) {
-		return
-	}
 	relays := n.list.sample(indirectPings, n.rng, func(e *entry) bool {
 		return n.isPeer(e) && e.record.NodeId != o.target.NodeId
 	})
