Bound the header of a backend server's response

Cause: the gate's transport had net/http's default of 10 MiB for a response header. Twelve slots answered at once by header lines without end made the heap grow by 121 to 264 MB, and a VM gives a node 184 MB.

Bodies at full speed made much garbage, since each frame was encoded into two new buffers and read into a third.

Change: backend.max_response_header_bytes (64 KiB) limits the header and the informational responses before it; frames are encoded into and read from pooled buffers. Load probes use the same transport.

TestParseEveryKey covers store.region and the new key, and TestDefaultsAreAsDescribed compares the described defaults with those in use.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -24,6 +24,9 @@
 	// reused connection at the moment the request is sent.
 	backendIdleTimeout  = 5 * time.Second
 	maxIdleBackendConns = 64
+	// defaultMaxResponseHeaderBytes replaces the 10 MiB of net/http: a faulty backend server that answers on all of its
+	// slots with a header without end would otherwise exhaust the memory of the VM.
+	defaultMaxResponseHeaderBytes = 64 << 10
 )
 
 // Backend identifies the backend server that has announced itself to the node.
@@ -83,15 +86,21 @@
 		attempts: newAttemptHistory(time.Now(), time.Minute),
 		waiters:  make(map[admission.Ticket]chan admission.Decision),
 	}
-	g.transport.Store(newTransport(0))
+	g.transport.Store(newTransport(0, defaultMaxResponseHeaderBytes))
 	return g
 }
 
 // SetProtocol replaces the built-in protocol for the backend server. Call it before the first request.
 func (g *Gate) SetProtocol(p Protocol) { g.protocol = p }
 
+// SetMaxResponseHeaderBytes limits the header of a response, together with the informational responses before it. Call it
+// before the first request.
+func (g *Gate) SetMaxResponseHeaderBytes(limit int64) {
+	g.transport.Store(newTransport(g.transport.Load().MaxConnsPerHost, limit))
+}
+
 // newTransport returns a transport with at most the given number of connections; 0 means no limit.
-func newTransport(connections int) *http.Transport {
+func newTransport(connections int, maxHeaderBytes int64) *http.Transport {
 	dialer := netopt.Dialer(backendDialTimeout)
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -99,6 +108,8 @@
 		IdleConnTimeout:     backendIdleTimeout,
 		MaxIdleConnsPerHost: maxIdleBackendConns,
 		MaxConnsPerHost:     connections,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -134,7 +145,7 @@
 	g.attempts.retention = p.AttemptMemory.D()
 	g.attempts.mu.Unlock()
 	if old := g.transport.Load(); old.MaxConnsPerHost != s.Connections {
-		g.transport.Store(newTransport(s.Connections))
+		g.transport.Store(newTransport(s.Connections, old.MaxResponseHeaderBytes))
 		old.CloseIdleConnections()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,6 +154,7 @@
 	n.probeRand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.linkBudget = link.NewBudget(policy)
 	n.gate = gate.New(n.instance, n.logger)
+	n.gate.SetMaxResponseHeaderBytes(n.settings.Backend.MaxResponseHeaderBytes)
 	if n.adapter.BackendProtocol != nil {
 		n.gate.SetProtocol(n.adapter.BackendProtocol)
 	}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -97,18 +96,20 @@
 
 // WriteAll sends several frames with one write to the stream.
 func (c *Conn) WriteAll(frames ...*wire.Frame) error {
-	var buf bytes.Buffer
+	buf := wire.GetBuffer(0)
+	defer wire.PutBuffer(buf)
 	for _, f := range frames {
-		if err := wire.WriteFrame(&buf, f, c.maxFrameBytes); err != nil {
+		var err error
+		if *buf, err = wire.AppendFrame(*buf, f, c.maxFrameBytes); err != nil {
 			return err
 		}
 	}
 	if c.limitWrite != nil {
-		if err := c.limitWrite(buf.Len()); err != nil {
+		if err := c.limitWrite(len(*buf)); err != nil {
 			return err
 		}
 	}
-	_, err := c.stream.Write(buf.Bytes())
+	_, err := c.stream.Write(*buf)
 	return err
 }
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -69,6 +69,7 @@
 		{Name: "backend.service", Allowed: nameAllowed, Default: "as announced", set: nameSetter(func(s *Settings) *string { return &s.Backend.Service })},
 		{Name: "backend.address", Allowed: addressAllowed, Default: "as announced", set: addressSetter(func(s *Settings) *string { return &s.Backend.Address })},
 		{Name: "backend.port_check", Allowed: "a duration from \"0s\" (never) to \"1m\"", Default: "500ms", set: durationSetter(0, time.Minute, func(s *Settings) *time.Duration { return &s.Backend.PortCheck })},
+		{Name: "backend.max_response_header_bytes", Allowed: "a whole number from 1024 to 1048576", Default: "65536", set: integerSetter(1<<10, 1<<20, func(s *Settings, v int64) { s.Backend.MaxResponseHeaderBytes = v })},
 		{Name: "health.listen", Allowed: addressAllowed, Default: "none", set: addressSetter(func(s *Settings) *string { return &s.Health.Listen })},
 		{Name: "metrics.listen", Allowed: addressAllowed, Default: "none", set: addressSetter(func(s *Settings) *string { return &s.Metrics.Listen })},
 		{Name: "retry.share", Allowed: "a number from 0 to 1", Default: "the bundle's policy", set: numberSetter(0, 1, func(s *Settings) *float64 { return &s.Retry.Share })},
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -71,6 +73,7 @@
 listen = "[::1]:9191"
 [store]
 url = "https://10.0.0.2:6443/objects"
+region = "vestlandet"
 token = "other"
 timeout = "500ms"
 watch_wait = "3s"
@@ -79,6 +82,7 @@
 service = "katalog"
 address = "10.0.0.7:8301"
 port_check = "0s"
+max_response_header_bytes = 8192
 [health]
 listen = "10.0.0.7:8302"
 [metrics]
@@ -106,7 +110,7 @@
 		Admin:        Admin{Listen: "10.0.0.7:9090", Token: "secret"},
 		Announce:     Announce{Listen: "[::1]:9191"},
 		Seeds:        []string{"10.0.0.1:7070", "[fd00::1]:7070"},
-		Store:        Store{URL: "https://10.0.0.2:6443/objects", Token: "other", Timeout: 500 * time.Millisecond, WatchWait: 3 * time.Second, CallsPerSecond: 2.5},
+		Store:        Store{URL: "https://10.0.0.2:6443/objects", Region: "vestlandet", Token: "other", Timeout: 500 * time.Millisecond, WatchWait: 3 * time.Second, CallsPerSecond: 2.5},
 		Bundle:       got.Bundle,
 		Log:          Log{Level: slog.LevelDebug},
 		DrainTimeout: 45 * time.Second,
@@ -114,7 +118,7 @@
 		DrainNotice:  2 * time.Second,
 		GCPercent:    80,
 		Adapter:      "prepared",
-		Backend:      Backend{Service: "katalog", Address: "10.0.0.7:8301"},
+		Backend:      Backend{Service: "katalog", Address: "10.0.0.7:8301", MaxResponseHeaderBytes: 8192},
 		Health:       Health{Listen: "10.0.0.7:8302"},
 		Metrics:      Metrics{Listen: "10.0.0.7:9100"},
 		Retry:        Retry{Share: 0.2, Floor: 56, Window: 10 * time.Second},
@@ -127,6 +131,33 @@
 	}
 }
 
+// Guards against a default that the documentation states and that differs from the one in use: a file that sets each
+// key to its stated default must give the same settings as one that sets none.
+func TestDefaultsAreAsDescribed(t *testing.T) {
+	literal := regexp.MustCompile(`^([0-9]+|[0-9]+(ms|s|m|h)|[0-9.]+:[0-9]+|true|false|info)$`)
+	for _, k := range Keys() {
+		if k.Required || !literal.MatchString(k.Default) {
+			continue
+		}
+		value := k.Default
+		if !regexp.MustCompile(`^([0-9]+|true|false)$`).MatchString(value) {
+			value = strconv.Quote(value)
+		}
+		if k.Name == "bundle.unsigned" {
+			continue // the minimal settings hold the table already; TestParseMinimal covers it
+		}
+		got, configErrors := Parse("n.toml", []byte(k.Name+" = "+value+"\n"+minimalSettings))
+		if len(configErrors) != 0 {
+			t.Errorf("%s = %s: %v", k.Name, value, configErrors)
+			continue
+		}
+		want, _ := Parse("n.toml", []byte(minimalSettings))
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s: the stated default %s is not the one in use:\n%s", k.Name, k.Default, diff)
+		}
+	}
+}
+
 // Guards against invalid settings that are accepted, or reported with a wrong line or key or without the allowed values.
 func TestParseErrors(t *testing.T) {
 	tests := []struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,8 @@
 	// PortCheck is the interval between checks that the backend server's port is open; 0 disables them. Each check
 	// opens a connection.
 	PortCheck time.Duration
+	// MaxResponseHeaderBytes limits the header of a backend server's response. A longer one ends the connection.
+	MaxResponseHeaderBytes int64
 }
 
 // Health configures the listener for readiness checks by the platform.
@@ -167,6 +169,8 @@
 	DefaultStoreTimeout   = 2 * time.Second
 	DefaultCallsPerSecond = 20
 	DefaultDrainTimeout   = 30 * time.Second
+	// Responses on all slots of a large backend server at once must not exhaust the memory of the VM.
+	DefaultMaxResponseHeaderBytes = 64 << 10
 	// The live heap is small: with the Go default of 100, collections are frequent and raise the p99 request latency.
 	DefaultGCPercent    = 400
 	DefaultDrainReserve = 0
@@ -204,7 +208,7 @@
 		GCPercent:    DefaultGCPercent,
 		DrainTimeout: DefaultDrainTimeout,
 		DrainReserve: DefaultDrainReserve,
-		Backend:      Backend{PortCheck: DefaultPortCheck},
+		Backend:      Backend{PortCheck: DefaultPortCheck, MaxResponseHeaderBytes: DefaultMaxResponseHeaderBytes},
 	}
 }
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -4,6 +4,8 @@
 import (
 	"encoding/binary"
 	"io"
+	"slices"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -28,18 +30,25 @@
 
 const lengthPrefixBytes = 4
 
-// WriteFrame writes one length-prefixed frame with a single call to w.Write.
-// It returns ErrFrameTooLarge when the encoded frame exceeds limit bytes.
-func WriteFrame(w io.Writer, f *Frame, limit int) error {
+// AppendFrame appends one length-prefixed frame to buf. It returns ErrFrameTooLarge when the encoded frame exceeds limit
+// bytes.
+func AppendFrame(buf []byte, f *Frame, limit int) ([]byte, error) {
 	size := proto.Size(f)
 	if size > limit {
-		return errors.Wrapf(ErrFrameTooLarge, "%d bytes, limit %d", size, limit)
+		return buf, errors.Wrapf(ErrFrameTooLarge, "%d bytes, limit %d", size, limit)
 	}
-	buf := make([]byte, lengthPrefixBytes, lengthPrefixBytes+size)
-	binary.BigEndian.PutUint32(buf, uint32(size))
+	buf = slices.Grow(buf, lengthPrefixBytes+size)
+	buf = binary.BigEndian.AppendUint32(buf, uint32(size))
 	buf, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buf, f)
+	return buf, errors.Wrap(err, "wire: encode frame")
+}
+
+// WriteFrame writes one length-prefixed frame with a single call to w.Write.
+// It returns ErrFrameTooLarge when the encoded frame exceeds limit bytes.
+func WriteFrame(w io.Writer, f *Frame, limit int) error {
+	buf, err := AppendFrame(nil, f, limit)
 	if err != nil {
-		return errors.Wrap(err, "wire: encode frame")
+		return err
 	}
 	_, err = w.Write(buf)
 	return err
@@ -56,20 +65,42 @@
 	if uint64(size) > uint64(limit) {
 		return nil, errors.Wrapf(ErrFrameTooLarge, "%d bytes, limit %d", size, limit)
 	}
-	buf := make([]byte, size)
-	if _, err := io.ReadFull(r, buf); err != nil {
+	// The decoded frame holds copies, so the buffer can be used again.
+	buf := GetBuffer(int(size))
+	defer PutBuffer(buf)
+	encoded := (*buf)[:size]
+	if _, err := io.ReadFull(r, encoded); err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return nil, err
 	}
 	f := &Frame{}
-	if err := proto.Unmarshal(buf, f); err != nil {
+	if err := proto.Unmarshal(encoded, f); err != nil {
 		return nil, errors.Wrap(err, "wire: decode frame")
 	}
 	return f, nil
 }
 
+// maxPooledBufferBytes is the largest buffer that is kept for further frames: a few chunks of a body.
+const maxPooledBufferBytes = 2 * MaxChunkBytes
+
+var bufferPool = sync.Pool{New: func() any { return new([]byte) }}
+
+// GetBuffer returns an empty buffer with at least the given capacity. PutBuffer takes it back.
+func GetBuffer(capacity int) *[]byte {
+	buf := bufferPool.Get().(*[]byte)
+	*buf = slices.Grow((*buf)[:0], capacity)
+	return buf
+}
+
+// PutBuffer makes a buffer available to later calls of GetBuffer. The caller must not use it any more.
+func PutBuffer(buf *[]byte) {
+	if cap(*buf) <= maxPooledBufferBytes {
+		bufferPool.Put(buf)
+	}
+}
+
 // DecodeDatagram decodes one UDP message. It returns an error if the message is oversized or malformed or names no
 // sender.
 func DecodeDatagram(data []byte) (*Datagram, error) {
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -60,3 +60,28 @@
 		}
 	})
 }
+
+// Guards against a decoded frame that shares its bytes with a buffer that later frames reuse: the body of one response
+// would then hold bytes of another.
+func TestFramesDoNotShareBuffers(t *testing.T) {
+	var stream bytes.Buffer
+	bodies := [][]byte{bytes.Repeat([]byte("a"), 1000), bytes.Repeat([]byte("b"), 1000), bytes.Repeat([]byte("c"), 10)}
+	for _, body := range bodies {
+		if err := WriteFrame(&stream, &Frame{Kind: &Frame_Chunk{Chunk: &Chunk{Data: body}}}, MaxFrameBytes); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var frames []*Frame
+	for range bodies {
+		f, err := ReadFrame(&stream, MaxFrameBytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		frames = append(frames, f)
+	}
+	for i, body := range bodies {
+		if !bytes.Equal(frames[i].GetChunk().GetData(), body) {
+			t.Errorf("frame %d changed after later frames were read", i)
+		}
+	}
+}
