Measure retry budgets, load reports and latencies on the steady clock

Cause: the retry window, the statistics of endpoints, ejections and the probe planner took nanoseconds of the time of day. A jump forward renewed the retry budget at once, aged all load reports and gave running requests a latency of the jump, which avoids or ejects their endpoints; a jump back kept attempts in the window and ejections in force until the time of day had caught up. Clock steps are among the troubles of the users' deployments.

Ruled out: admission, membership, link budget, drain and claims subtract time.Time values, which use the monotonic reading.

Change: package steady converts times to numbers by their monotonic reading; all these use it. The start time of another process is still taken from its record and converted once.

--- a/internal/ingress/chooser.go
+++ b/internal/ingress/chooser.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionspoke/internal/balance"
+	"dandelionspoke/internal/steady"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/wire"
 )
@@ -46,8 +47,8 @@
 	return i, svc.Endpoints[i]
 }
 
-// now returns the current time in the unit of table.Stats, nanoseconds since the Unix epoch.
-func now() int64 { return time.Now().UnixNano() }
+// now returns the current time in the unit of table.Stats.
+func now() int64 { return steady.Now() }
 
 // observation reports the start and the result of one attempt to the balance package. The result is recorded once.
 type observation struct {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -13,6 +13,7 @@
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/sleep"
+	"dandelionspoke/internal/steady"
 	"dandelionspoke/internal/system"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/wire"
@@ -62,9 +63,9 @@
 		return
 	}
 	for _, svc := range snapshot.Services {
-		for _, e := range balance.Eject(now.UnixNano(), svc.Endpoints, snapshot.Bundle.Policy) {
+		for _, e := range balance.Eject(steady.Nanos(now), svc.Endpoints, snapshot.Bundle.Policy) {
 			n.logger.Info("endpoint ejection changed", "event", "ejection", "service", svc.Name,
-				"endpoint", e.Endpoint.ID, "reason", e.Reason, "until", time.Unix(0, e.Until))
+				"endpoint", e.Endpoint.ID, "reason", e.Reason, "until", steady.Time(e.Until))
 		}
 	}
 }
@@ -77,7 +78,7 @@
 	for _, svc := range snapshot.Services {
 		for _, ep := range svc.Endpoints {
 			if ep.ID == endpointID {
-				balance.ObserveReport(ep.Stats, time.Now().UnixNano(), load)
+				balance.ObserveReport(ep.Stats, steady.Now(), load)
 			}
 		}
 	}
@@ -96,14 +97,14 @@
 	}
 	if snapshot.Bundle.Version != n.probePolicyVersion {
 		n.probePolicyVersion = snapshot.Bundle.Version
-		n.probePlanner.SetPolicy(now.UnixNano(), snapshot.Bundle.Policy)
+		n.probePlanner.SetPolicy(steady.Nanos(now), snapshot.Bundle.Policy)
 	}
 	n.probePlanner.ObserveRequests(int(n.counters.requests.Swap(0)))
 	rand.Shuffle(len(services), func(i, j int) { services[i], services[j] = services[j], services[i] })
 	var targets []*table.Endpoint
 	for _, name := range services {
 		if svc := snapshot.Service(name); svc != nil {
-			targets = n.probePlanner.Plan(now.UnixNano(), n.probeRand, svc, targets)
+			targets = n.probePlanner.Plan(steady.Nanos(now), n.probeRand, svc, targets)
 		}
 	}
 	counts := n.probePlanner.Counts()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
+	"dandelionspoke/internal/steady"
 	"dandelionspoke/internal/table"
 
 	"github.com/cockroachdb/errors"
@@ -150,7 +151,7 @@
 	n.quarantine = retry.NewQuarantine(policy.QuarantineDeaths, policy.QuarantineFor.D())
 	n.budget = retry.NewBudget(n.createdAt, policy.RetryShare, policy.RetryMinPerSecond)
 	n.serviceBudgets = retry.NewServiceBudgets()
-	n.probePlanner = balance.NewProbePlanner(n.createdAt.UnixNano(), policy, probeExchangeBytes)
+	n.probePlanner = balance.NewProbePlanner(steady.Nanos(n.createdAt), policy, probeExchangeBytes)
 	n.probeRand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.linkBudget = link.NewBudget(policy)
 	n.gate = gate.New(n.instance, n.logger)
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"dandelionspoke/internal/steady"
 )
 
 // windowBuckets is the number of buckets in a window. One more bucket is kept for the time that the window covers
@@ -19,7 +21,7 @@
 	floor        float64
 	first        [windowBuckets + 1]int
 	spent        [windowBuckets + 1]int
-	newestBucket int64 // number of the newest bucket, counted from the Unix epoch
+	newestBucket int64 // number of the newest bucket on the steady clock
 	counts       BudgetCounts
 }
 
@@ -75,7 +77,7 @@
 // advance clears the buckets that have left the window and returns the index of the newest. When the clock goes
 // backwards, attempts are counted in the newest bucket.
 func (w *WindowBudget) advance(now time.Time) int {
-	number := now.UnixNano() / int64(w.length/windowBuckets)
+	number := steady.Nanos(now) / int64(w.length/windowBuckets)
 	if w.newestBucket == 0 {
 		w.newestBucket = number
 	}
--- a/internal/system/snapshot.go
+++ b/internal/system/snapshot.go
@@ -8,6 +8,7 @@
 
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/membership"
+	"dandelionspoke/internal/steady"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/wire"
 )
@@ -193,6 +194,6 @@
 	if started.After(now) {
 		started = now
 	}
-	s.AdmittedAt.Store(started.UnixNano())
+	s.AdmittedAt.Store(steady.Nanos(started))
 	return s
 }
