--- a/cmd/dandelionspoke/fleet_test.go
+++ b/cmd/dandelionspoke/fleet_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	mathrand "math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -86,15 +88,41 @@
 		"--trusted", f.path("ann.key.pub"), "--trusted", f.path("bo.key.pub"))
 }
 
-// addNode starts a node on free ports and its backend server. It writes the ports to the settings file of the node, so
-// that a restarted node listens on the same ones.
+// Ports of nodes. They are below the range from which the kernel takes the ports of other listeners and connections, so
+// that no other process gets the port of a node while the node restarts.
+const (
+	firstNodePort = 22_000
+	nodePorts     = 9_000
+)
+
+// freeAddress returns a loopback address whose TCP and UDP port is free.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstNodePort+mathrand.IntN(nodePorts))
+		tcp, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		tcp.Close()
+		udp, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		udp.Close()
+		return address
+	}
+	t.Fatal("no free port found")
+	return ""
+}
+
+// addNode starts a node on free ports, which it keeps when it restarts, and its backend server.
 func (f *fleet) addNode(i int) {
 	f.t.Helper()
-	anyPort := "127.0.0.1:0"
-	file := f.writeSettings(i, anyPort, anyPort, anyPort, anyPort, anyPort)
-	node := startProcess(f.t, "node", "--settings", file)
+	free := func() string { return freeAddress(f.t) }
+	f.settingsFiles = append(f.settingsFiles, f.writeSettings(i, free(), free(), free(), free(), free()))
+	node := startProcess(f.t, "node", "--settings", f.settingsFiles[i])
 	a := node.fields
-	f.settingsFiles = append(f.settingsFiles, f.writeSettings(i, a["ingress"], a["peer"], a["udp"], a["admin"], a["announce"]))
 	f.nodes = append(f.nodes, node)
 	f.backends = append(f.backends, startProcess(f.t, "backend",
 		"--id", fmt.Sprintf("katalog-%d", i), "--service", "katalog", "--slots", "8", "--connections", "50",
