Send a second attempt after half of the objective on the prepared platform

The platform's routes never permitted hedges, and the delay of a hedge needed 50 samples of a service within 5 s at one node, which no node sees at these rates.

Change: on routes with an objective, a hedge is due after half of the time left until it; not while the region's slots are more than half taken, not for 10 s after a refusal for lack of capacity at the service, and from three quarters of the node's budget at most. A hedge that a gate refuses no longer counts as an attempt, and its refusal is no reason to move the request for free when the first attempt has failed: that would have gone past the retry budget. Counters for hedges sent, won and denied, a log line for each.

--- a/internal/balance/dandelionspoke.go
+++ b/internal/balance/dandelionspoke.go
@@ -50,6 +50,9 @@
 	refusingLoad = 2.5
 	// maxHedgeLoad is the highest load at which an endpoint is selected for a hedge.
 	maxHedgeLoad = 0.9
+	// maxHedgeUtilization is the highest utilization of the local region's slots, requests in queues included, at which
+	// hedges are sent. In a peak, a hedge takes the slot of a first attempt, which is worth more.
+	maxHedgeUtilization = 0.5
 	// maxUnreportedLoad caps the load assumed for an endpoint that has never reported.
 	maxUnreportedLoad = 0.5
 	// minSlowStartShare is the share of draws in which a newly admitted endpoint takes part at first.
@@ -89,8 +92,12 @@
 
 // PickHedge returns the position of an endpoint for a second attempt while the first one runs, or
 // None. A hedge must neither add to an overload nor cause billed traffic between regions: only endpoints
-// of the local region with a load of at most maxHedgeLoad are selected. The arguments are those of Picker.Pick.
+// of the local region with a load of at most maxHedgeLoad are selected, and only while the region's
+// utilization is at most maxHedgeUtilization. The arguments are those of Picker.Pick.
 func PickHedge(now int64, rng *rand.Rand, svc *table.Service, exclude uint64, long bool) int {
+	if localUtilization(svc) > maxHedgeUtilization {
+		return None
+	}
 	var local sample
 	local.addLocal(now, rng, svc, exclude, long)
 	i := local.best()
@@ -100,6 +107,28 @@
 	return local.candidates[i].index
 }
 
+// localUtilization returns the requests in flight and in queues per slot, over the endpoints of the local region that have
+// reported. It is 0 if none has.
+func localUtilization(svc *table.Service) float64 {
+	requests, slots := 0.0, 0.0
+	for _, e := range svc.Endpoints[:svc.LocalityEnd[table.SameRegion]] {
+		s := e.Stats
+		if s.ReportedAt.Load() == 0 {
+			continue
+		}
+		requests += float64(max(s.ReportedInFlight.Load()+s.ReportedQueue.Load(), s.OwnInFlight.Load()))
+		if e.Slots > 0 {
+			slots += float64(e.Slots)
+		} else {
+			slots += float64(svc.Config.Slots)
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return requests / slots
+}
+
 // chooseRegion selects an endpoint when the local region has no free capacity. It selects another region
 // that has free capacity if the local one refuses requests at refusingLoad or above, or costs more than bias
 // times as much. It selects another region without free capacity if the local one costs more than bias times
--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -341,6 +341,25 @@
 	}
 }
 
+// Guards against hedges in a peak to an endpoint whose report is outdated: while the region's other endpoints are full, a
+// hedge takes the slot of a first attempt.
+func TestNoHedgeWhileTheRegionIsUtilized(t *testing.T) {
+	svc := newService(6, 0, 0)
+	report := func(inFlight, queued uint32) {
+		for _, e := range svc.Endpoints[:5] {
+			ObserveReport(e.Stats, testNow, &wire.Load{InFlight: inFlight, QueuedShort: queued, ServiceTimeUs: 5000})
+		}
+	}
+	report(2, 0)
+	if i := PickHedge(testNow, newRNG(1), svc, 1, false); i == None {
+		t.Error("no hedge although the region has room")
+	}
+	report(uint32(svc.Endpoints[0].Slots), 5)
+	if i := PickHedge(testNow, newRNG(1), svc, 1, false); i != None {
+		t.Errorf("hedge to position %d while the region's other endpoints are full", i)
+	}
+}
+
 // Guards against keeping work in a region whose gates refuse it while another region has free
 // capacity, and against moving it because of a single refusal or a short queue, or while the local region
 // has free capacity.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -70,7 +70,10 @@
 
 // Counters are totals since the start. They are safe for concurrent use.
 type Counters struct {
-	Requests, Answered, Failed, Aborted, Attempts, Moved, Retries, Hedges, Queries, Replays atomic.Int64
+	Requests, Answered, Failed, Aborted, Attempts, Moved, Retries, Queries, Replays atomic.Int64
+	// Hedges counts the hedges sent, HedgesWon those that responded first, and the others the hedges that were not sent
+	// because no endpoint had room or the budget did not permit them.
+	Hedges, HedgesWon, HedgesNoRoom, HedgesNoBudget atomic.Int64
 }
 
 // Ingress is an http.Handler. It is safe for concurrent use.
@@ -81,6 +84,7 @@
 	latencyTrackers sync.Map // service name to *retry.LatencyTracker
 	startedAt       time.Time
 	classes         admission.Classes
+	overloads       sync.Map // service name to the time.Time of its last overload
 	splitSequences  sync.Map // name of a split route to *splitSequence
 	inFlight        sync.WaitGroup
 	// pendingAttempts holds the attempts without a response yet: *wire.AttemptQuery to *table.Endpoint.
@@ -267,6 +271,7 @@
 	stop          func() bool // detaches the request's context from conn
 	cancelAll     func()      // cancels the context of all attempts; may be nil
 	cancelAttempt context.CancelFunc
+	hedge         bool // of a hedge, which responded before the earlier attempt
 	observation   *observation
 	retained      *wire.AttemptFate // set instead of conn for a complete response that the gate had retained
 }
@@ -288,6 +293,10 @@
 func (in *Ingress) relay(w http.ResponseWriter, q *request, resp *response) error {
 	defer resp.close()
 	q.status = int(resp.head.Status)
+	q.lastEndpoint, q.hedgeWon = resp.endpoint, resp.hedge
+	if resp.hedge {
+		in.Counters.HedgesWon.Add(1)
+	}
 	in.closeIfDraining(w, q.httpRequest)
 	writeHead(w, resp.head)
 	if resp.retained != nil {
@@ -301,7 +310,7 @@
 	resp.observation.end(outcome, resp.body.End().GetLoad())
 	if outcome == balance.Success {
 		in.classes.Record(q.serviceName, q.route.Name, q.route.Class == bundle.Long, resp.observation.elapsed())
-		if q.route.Hedge {
+		if q.route.Hedge && q.route.Objective == 0 {
 			in.latencyTracker(q).Record(time.Now(), resp.observation.elapsed())
 		}
 	}
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -23,6 +23,9 @@
 	if q.lastEndpoint != nil {
 		attrs = append(attrs, slog.String("endpoint", q.lastEndpoint.ID), slog.String("node", q.lastEndpoint.NodeID))
 	}
+	if q.hedgeWon {
+		attrs = append(attrs, slog.Bool("hedge_won", true))
+	}
 	switch {
 	case errors.Is(err, http.ErrAbortHandler):
 		attrs = append(attrs, slog.String("outcome", "answer-broken"))
@@ -49,6 +52,14 @@
 		slog.Duration("report_age", time.Duration(now()-s.ReportedAt.Load())), slog.Uint64("snapshot", q.snapshot.Version))
 }
 
+// logHedge logs a hedge: an attempt at ep in addition to the running one at the last endpoint.
+func (in *Ingress) logHedge(ctx context.Context, q *request, state *attemptState, ep *table.Endpoint) {
+	in.Logger.LogAttrs(ctx, slog.LevelInfo, "hedge sent", slog.String("event", "hedge"),
+		slog.String("id", q.id), slog.String("service", q.serviceName), slog.String("running_at", state.lastEndpoint.ID),
+		slog.String("endpoint", ep.ID), slog.String("node", ep.NodeID), slog.Duration("took", time.Since(q.startedAt)),
+		slog.Duration("objective", q.route.Objective.D()))
+}
+
 // logFailedAttempt logs a failed attempt with the decision on another one.
 func (in *Ingress) logFailedAttempt(ctx context.Context, q *request, state *attemptState, e *verdict.Error, next string) {
 	node := ""
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -34,6 +34,7 @@
 	attemptsSent, moves int
 	lastEndpoint        *table.Endpoint
 	status              int // of the response that was relayed; 0 for none
+	hedgeWon            bool
 	route               *bundle.Route
 	service             *table.Service
 	snapshot            *table.Snapshot
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -40,6 +40,7 @@
 	// running holds the cancel functions of the attempts that have not ended, by attempt number.
 	running         map[int]context.CancelFunc
 	startedAttempts int             // including moves; the number of the newest attempt
+	hedge           int             // number of the attempt that is a hedge; 0 for none
 	lastEndpoint    *table.Endpoint // of the newest attempt
 	combinedVerdict verdict.Verdict // over all failed attempts; NotRun while none may have run
 }
@@ -143,10 +144,7 @@
 	if !q.allowsConcurrentAttempts() {
 		return state.finishAttempt(<-state.results)
 	}
-	delay, hedge := in.policy(q).HedgeDelay(retry.HedgeCandidate{
-		Permitted: q.route.Hedge, Idempotent: true, Long: q.long, Number: state.countedAttempts,
-		Quantile: in.latencyTracker(q).Quantile(time.Now()), Remaining: time.Until(q.deadline),
-	})
+	delay, hedge := in.policy(q).HedgeDelay(in.hedgeCandidate(q, state))
 	if !hedge {
 		delay = suspectPollInterval
 	}
@@ -190,12 +188,34 @@
 	}
 }
 
+func (in *Ingress) hedgeCandidate(q *request, state *attemptState) retry.HedgeCandidate {
+	h := retry.HedgeCandidate{
+		Permitted: q.route.Hedge, Idempotent: true, Long: q.long, Number: state.countedAttempts, Remaining: time.Until(q.deadline),
+	}
+	if at, ok := in.overloads.Load(q.serviceName); ok {
+		h.SinceOverload = max(time.Since(at.(time.Time)), 1)
+	}
+	if objective := q.route.Objective.D(); objective > 0 {
+		h.HasObjective, h.Objective = true, time.Until(q.startedAt.Add(objective))
+	} else if h.Permitted {
+		h.Quantile = in.latencyTracker(q).Quantile(time.Now())
+	}
+	return h
+}
+
 func (in *Ingress) startHedge(ctx context.Context, q *request, state *attemptState) {
 	i, ep := in.Chooser.pickHedge(q.service, state.excluded, q.long)
-	if ep == nil || !in.budget(q).Spend(time.Now()) {
+	switch {
+	case ep == nil:
+		in.Counters.HedgesNoRoom.Add(1)
+		return
+	case !in.budget(q).SpendHedge(time.Now()):
+		in.Counters.HedgesNoBudget.Add(1)
 		return
 	}
 	in.Counters.Hedges.Add(1)
+	in.logHedge(ctx, q, state, ep)
+	state.hedge = state.startedAttempts + 1
 	in.startAttemptAt(ctx, q, state, i, ep)
 }
 
@@ -205,8 +225,12 @@
 	if r.err != nil {
 		cancel()
 		state.addVerdict(verdict.Of(r.err))
+		if r.number == state.hedge && retry.RefusedAtGate(verdict.As(r.err)) {
+			state.countedAttempts--
+		}
 	} else {
 		r.response.cancelAttempt = cancel
+		r.response.hedge = r.number == state.hedge
 	}
 	return r
 }
@@ -231,15 +255,20 @@
 
 var verdictPhrases = map[verdict.Verdict]string{verdict.MayHaveRun: "may have run", verdict.Ran: "ran"}
 
-// awaitRemaining returns the first success among the attempts still running, or first when all of them fail.
-func (in *Ingress) awaitRemaining(state *attemptState, first attemptResult) attemptResult {
+// awaitRemaining returns the first success among the attempts still running. When all of them fail, it returns a failure
+// that may have run rather than one that has not, because the decision on a retry must take it into account.
+func (in *Ingress) awaitRemaining(state *attemptState, failed attemptResult) attemptResult {
 	for len(state.running) > 0 {
-		if r := state.finishAttempt(<-state.results); r.err == nil {
+		r := state.finishAttempt(<-state.results)
+		if r.err == nil {
 			in.cancelRemaining(state)
 			return r
 		}
+		if verdict.Of(failed.err) == verdict.NotRun {
+			failed = r
+		}
 	}
-	return first
+	return failed
 }
 
 // cancelRemaining cancels the attempts still running after another one has succeeded, so that they free their slots.
@@ -268,7 +297,7 @@
 	return in.ServiceBudgets.For(q.serviceName)
 }
 
-func (in *Ingress) budget(q *request) retry.Spender {
+func (in *Ingress) budget(q *request) retry.HedgeSpender {
 	if w := in.windowBudget(q); w != nil {
 		return w
 	}
@@ -294,6 +323,9 @@
 // prepareRetry decides whether another attempt follows err and waits for the backoff before it.
 func (in *Ingress) prepareRetry(ctx context.Context, q *request, state *attemptState, err error) bool {
 	e := verdict.As(err)
+	if retry.ShowsOverload(e) {
+		in.overloads.Store(q.serviceName, time.Now())
+	}
 	if in.closing.Load() {
 		in.logFailedAttempt(ctx, q, state, e, "closing")
 		return false
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -81,7 +81,9 @@
 	m := map[string]int64{
 		"ingress_requests": in.Requests.Load(), "ingress_answered": in.Answered.Load(), "ingress_failed": in.Failed.Load(),
 		"ingress_aborted": in.Aborted.Load(), "ingress_attempts": in.Attempts.Load(), "ingress_moved": in.Moved.Load(), "ingress_retries": in.Retries.Load(),
-		"ingress_hedges": in.Hedges.Load(), "ingress_attempt_queries": in.Queries.Load(), "ingress_replays": in.Replays.Load(),
+		"ingress_hedges": in.Hedges.Load(), "ingress_hedges_won": in.HedgesWon.Load(),
+		"ingress_hedges_no_room": in.HedgesNoRoom.Load(), "ingress_hedges_no_budget": in.HedgesNoBudget.Load(),
+		"ingress_attempt_queries": in.Queries.Load(), "ingress_replays": in.Replays.Load(),
 		"gate_admitted": g.Admitted.Load(), "gate_queued": g.Queued.Load(), "gate_refused": g.Refused.Load(),
 		"gate_ran": g.Ran.Load(), "gate_broken": g.Broken.Load(), "gate_canceled": g.Canceled.Load(),
 		"gate_attempt_queries": g.Queries.Load(), "gate_crashes": g.Crashes.Load(), "gate_load_probes": g.LoadProbes.Load(), "gate_attempts_remembered": int64(n.gate.Attempts()),
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -87,6 +87,17 @@
 	return true
 }
 
+// SpendHedge implements HedgeSpender. It leaves the tokens of the minimum rate to retries.
+func (b *Budget) SpendHedge(now time.Time) bool {
+	b.mu.Lock()
+	enough := b.shareTokens >= 1
+	if !enough {
+		b.denied++
+	}
+	b.mu.Unlock()
+	return enough && b.Spend(now)
+}
+
 // Counts returns the totals.
 func (b *Budget) Counts() BudgetCounts {
 	b.mu.Lock()
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -94,6 +94,17 @@
 	Spend(now time.Time) bool
 }
 
+// HedgeSpender is a budget of additional attempts that limits hedges further.
+type HedgeSpender interface {
+	Spender
+	// SpendHedge is like Spend for a hedge. It leaves a part of the budget to requests that have failed.
+	SpendHedge(now time.Time) bool
+}
+
+// hedgeBudgetShare is the part of the budget that hedges may use. A late answer costs a caller less than none, so retries
+// of failed requests keep the rest.
+const hedgeBudgetShare = 0.75
+
 // Next decides whether another attempt follows the failed attempt a. If so, it takes the attempt from
 // the budget. random is uniform in [0, 1); it spreads the delays of callers that fail at the same time.
 func (p Policy) Next(a Attempt, b Spender, now time.Time, random float64) Decision {
@@ -187,6 +198,12 @@
 	return false
 }
 
+// RefusedAtGate reports whether an attempt that failed with e never reached a backend server. It adds no load to the
+// service and does not count as an attempt.
+func RefusedAtGate(e *verdict.Error) bool {
+	return Attempt{Verdict: e.Verdict, Reason: e.Reason}.refusedAtGate()
+}
+
 // refusedAtGate reports whether the request was refused before it reached a backend server, so that
 // sending it to another endpoint adds no load to the service.
 func (a Attempt) refusedAtGate() bool {
@@ -226,23 +243,51 @@
 	Long                  bool
 	Number                int // attempts so far
 	Depth                 int
+	// Objective is the time until the latency objective of the route; negative when it has passed. It is used only if
+	// HasObjective is set.
+	Objective    time.Duration
+	HasObjective bool
+	// SinceOverload is the time since an attempt at the service was last refused or withdrawn for lack of capacity;
+	// 0 if none was.
+	SinceOverload time.Duration
 	// Quantile is the latency quantile set in the bundle, over recent successful attempts at the service;
-	// 0 when there are too few samples.
+	// 0 when there are too few samples. It is used for routes without an objective.
 	Quantile time.Duration
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
 }
 
+// overloadHold is the time after an overload in which a service gets no hedges. Peaks come in waves, and each node sees only
+// few of the refusals.
+const overloadHold = 10 * time.Second
+
+// ShowsOverload reports whether an attempt failed with e because the service lacks capacity. A gate that is only busy does
+// not show it: others may have room.
+func ShowsOverload(e *verdict.Error) bool {
+	return Attempt{Verdict: e.Verdict, Reason: e.Reason}.refusedForLoad()
+}
+
+// hedgeObjectiveShare is the share of the time left until the objective after which a hedge is sent: both attempts then
+// have the same time. A later hedge is mostly late itself, and an earlier one mostly repeats work that is in time.
+const hedgeObjectiveShare = 0.5
+
 // HedgeDelay returns the delay between the start of the newest attempt and the start of a hedge, and
-// whether to send a hedge at all. The caller calls Budget.Spend after the delay.
+// whether to send a hedge at all. The caller calls SpendHedge after the delay.
 func (p Policy) HedgeDelay(h HedgeCandidate) (time.Duration, bool) {
-	if !h.Permitted || !h.Idempotent || h.Long || h.Depth > 0 || h.Quantile <= 0 {
+	if !h.Permitted || !h.Idempotent || h.Long || h.Depth > 0 || h.Number >= min(p.MaxAttempts, maxHedgedAttempts) {
 		return 0, false
 	}
-	if h.Number >= min(p.MaxAttempts, maxHedgedAttempts) {
+	if h.SinceOverload > 0 && h.SinceOverload < overloadHold {
+		return 0, false
+	}
+	delay := h.Quantile
+	if h.HasObjective {
+		delay = time.Duration(hedgeObjectiveShare * float64(h.Objective))
+	}
+	if delay <= 0 {
 		return 0, false
 	}
-	delay := max(h.Quantile, minHedgeDelay)
+	delay = max(delay, minHedgeDelay)
 	if h.Remaining < delay+minAttemptTime {
 		return 0, false
 	}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -188,6 +188,33 @@
 	}
 }
 
+// Guards against a hedge that is sent too late to be in time, or after the objective has passed, when its work helps
+// nobody.
+func TestHedgeDelayByObjective(t *testing.T) {
+	base := HedgeCandidate{Permitted: true, Idempotent: true, Number: 1, HasObjective: true, Objective: 400 * time.Millisecond, Remaining: 3 * time.Second}
+	tests := []struct {
+		name   string
+		change func(*HedgeCandidate)
+		want   time.Duration // 0: no hedge
+	}{
+		{"half of the time left", func(*HedgeCandidate) {}, 200 * time.Millisecond},
+		{"after a move", func(h *HedgeCandidate) { h.Objective = 300 * time.Millisecond }, 150 * time.Millisecond},
+		{"objective passed", func(h *HedgeCandidate) { h.Objective = -time.Millisecond }, 0},
+		{"quantile ignored", func(h *HedgeCandidate) { h.Quantile = time.Millisecond }, 200 * time.Millisecond},
+		{"caller leaves before", func(h *HedgeCandidate) { h.Remaining = 150 * time.Millisecond }, 0},
+		{"one attempt allowed", func(h *HedgeCandidate) { h.Number = 2 }, 0},
+		{"in an overload", func(h *HedgeCandidate) { h.SinceOverload = 9 * time.Second }, 0},
+		{"after an overload", func(h *HedgeCandidate) { h.SinceOverload = 11 * time.Second }, 200 * time.Millisecond},
+	}
+	for _, test := range tests {
+		h := base
+		test.change(&h)
+		if delay, ok := (Policy{MaxAttempts: 2}).HedgeDelay(h); ok != (test.want > 0) || delay != test.want {
+			t.Errorf("%s: %v %v, want %v", test.name, delay, ok, test.want)
+		}
+	}
+}
+
 // Guards against equal fingerprints of requests that differ only in where one field ends, and against
 // different fingerprints of equal requests.
 func TestFingerprint(t *testing.T) {
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -45,8 +45,14 @@
 	w.first[w.advance(now)]++
 }
 
-// Spend takes one additional attempt from the budget, or returns false when none is left.
-func (w *WindowBudget) Spend(now time.Time) bool {
+// Spend implements Spender.
+func (w *WindowBudget) Spend(now time.Time) bool { return w.spend(now, 1) }
+
+// SpendHedge implements HedgeSpender. Hedges stop when retries and hedges together have used hedgeBudgetShare of the budget.
+func (w *WindowBudget) SpendHedge(now time.Time) bool { return w.spend(now, hedgeBudgetShare) }
+
+// spend takes one additional attempt if the spent ones stay within the given part of the budget.
+func (w *WindowBudget) spend(now time.Time, part float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := w.advance(now)
@@ -58,7 +64,7 @@
 			first += w.first[i]
 		}
 	}
-	if float64(spent+1) > w.share*float64(first)+w.floor {
+	if float64(spent+1) > part*(w.share*float64(first)+w.floor) {
 		w.counts.Denied++
 		return false
 	}
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"dandelionspoke/internal/steadytest"
 )
 
 // Guards against a burst of retries based on first attempts before the window. Such a burst exceeded the fleet's
@@ -49,6 +51,44 @@
 	})
 }
 
+// Guards against a budget that a jump of the time of day renews, or that counts nothing as past until the time of day has
+// caught up.
+func TestWindowIgnoresJumpsOfTheTimeOfDay(t *testing.T) {
+	now := time.Now()
+	w := NewWindowBudget(10*time.Second, 0, 1)
+	if !w.Spend(now) {
+		t.Fatal("the budget is empty at the start")
+	}
+	if w.Spend(steadytest.StepTimeOfDay(now.Add(time.Second), time.Hour)) {
+		t.Error("a jump of the time of day renewed the budget")
+	}
+	if !w.Spend(steadytest.StepTimeOfDay(now.Add(20*time.Second), -time.Hour)) {
+		t.Error("after a jump backwards the attempt 20 s ago still counts")
+	}
+}
+
+// Guards against hedges that use up the budget, so that requests that failed are not retried.
+func TestHedgesLeaveBudgetToRetries(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for name, budget := range map[string]HedgeSpender{
+		"window": NewWindowBudget(10*time.Second, 0, 100),
+		"bucket": NewBudget(now, 0.2, 100),
+	} {
+		hedges, retries := 0, 0
+		for range 1000 {
+			if budget.SpendHedge(now) {
+				hedges++
+			}
+		}
+		for budget.Spend(now) {
+			retries++
+		}
+		if hedges > 75 || retries < 25 || hedges+retries != 100 {
+			t.Errorf("%s: %d hedges and %d retries, want at most 75 and at least 25 of 100", name, hedges, retries)
+		}
+	}
+}
+
 // Guards against attempts that stay counted after the window has passed, so that the budget never recovers.
 func TestWindowDropsOldAttempts(t *testing.T) {
 	w := NewWindowBudget(10*time.Second, 0, 1)
