Refuse requests that a paused node reads after their deadline may have passed

Cause: a request carries its deadline as the time that is left, counted from the moment at which the gate reads it. Requests that arrived while the node's process was stopped waited in its buffers, got their whole time anew when it went on, and ran: with 40 orders of 0.5 s sent during a pause of 3 s, 8 to 10 ran 2.5 s after their callers had been told 'may have run'. None ran twice.

Ruled out: the ingress closes the streams of such attempts in time, but the close is read after the request and races with it.

Change: the gate is told of each tick of the engine (50 ms). After a gap of 1 s or more, on the steady clock or on the time of day, it refuses requests as not run for 250 ms, also before the first tick after the gap; the ingress moves live ones to other gates. A request that got its slot after its deadline is not sent either. Counter gate_pauses, one log line for each pause.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -65,7 +65,7 @@
 	Logger                *slog.Logger  // nil discards log lines
 }
 
-// Hooks connect the engine to the rest of the node; nil hooks are skipped. GateLoad, Subset, Eject and
+// Hooks connect the engine to the rest of the node; nil hooks are skipped. GateLoad, Subset, OnTick and
 // PlanProbes run with the engine's lock held: they must not block and must not call the engine. The other hooks
 // run without the lock and may call the engine, but must not block for long, except SyncWith.
 type Hooks struct {
@@ -83,8 +83,8 @@
 	SyncWith func(peerAddr string, request *wire.SyncRequest)
 	// Subset selects the endpoints of each service that this node uses; nil selects all.
 	Subset system.SubsetFunc
-	// Eject updates the ejections of the published endpoints. It runs on each tick.
-	Eject func(now time.Time, snapshot *table.Snapshot)
+	// OnTick runs on each tick, after membership and the snapshot have been updated.
+	OnTick func(now time.Time, snapshot *table.Snapshot)
 	// PlanProbes returns the endpoints to probe on this tick. services holds the distinct services passed to
 	// RequestProbes since the last tick.
 	PlanProbes func(now time.Time, snapshot *table.Snapshot, services []string) []*table.Endpoint
@@ -239,8 +239,8 @@
 		services := e.drainInputs(now)
 		e.node.Tick(now)
 		e.publish(now)
-		if e.hooks.Eject != nil {
-			e.hooks.Eject(now, e.snapshot)
+		if e.hooks.OnTick != nil {
+			e.hooks.OnTick(now, e.snapshot)
 		}
 		e.sendProbes(now, services)
 	})
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -40,6 +40,8 @@
 // failed, and Canceled the requests whose wait for a slot was ended. They are safe for concurrent use.
 type Counters struct {
 	Admitted, Queued, Refused, Ran, Broken, Canceled, Queries, Crashes, DuplicateAttempts, LoadProbes atomic.Int64
+	// Pauses counts the pauses of the process.
+	Pauses atomic.Int64
 }
 
 // Gate admits and forwards requests to one backend server. It is safe for concurrent use.
@@ -74,6 +76,7 @@
 	backendDown          bool
 	maxResponseKeepBytes int
 	slowness             *slownessTracker
+	pauses               pauseDetector
 	inFlight             sync.WaitGroup
 	decisionTimer        *time.Timer // nil until a request has been queued
 	pollScheduled        bool        // pollLoad will run within loadPollInterval
@@ -187,6 +190,16 @@
 	g.mu.Unlock()
 }
 
+// Tick tells the gate that the process runs. After a pause of the process, the gate refuses requests for a short time,
+// because their deadlines may have passed while their data waited. Call it at least every 100 ms; without any call, no pause
+// is detected.
+func (g *Gate) Tick(now time.Time) {
+	if pause := g.pauses.tick(now); pause > 0 {
+		g.Counters.Pauses.Add(1)
+		g.logger.Warn("process was paused", "event", "paused", "for", pause)
+	}
+}
+
 // Wait blocks until no request is queued or in flight.
 func (g *Gate) Wait() { g.inFlight.Wait() }
 
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -74,6 +74,10 @@
 		c.finishRefused(err)
 		return
 	}
+	if c.gate.pauses.justResumed(time.Now()) {
+		c.finishRefused(verdict.New(verdict.NotRun, verdict.BackendDown, "the node was paused and the deadline may have passed"))
+		return
+	}
 	offeredAt := time.Now()
 	if b := c.gate.Backend(); b != nil && (c.head.MaxWaitUs > 0 || c.head.HasObjective) {
 		c.slowness = c.gate.currentSlowness(ctx, b)
@@ -92,6 +96,12 @@
 		return
 	}
 	admittedAt := time.Now()
+	if !admittedAt.Before(deadline) {
+		// The process may have been paused while the request waited, and the timer of ctx is late.
+		c.gate.releaseSlot(ticket, 0)
+		c.finishRefused(verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline passed before the request was sent"))
+		return
+	}
 	c.queueTime = admittedAt.Sub(offeredAt)
 	c.gate.QueueTime.Record(c.queueTime)
 	err = c.forward(ctx, backend, c.body)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -46,7 +46,7 @@
 		OnQuarantine:  func(entries []*wire.QuarantineEntry) { n.quarantine.Merge(entries, time.Now()) },
 		SyncWith:      n.syncWith,
 		Subset:        subsetEndpoints,
-		Eject:         n.ejectOutliers,
+		OnTick:        n.onTick,
 		PlanProbes:    n.planProbes,
 	}
 }
@@ -58,6 +58,12 @@
 	return balance.Subset(self.NodeID, candidates, size)
 }
 
+// onTick runs in the engine loop on each tick.
+func (n *Node) onTick(now time.Time, snapshot *table.Snapshot) {
+	n.gate.Tick(now)
+	n.ejectOutliers(now, snapshot)
+}
+
 func (n *Node) ejectOutliers(now time.Time, snapshot *table.Snapshot) {
 	if snapshot == nil || snapshot.Bundle == nil {
 		return
