--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -36,7 +36,7 @@
 	Slots     int32
 	LongSlots int32
 	// Incarnation is the start time of the process of the backend server's node, in milliseconds since the
-	// Unix epoch on the steady clock, see package steady.
+	// Unix epoch.
 	Incarnation uint64
 	// Stats is the same object in successive snapshots while NodeID and Incarnation do not change.
 	Stats *Stats
