--- a/review/standin/case_second_copy.go
+++ b/review/standin/case_second_copy.go
@@ -34,7 +34,7 @@
 	reservations.setRespond(rejectFirst(r, reservations))
 	var violations []string
 	for range orders {
-		a := r.send(client, http.MethodPost, "/puka111/2f", 200*time.Millisecond, 8*time.Second)
+		a := r.send(client, http.MethodPost, "/puka111/2f", 100*time.Millisecond, 8*time.Second)
 		time.Sleep(100 * time.Millisecond)
 		runs := r.runsOf(a.id)
 		if (a.status == 429 || a.status == 503) && len(runs) > 0 {
