--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -26,13 +26,9 @@
 // forward returns; by then the response has ended or the connection is closed.
 func (c *call) forward(ctx context.Context, backend *Backend, body io.ReadCloser) error {
 	var mayBeSent atomic.Bool
-	var gotConn atomic.Pointer[httptrace.GotConnInfo]
 	trace := &httptrace.ClientTrace{
 		// From here on bytes may reach the backend server.
-		GotConn: func(info httptrace.GotConnInfo) {
-			gotConn.Store(&info)
-			mayBeSent.Store(true)
-		},
+		GotConn: func(httptrace.GotConnInfo) { mayBeSent.Store(true) },
 	}
 	req, err := c.backendRequest(httptrace.WithClientTrace(ctx, trace), backend, body)
 	if err != nil {
@@ -41,7 +37,13 @@
 	if c.head.ContentLength < 0 || c.head.Streamed {
 		_ = c.conn.Write(&wire.Frame{Kind: &wire.Frame_Continue{Continue: &wire.Continue{}}})
 	}
-	resp, err := c.gate.transport.Load().RoundTrip(req)
+	conn, err := c.gate.connections.Load().acquire(ctx)
+	if err != nil {
+		return err
+	}
+	reusable := false
+	defer func() { conn.release(reusable) }()
+	resp, err := conn.transport.RoundTrip(req)
 	if err != nil {
 		return c.roundTripError(ctx, backend, err, mayBeSent.Load())
 	}
@@ -51,15 +53,15 @@
 	c.gate.recordSlowness(info.Slowness)
 	switch {
 	case info.MismatchReason != "":
-		// Later responses on this connection would be mismatched too.
-		_ = gotConn.Load().Conn.Close()
 		return verdict.New(verdict.MayHaveRun, verdict.BackendBroken, "the answer is not to this request: %s", info.MismatchReason)
 	case info.OtherInstance:
 		return verdict.New(verdict.NotRun, verdict.WrongGate, "another backend server has the address %s", backend.Address)
 	case info.NotRun:
 		return verdict.New(verdict.NotRun, verdict.BackendRefused, "the backend server refused the request")
 	}
-	return c.relay(resp)
+	err = c.relay(resp)
+	reusable = err == nil && !resp.Close
+	return err
 }
 
 func (c *call) backendRequest(ctx context.Context, backend *Backend, body io.ReadCloser) (*http.Request, error) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,7 +5,6 @@
 
 import (
 	"log/slog"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +12,6 @@
 	"dandelionspoke/internal/admission"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/metrics"
-	"dandelionspoke/internal/netopt"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
 )
@@ -52,8 +50,8 @@
 	Counters Counters
 
 	attempts *attemptHistory
-	// transport is replaced when the connection limit changes, because a transport in use must not be modified.
-	transport atomic.Pointer[http.Transport]
+	// connections is replaced when the connection limit changes.
+	connections atomic.Pointer[connectionPool]
 	// OnCrash is called with the endpoint and the fingerprint of a request during which the backend server stopped
 	// listening. Set it before the first request; nil disables the report.
 	OnCrash func(endpoint string, fingerprint []byte)
@@ -89,7 +87,7 @@
 		attempts: newAttemptHistory(time.Now(), time.Minute),
 		waiters:  make(map[admission.Ticket]chan admission.Decision),
 	}
-	g.transport.Store(newTransport(0, defaultMaxResponseHeaderBytes))
+	g.connections.Store(newConnectionPool(0, defaultMaxResponseHeaderBytes))
 	return g
 }
 
@@ -99,21 +97,7 @@
 // SetMaxResponseHeaderBytes limits the header of a response, together with the informational responses before it. Call it
 // before the first request.
 func (g *Gate) SetMaxResponseHeaderBytes(limit int64) {
-	g.transport.Store(newTransport(g.transport.Load().MaxConnsPerHost, limit))
-}
-
-// newTransport returns a transport with at most the given number of connections; 0 means no limit.
-func newTransport(connections int, maxHeaderBytes int64) *http.Transport {
-	dialer := netopt.Dialer(backendDialTimeout)
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		IdleConnTimeout:     backendIdleTimeout,
-		MaxIdleConnsPerHost: maxIdleBackendConns,
-		MaxConnsPerHost:     connections,
-
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	g.connections.Store(newConnectionPool(g.connections.Load().maxConnections, limit))
 }
 
 // SetBackend sets the backend server. With a nil backend, the gate refuses all requests.
@@ -147,9 +131,9 @@
 	g.attempts.mu.Lock()
 	g.attempts.retention = p.AttemptMemory.D()
 	g.attempts.mu.Unlock()
-	if old := g.transport.Load(); old.MaxConnsPerHost != s.Connections {
-		g.transport.Store(newTransport(s.Connections, old.MaxResponseHeaderBytes))
-		old.CloseIdleConnections()
+	if old := g.connections.Load(); old.maxConnections != s.Connections {
+		g.connections.Store(newConnectionPool(s.Connections, old.maxHeaderBytes))
+		old.close()
 	}
 }
 
@@ -204,7 +188,7 @@
 func (g *Gate) Wait() { g.inFlight.Wait() }
 
 // Close closes idle connections to the backend server.
-func (g *Gate) Close() { g.transport.Load().CloseIdleConnections() }
+func (g *Gate) Close() { g.connections.Load().close() }
 
 // Generation returns the current generation of the attempt history.
 func (g *Gate) Generation() uint64 { return g.attempts.currentGeneration() }
--- a/internal/gate/load.go
+++ b/internal/gate/load.go
@@ -149,15 +149,28 @@
 		return
 	}
 	g.Counters.LoadProbes.Add(1)
-	resp, err := g.transport.Load().RoundTrip(req)
+	conn, err := g.connections.Load().acquire(ctx)
+	if err != nil {
+		g.logger.Info("backend load probe not sent", "event", "load_probe_failed", "address", address, "error", err)
+		return
+	}
+	reusable := false
+	defer func() { conn.release(reusable) }()
+	resp, err := conn.transport.RoundTrip(req)
 	if err != nil {
 		g.logger.Info("backend load probe failed", "event", "load_probe_failed", "address", address, "error", err)
 		return
 	}
 	defer resp.Body.Close()
+	if id := g.protocol.RequestID(HeadersToWire(resp.Header)); id != "" {
+		g.logger.Info("backend load probe failed", "event", "load_probe_failed", "address", address, "error", "the answer is to request "+id)
+		return
+	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxLoadResponseBytes)); err != nil {
 		g.logger.Info("backend load probe failed", "event", "load_probe_failed", "address", address, "error", err)
 		return
 	}
-	g.recordSlowness(g.protocol.Read(req.Header, resp).Slowness)
+	info := g.protocol.Read(req.Header, resp)
+	reusable = !resp.Close && !info.NotRun
+	g.recordSlowness(info.Slowness)
 }
