--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -105,8 +105,8 @@
 // Registry holds the state of the backend server on the node's VM. It is safe for concurrent use.
 type Registry struct {
 	// OnChange is called when the backend server is announced, changes, drains or is withdrawn. Calls do not
-	// overlap. current is nil if no backend server is announced.
-	OnChange func(current *Announcement, draining bool)
+	// overlap. current is nil if no backend server is announced; incarnation is that of its latest heartbeat.
+	OnChange func(current *Announcement, incarnation int64, draining bool)
 
 	changeMu      sync.Mutex // held during a change and its OnChange call, so that OnChange sees the changes in order
 	lastHeartbeat time.Time  // guarded by changeMu
@@ -165,7 +165,7 @@
 	r.state = next
 	r.mu.Unlock()
 	if notify && r.OnChange != nil {
-		r.OnChange(next.current, next.draining)
+		r.OnChange(next.current, next.incarnation, next.draining)
 	}
 }
 
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -59,11 +59,28 @@
 	case info.NotRun:
 		return verdict.New(verdict.NotRun, verdict.BackendRefused, "the backend server refused the request")
 	}
+	received := &responseBody{ReadCloser: resp.Body}
+	resp.Body = received
 	err = c.relay(resp)
 	reusable = err == nil && !resp.Close
+	if received.broken && ctx.Err() == nil {
+		c.reportCrash(backend)
+	}
 	return err
 }
 
+// responseBody records whether the body of a response ended early.
+type responseBody struct {
+	io.ReadCloser
+	broken bool
+}
+
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.broken = b.broken || err != nil && !errors.Is(err, io.EOF)
+	return n, err
+}
+
 func (c *call) backendRequest(ctx context.Context, backend *Backend, body io.ReadCloser) (*http.Request, error) {
 	target, err := url.ParseRequestURI(c.head.Target)
 	if err != nil {
@@ -118,10 +135,11 @@
 	return verdict.New(verdict.MayHaveRun, verdict.BackendBroken, "%v", err)
 }
 
-// reportCrash calls OnCrash if the backend server no longer listens after it broke the connection of the request.
+// reportCrash calls OnCrash if the backend server no longer listens after it broke the connection of the request, before or
+// during the response.
 func (c *call) reportCrash(backend *Backend) {
-	report := c.gate.OnCrash
-	if report == nil || len(c.head.Fingerprint) == 0 {
+	report, fingerprints := c.gate.OnCrash, c.fingerprints()
+	if report == nil || len(fingerprints) == 0 {
 		return
 	}
 	time.Sleep(crashProbeDelay)
@@ -131,7 +149,18 @@
 		return
 	}
 	c.gate.Counters.Crashes.Add(1)
-	report(backend.ID, c.head.Fingerprint)
+	report(*backend, fingerprints)
+}
+
+// fingerprints returns the fingerprints of the request that are known.
+func (c *call) fingerprints() [][]byte {
+	var known [][]byte
+	for _, f := range [][]byte{c.head.Fingerprint, c.head.CallerFingerprint} {
+		if len(f) > 0 {
+			known = append(known, f)
+		}
+	}
+	return known
 }
 
 // relay sends the response to the ingress. If the body ends early, no End frame is sent.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -32,6 +32,8 @@
 	ID      string
 	Service string
 	Address string // IP address and port
+	// Incarnation is the start time of the server's process in Unix milliseconds; 0 if it is not known.
+	Incarnation int64
 }
 
 // Counters are totals since the process started. Ran counts the forwarded attempts that completed, Broken those that
@@ -52,9 +54,9 @@
 	attempts *attemptHistory
 	// connections is replaced when the connection limit changes.
 	connections atomic.Pointer[connectionPool]
-	// OnCrash is called with the endpoint and the fingerprint of a request during which the backend server stopped
+	// OnCrash is called with the backend server and the fingerprints of a request during which the server stopped
 	// listening. Set it before the first request; nil disables the report.
-	OnCrash func(endpoint string, fingerprint []byte)
+	OnCrash func(backend Backend, fingerprints [][]byte)
 	// WriteLimiter returns the write limiter for responses to a node in the given region, or nil for no limit. long tells
 	// whether the request is long. Set it before the first request; nil disables the limit.
 	WriteLimiter func(region string, long bool) func(bytes int) error
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"time"
 
 	"dandelionspoke/internal/admission"
@@ -127,7 +128,7 @@
 	if backend != nil && (backend.ID != c.head.Endpoint || backend.Service != c.head.Service) {
 		return verdict.New(verdict.NotRun, verdict.WrongGate, "endpoint %s is not beside this node", c.head.Endpoint)
 	}
-	if q := c.gate.IsQuarantined; q != nil && len(c.head.Fingerprint) > 0 && q(c.head.Fingerprint) {
+	if q := c.gate.IsQuarantined; q != nil && slices.ContainsFunc(c.fingerprints(), q) {
 		return verdict.New(verdict.NotRun, verdict.Quarantined, "the request has crashed backend servers")
 	}
 	return nil
--- a/internal/gate/truncated_test.go
+++ b/internal/gate/truncated_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -11,29 +12,32 @@
 	"dandelionspoke/internal/wire"
 )
 
+// truncatedResponses break off in each way in which the end of a response is marked.
+var truncatedResponses = []struct {
+	name, head string
+	bodyBytes  int
+	reset      bool
+}{
+	{"length, small", "Content-Length: 200\r\n\r\n", smallBodyBytes, false},
+	{"length, large", "Content-Length: 200000\r\n\r\n", largeBodyBytes, false},
+	{"length, reset", "Content-Length: 200\r\n\r\n", smallBodyBytes, true},
+	{"chunked, in a chunk", "Transfer-Encoding: chunked\r\n\r\n1000\r\n", smallBodyBytes, false},
+	{"chunked, before a chunk", "Transfer-Encoding: chunked\r\n\r\n", 0, false},
+	{"chunked, reset", "Transfer-Encoding: chunked\r\n\r\n1000\r\n", smallBodyBytes, true},
+	{"close-delimited, reset", "Connection: close\r\n\r\n", smallBodyBytes, true},
+	{"close-delimited, large and reset", "Connection: close\r\n\r\n", largeBodyBytes, true},
+	{"in the header", "Content-Type: text/pl", 0, false},
+}
+
+const (
+	smallBodyBytes = 100
+	largeBodyBytes = 3 * wire.MaxChunkBytes
+)
+
 // Guards against a response that breaks off halfway and looks complete, for each way in which the end of a body is marked.
 // Responses below wire.MaxChunkBytes are read before anything is sent on, larger ones are streamed.
 func TestTruncatedResponsesAreNotComplete(t *testing.T) {
-	const (
-		small = 100
-		large = 3 * wire.MaxChunkBytes
-	)
-	tests := []struct {
-		name, head string
-		bodyBytes  int
-		reset      bool
-	}{
-		{"length, small", "Content-Length: 200\r\n\r\n", small, false},
-		{"length, large", "Content-Length: 200000\r\n\r\n", large, false},
-		{"length, reset", "Content-Length: 200\r\n\r\n", small, true},
-		{"chunked, in a chunk", "Transfer-Encoding: chunked\r\n\r\n1000\r\n", small, false},
-		{"chunked, before a chunk", "Transfer-Encoding: chunked\r\n\r\n", 0, false},
-		{"chunked, reset", "Transfer-Encoding: chunked\r\n\r\n1000\r\n", small, true},
-		{"close-delimited, reset", "Connection: close\r\n\r\n", small, true},
-		{"close-delimited, large and reset", "Connection: close\r\n\r\n", large, true},
-		{"in the header", "Content-Type: text/pl", 0, false},
-	}
-	for _, test := range tests {
+	for _, test := range truncatedResponses {
 		t.Run(test.name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -79,3 +83,48 @@
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
 }
+
+// Guards against a request that crashes backend servers during their responses and is never quarantined, and against
+// crashes reported for a server that still listens.
+func TestCrashDuringAResponseIsReported(t *testing.T) {
+	for _, test := range truncatedResponses {
+		for _, crash := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, crash %t", test.name, crash), func(t *testing.T) {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer listener.Close()
+				go func() {
+					serveTruncated(listener, "HTTP/1.1 200 OK\r\n"+test.head+strings.Repeat("x", test.bodyBytes), test.reset)
+					if crash {
+						listener.Close()
+					}
+				}()
+				g := newGate(t, http.NotFoundHandler())
+				reports := make(chan [][]byte, 4)
+				g.OnCrash = func(b Backend, fingerprints [][]byte) {
+					if b.ID != "katalog-1" || b.Incarnation != 7 {
+						t.Errorf("crash of %+v reported", b)
+					}
+					reports <- fingerprints
+				}
+				g.SetBackend(&Backend{ID: "katalog-1", Service: "katalog", Address: listener.Addr().String(), Incarnation: 7})
+				h := requestHead(1)
+				h.Fingerprint, h.CallerFingerprint = []byte("request"), []byte("request and caller")
+				conn := serveAttempt(t, g, h)
+				_ = conn.Write(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}})
+				answerVerdict(t, conn.Read)
+				g.Wait()
+				if len(reports) != 1 && crash || len(reports) != 0 && !crash {
+					t.Fatalf("%d crashes reported", len(reports))
+				}
+				if crash {
+					if got := <-reports; len(got) != 2 || string(got[0]) != "request" || string(got[1]) != "request and caller" {
+						t.Errorf("reported with the fingerprints %q", got)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -64,8 +64,8 @@
 	IsQuarantined func(fingerprint []byte) bool
 	// OnRequest is called with the service of each request, so that outdated load reports are refreshed. May be nil.
 	OnRequest func(service string)
-	// OnSuccess is called for each request whose response was relayed completely. May be nil.
-	OnSuccess func(fingerprint []byte)
+	// OnSuccess is called with the fingerprints of each request whose response was relayed completely. May be nil.
+	OnSuccess func(fingerprints ...[]byte)
 }
 
 // Counters are totals since the start. They are safe for concurrent use.
@@ -173,7 +173,7 @@
 	if err := q.readBodyPrefix(ctx, w, in.bodyLimit(q.route)); err != nil {
 		return err
 	}
-	if in.IsQuarantined != nil && in.IsQuarantined(q.fingerprint) {
+	if in.IsQuarantined != nil && (in.IsQuarantined(q.fingerprint) || in.IsQuarantined(q.callerFingerprint)) {
 		return verdict.New(verdict.NotRun, verdict.Quarantined, "the request has crashed backend servers")
 	}
 	if q.idempotencyKey != "" && !q.idempotent {
@@ -320,7 +320,7 @@
 	writeTrailers(w, resp.body.End().Trailers)
 	in.Counters.Answered.Add(1)
 	if in.OnSuccess != nil {
-		in.OnSuccess(q.fingerprint)
+		in.OnSuccess(q.fingerprint, q.callerFingerprint)
 	}
 	return nil
 }
--- a/internal/ingress/protocol.go
+++ b/internal/ingress/protocol.go
@@ -37,6 +37,8 @@
 	Remaining time.Duration
 	// Key is the idempotency key; empty when the caller sets none.
 	Key string
+	// Caller identifies the caller for the quarantine of crashing requests; empty when it is not known.
+	Caller string
 }
 
 // Headers of a call. Depth, priority and deadline pass a call's context from hop to hop and are trusted only from
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -50,7 +50,10 @@
 	bodyRest     io.Reader
 	bodyRestUsed bool // an attempt has started to read bodyRest
 	fingerprint  []byte
-	headers      []*wire.Header
+	// callerFingerprint is the fingerprint of the caller's requests; nil when the caller is not known.
+	callerFingerprint []byte
+	caller            string
+	headers           []*wire.Header
 }
 
 // parse matches the route and reads the caller's parameters.
@@ -72,7 +75,7 @@
 	}
 	service := in.destinationService(route)
 	q := &request{
-		httpRequest: r, route: route, snapshot: snapshot, service: snapshot.Service(service), serviceName: service, id: call.ID,
+		httpRequest: r, route: route, snapshot: snapshot, service: snapshot.Service(service), serviceName: service, id: call.ID, caller: call.Caller,
 		idempotent: route.IsIdempotent(r.Method), idempotencyKey: call.Key, depth: call.Depth,
 		long:     in.classes.Long(service, route.Name, route.Class == bundle.Long),
 		priority: route.Priority, startedAt: time.Now(),
@@ -112,7 +115,11 @@
 		// The remainder of a large body has not arrived yet; only the total length enters the fingerprint.
 		_, _ = digest.Write(strconv.AppendInt(nil, q.httpRequest.ContentLength, 10))
 	}
-	q.fingerprint = digest.Sum().Bytes()
+	fingerprint := digest.Sum()
+	q.fingerprint = fingerprint.Bytes()
+	if q.caller != "" {
+		q.callerFingerprint = retry.CallerFingerprint(fingerprint, q.caller).Bytes()
+	}
 	return nil
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -119,14 +120,14 @@
 }
 
 // onBackendChange applies a changed announcement of the backend server on this node's VM; nil means that it withdrew.
-func (n *Node) onBackendChange(a *announce.Announcement, draining bool) {
+func (n *Node) onBackendChange(a *announce.Announcement, incarnation int64, draining bool) {
 	if a == nil {
 		n.gate.SetBackend(nil)
 		n.announceEndpoints(nil)
 		n.logger.Info("backend server withdrawn", "event", "backend_withdrawn")
 		return
 	}
-	n.gate.SetBackend(&gate.Backend{ID: a.ID, Service: a.Service, Address: a.Address})
+	n.gate.SetBackend(&gate.Backend{ID: a.ID, Service: a.Service, Address: a.Address, Incarnation: incarnation})
 	n.gate.SetBackendDraining(draining)
 	n.applyGateLimits()
 	n.logger.Info("backend server announced", "event", "backend_announced", "endpoint", a.ID,
@@ -168,21 +169,30 @@
 	return ok && n.quarantine.Refuses(f, time.Now())
 }
 
-func (n *Node) onBackendCrash(endpoint string, fingerprint []byte) {
-	f, ok := retry.ParseFingerprint(fingerprint)
-	if !ok {
-		return
-	}
+func (n *Node) onBackendCrash(backend gate.Backend, fingerprints [][]byte) {
 	now := time.Now()
-	quarantined := n.quarantine.RecordCrash(f, endpoint, now)
-	n.logger.Warn("backend server crashed while running a request", "event", "backend_died", "endpoint", endpoint,
-		"fingerprint", f, "quarantined", quarantined)
+	victim := backend.ID + "@" + strconv.FormatInt(backend.Incarnation, 10)
+	for _, b := range fingerprints {
+		f, ok := retry.ParseFingerprint(b)
+		if !ok {
+			continue
+		}
+		quarantined := n.quarantine.RecordCrash(f, victim, now)
+		n.logger.Warn("backend server crashed while running a request", "event", "backend_died", "endpoint", backend.ID,
+			"incarnation", backend.Incarnation, "fingerprint", f, "quarantined", quarantined)
+	}
 	n.engine.AddQuarantine(n.quarantine.Entries(now, maxQuarantineGossip)...)
 }
 
 // onRequestSuccess clears a request that was suspected of crashing backend servers.
-func (n *Node) onRequestSuccess(fingerprint []byte) {
-	if f, ok := retry.ParseFingerprint(fingerprint); ok && n.quarantine.RecordSuccess(f) {
+func (n *Node) onRequestSuccess(fingerprints ...[]byte) {
+	cleared := false
+	for _, b := range fingerprints {
+		if f, ok := retry.ParseFingerprint(b); ok && n.quarantine.RecordSuccess(f) {
+			cleared = true
+		}
+	}
+	if cleared {
 		n.engine.AddQuarantine(n.quarantine.Entries(time.Now(), maxQuarantineGossip)...)
 	}
 }
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -66,6 +66,14 @@
 	return f
 }
 
+// CallerFingerprint returns the fingerprint of the requests of one caller that have the fingerprint f.
+func CallerFingerprint(f Fingerprint, caller string) Fingerprint {
+	d := &Digest{sha256.New()}
+	_, _ = d.Write(f[:])
+	d.writeField(caller)
+	return d.Sum()
+}
+
 // FingerprintOf returns the fingerprint of a request with a complete body.
 func FingerprintOf(method, target string, body []byte) Fingerprint {
 	d := NewDigest(method, target)
@@ -76,8 +84,8 @@
 // Limits of the quarantine table.
 const (
 	maxQuarantineEntries = 4096
-	// maxCrashedEndpoints bounds the endpoints stored for one fingerprint.
-	maxCrashedEndpoints = 8
+	// maxVictims bounds the crashed processes stored for one fingerprint.
+	maxVictims = 8
 	// maxEntryLifetime bounds the expiry time of entries from other nodes.
 	maxEntryLifetime = 24 * time.Hour
 )
@@ -94,27 +102,43 @@
 }
 
 type entry struct {
-	crashedEndpoints []uint64 // hashes of the IDs of the endpoints whose backend server crashed
-	reportedCrashes  uint32   // crash count from other nodes, which may list fewer endpoints
-	expires          time.Time
-	// cleared is set when the request gets a response after a crash. A request that only ran at the same
-	// time as the one that crashes servers gets a response on another endpoint; the crashing one never
-	// does.
-	cleared bool
+	victims         []uint64 // hashes of the backend server processes that crashed, the latest last
+	clearedVictims  []uint64 // those of victims that crashed before the latest response to the request
+	reportedCrashes uint32   // crash count from other nodes, which may list fewer processes
+	expires         time.Time
 }
 
-// crashCount returns the number of distinct crashes. Crashes that other nodes report without listing the
-// endpoint may be the same as the listed ones, so the larger number is used and not the sum.
-func (e *entry) crashCount() int { return max(len(e.crashedEndpoints), int(e.reportedCrashes)) }
+// crashCount returns the number of distinct crashes since the latest response to the request: one that only ran at the
+// same time as another that crashes servers gets a response elsewhere. Crashes that other nodes report without listing the
+// process may be the same as the listed ones, so the larger number is used and not the sum.
+func (e *entry) crashCount() int {
+	return max(len(e.victims)-len(e.clearedVictims), int(e.reportedCrashes))
+}
+
+func (e *entry) addVictim(victim uint64) {
+	if slices.Contains(e.victims, victim) {
+		return
+	}
+	if len(e.victims) >= maxVictims {
+		if len(e.clearedVictims) == 0 {
+			return
+		}
+		oldest := e.clearedVictims[0]
+		e.clearedVictims = e.clearedVictims[1:]
+		e.victims = slices.DeleteFunc(e.victims, func(v uint64) bool { return v == oldest })
+	}
+	e.victims = append(e.victims, victim)
+}
 
-func (e *entry) addCrashedEndpoint(idHash uint64) {
-	if len(e.crashedEndpoints) < maxCrashedEndpoints && !slices.Contains(e.crashedEndpoints, idHash) {
-		e.crashedEndpoints = append(e.crashedEndpoints, idHash)
+// clear makes a victim no longer count. Victims that are not listed stay unknown.
+func (e *entry) clear(victim uint64) {
+	if slices.Contains(e.victims, victim) && !slices.Contains(e.clearedVictims, victim) {
+		e.clearedVictims = append(e.clearedVictims, victim)
 	}
 }
 
-// NewQuarantine returns an empty table. It refuses a request once crashLimit endpoints have crashed,
-// until duration has passed since the last crash.
+// NewQuarantine returns an empty table. It refuses a request once crashLimit processes have crashed without a response
+// to the request in between, until duration has passed since the last crash.
 func NewQuarantine(crashLimit int, duration time.Duration) *Quarantine {
 	return &Quarantine{crashLimit: max(crashLimit, 1), duration: duration, entries: make(map[Fingerprint]*entry)}
 }
@@ -131,23 +155,23 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := q.entries[f]
-	return e != nil && !e.cleared && now.Before(e.expires) && e.crashCount() >= q.crashLimit
+	return e != nil && now.Before(e.expires) && e.crashCount() >= q.crashLimit
 }
 
-// RecordCrash records that an endpoint's backend server crashed while it ran the request. It returns true when
-// this puts the request into quarantine.
-func (q *Quarantine) RecordCrash(f Fingerprint, endpointID string, now time.Time) bool {
+// RecordCrash records that a backend server crashed while it ran the request. victim identifies the process: a server that
+// crashes again after a restart counts again. RecordCrash returns true when this puts the request into quarantine.
+func (q *Quarantine) RecordCrash(f Fingerprint, victim string, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := q.entryFor(f, now)
 	before := e.crashCount()
-	e.addCrashedEndpoint(xxhash.Sum64String(endpointID))
+	e.addVictim(xxhash.Sum64String(victim))
 	e.expires = now.Add(q.duration)
-	return !e.cleared && before < q.crashLimit && e.crashCount() >= q.crashLimit
+	return before < q.crashLimit && e.crashCount() >= q.crashLimit
 }
 
-// RecordSuccess records that a backend server responded to the request. It returns true when this clears an
-// entry, so that the caller sends the change to other nodes.
+// RecordSuccess records that a backend server responded to the request, so that earlier crashes no longer count. It returns
+// true when this changes the entry, so that the caller sends the change to other nodes.
 func (q *Quarantine) RecordSuccess(f Fingerprint) bool {
 	if q.entryCount.Load() == 0 {
 		return false
@@ -155,10 +179,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := q.entries[f]
-	if e == nil || e.cleared {
+	if e == nil || e.crashCount() == 0 {
 		return false
 	}
-	e.cleared = true
+	e.reportedCrashes = 0
+	for _, victim := range e.victims {
+		e.clear(victim)
+	}
 	return true
 }
 
@@ -174,11 +201,19 @@
 			continue
 		}
 		e := q.entryFor(f, now)
-		e.reportedCrashes = max(e.reportedCrashes, min(m.GetDeaths(), maxCrashedEndpoints))
-		for _, idHash := range m.GetVictims() {
-			e.addCrashedEndpoint(idHash)
+		if int(m.GetDeaths()) > len(m.GetVictims()) {
+			e.reportedCrashes = max(e.reportedCrashes, min(m.GetDeaths(), maxVictims))
+		}
+		for _, victim := range m.GetVictims() {
+			e.addVictim(victim)
+		}
+		cleared := m.GetClearedVictims()
+		if m.GetCleared() {
+			cleared = m.GetVictims()
+		}
+		for _, victim := range cleared {
+			e.clear(victim)
 		}
-		e.cleared = e.cleared || m.GetCleared()
 		if expires.After(e.expires) {
 			e.expires = expires
 		}
@@ -195,9 +230,11 @@
 		out = append(out, &wire.QuarantineEntry{
 			Fingerprint:   f.Bytes(),
 			ExpiresUnixMs: uint64(e.expires.UnixMilli()),
-			Deaths:        uint32(e.crashCount()),
-			Victims:       slices.Clone(e.crashedEndpoints),
-			Cleared:       e.cleared,
+			// Nodes ignore entries without deaths, so that a cleared one states the crashes that it had.
+			Deaths:         uint32(max(e.crashCount(), len(e.clearedVictims))),
+			Victims:        slices.Clone(e.victims),
+			Cleared:        e.crashCount() == 0,
+			ClearedVictims: slices.Clone(e.clearedVictims),
 		})
 	}
 	slices.SortFunc(out, func(a, b *wire.QuarantineEntry) int {
@@ -212,7 +249,7 @@
 	defer q.mu.Unlock()
 	q.expire(now)
 	for _, e := range q.entries {
-		if !e.cleared && e.crashCount() >= q.crashLimit {
+		if e.crashCount() >= q.crashLimit {
 			refused++
 		}
 	}
