--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -71,8 +71,10 @@
 	Accepted Outcome = "accepted"
 	// Renewed means that only the sequence number and the time of the last heartbeat have changed.
 	Renewed Outcome = "renewed"
-	// Stale means that the heartbeat was ignored because a later one is known or its process has deregistered.
+	// Stale means that the heartbeat was ignored because a later one is known or its process has left.
 	Stale Outcome = "stale"
+	// Held means that the heartbeat is applied when EndRestore is called, unless its process has left.
+	Held Outcome = "held"
 )
 
 // serverState is the last known state of the backend server.
@@ -114,33 +116,87 @@
 	mu    sync.Mutex
 	state serverState
 
-	// deregistered maps the ID of each deregistered server to its newest possible incarnation. It includes servers
-	// that this node did not know, because a delayed heartbeat may arrive after the deregistration. Guarded by
-	// changeMu.
-	deregistered map[string]int64
+	// OnDeparture is called after a process has announced that it leaves, and before HandleHeartbeat or Deregister returns.
+	// It may block for a short time. Set it before the first heartbeat; nil disables the call.
+	OnDeparture func(Departure)
+
+	// departed maps the IDs of servers to the newest of their processes that has left. It includes servers that this node
+	// did not know, because a delayed heartbeat may arrive after the deregistration. Guarded by changeMu.
+	departed map[string]int64
+	// restoring is set until the departures from before the start of the node are known. Guarded by changeMu.
+	restoring bool
+	held      *Heartbeat // newest heartbeat received while restoring; guarded by changeMu
+}
+
+// Departure identifies a process of a backend server that has announced that it leaves.
+type Departure struct {
+	ID string `json:"id"`
+	// Incarnation is the start time of the process in Unix milliseconds, or an upper limit of it.
+	Incarnation int64 `json:"incarnation"`
 }
 
-// maxDeregistered limits the entries of Registry.deregistered, which is cleared when it is full.
-const maxDeregistered = 64
+// maxDeparted limits the entries of Registry.departed.
+const maxDeparted = 64
 
-// isDeregistered reports whether a heartbeat comes from a process that has deregistered. A new process with the same
-// ID has started after the deregistration and therefore has a higher incarnation.
-func (r *Registry) isDeregistered(heartbeat Heartbeat) bool {
-	newest, ok := r.deregistered[heartbeat.ID]
+// hasDeparted reports whether a heartbeat comes from a process that has left. A new process with the same ID has started
+// later and therefore has a higher incarnation.
+func (r *Registry) hasDeparted(heartbeat Heartbeat) bool {
+	newest, ok := r.departed[heartbeat.ID]
 	return ok && heartbeat.Incarnation != 0 && heartbeat.Incarnation <= newest
 }
 
-// recordDeregistration records that the backend server with this ID has deregistered. incarnation is the time of the
-// deregistration, an upper limit of the process's incarnation. If the ID is that of the current backend server, its
-// incarnation is used instead, if known. changeMu must be held.
-func (r *Registry) recordDeregistration(id string, incarnation int64) {
-	if r.state.current != nil && r.state.current.ID == id && r.state.incarnation != 0 {
-		incarnation = r.state.incarnation
+// recordDeparture adds an entry to departed. If the map is full, it removes the entry with the oldest process. changeMu must
+// be held.
+func (r *Registry) recordDeparture(d Departure) {
+	if r.departed == nil {
+		r.departed = map[string]int64{}
+	}
+	r.departed[d.ID] = max(r.departed[d.ID], d.Incarnation)
+	if len(r.departed) <= maxDeparted {
+		return
+	}
+	oldest := d.ID
+	for id, incarnation := range r.departed {
+		if incarnation < r.departed[oldest] {
+			oldest = id
+		}
+	}
+	delete(r.departed, oldest)
+}
+
+// StartRestore makes the registry hold heartbeats of active servers until EndRestore is called: the node has just started,
+// and a delayed heartbeat may come from a process whose departure an earlier process of the node has acknowledged. Heartbeats
+// without an incarnation are not held, since nothing tells a delayed one.
+func (r *Registry) StartRestore() {
+	r.changeMu.Lock()
+	defer r.changeMu.Unlock()
+	r.restoring = true
+}
+
+// AddDepartures adds departures that earlier processes of the node have acknowledged. It withdraws the current backend
+// server if it is among them.
+func (r *Registry) AddDepartures(departures []Departure) {
+	r.changeMu.Lock()
+	defer r.changeMu.Unlock()
+	for _, d := range departures {
+		r.recordDeparture(d)
+		s := r.state
+		if s.current != nil && s.current.ID == d.ID && s.incarnation != 0 && s.incarnation <= d.Incarnation && !s.draining {
+			r.withdrawLocked(true)
+		}
 	}
-	if r.deregistered == nil || len(r.deregistered) >= maxDeregistered {
-		r.deregistered = map[string]int64{}
+}
+
+// EndRestore ends the hold. known tells whether all departures have been added; the newest heartbeat held is then applied.
+// Otherwise it is dropped, since it may have been delayed.
+func (r *Registry) EndRestore(now time.Time, known bool) {
+	r.changeMu.Lock()
+	defer r.changeMu.Unlock()
+	r.restoring = false
+	if r.held != nil && known {
+		r.applyLocked(*r.held, now)
 	}
-	r.deregistered[id] = incarnation
+	r.held = nil
 }
 
 // Current returns the announced backend server, or nil, and whether it is draining.
@@ -169,11 +225,39 @@
 	}
 }
 
-// HandleHeartbeat applies a heartbeat. If the state changes, HandleHeartbeat returns after OnChange has returned.
+// HandleHeartbeat applies a heartbeat. If the state changes, HandleHeartbeat returns after OnChange, and OnDeparture if the
+// server drains, have returned.
 func (r *Registry) HandleHeartbeat(heartbeat Heartbeat, now time.Time) Outcome {
 	r.changeMu.Lock()
-	defer r.changeMu.Unlock()
-	if r.isDeregistered(heartbeat) {
+	if r.restoring && !heartbeat.Draining && heartbeat.Incarnation != 0 {
+		defer r.changeMu.Unlock()
+		return r.hold(heartbeat)
+	}
+	wasDraining := r.state.draining && r.state.incarnation == heartbeat.Incarnation
+	outcome := r.applyLocked(heartbeat, now)
+	r.changeMu.Unlock()
+	if outcome == Accepted && heartbeat.Draining && heartbeat.Incarnation != 0 && !wasDraining && r.OnDeparture != nil {
+		r.OnDeparture(Departure{ID: heartbeat.ID, Incarnation: heartbeat.Incarnation})
+	}
+	return outcome
+}
+
+// hold keeps the newest heartbeat until EndRestore. changeMu must be held.
+func (r *Registry) hold(heartbeat Heartbeat) Outcome {
+	if r.hasDeparted(heartbeat) {
+		return Stale
+	}
+	if h := r.held; h != nil && (heartbeat.Incarnation < h.Incarnation ||
+		heartbeat.Incarnation == h.Incarnation && heartbeat.Sequence < h.Sequence) {
+		return Stale
+	}
+	r.held = &heartbeat
+	return Held
+}
+
+// applyLocked applies a heartbeat to the state. changeMu must be held.
+func (r *Registry) applyLocked(heartbeat Heartbeat, now time.Time) Outcome {
+	if r.hasDeparted(heartbeat) {
 		return Stale
 	}
 	next, outcome := r.state.apply(heartbeat)
@@ -186,16 +270,30 @@
 }
 
 // Deregister deregisters the backend server with this ID: it withdraws the server and ignores later heartbeats of its
-// process. It reports whether that server was announced.
-func (r *Registry) Deregister(id string, now time.Time) bool {
+// process. incarnation is that of the process, or 0 if the deregistration doesn't state it; the deregistration then applies
+// to every process that has started before now. Deregister reports whether that server was announced. It returns after
+// OnChange and OnDeparture have returned.
+func (r *Registry) Deregister(id string, incarnation int64, now time.Time) bool {
 	r.changeMu.Lock()
-	defer r.changeMu.Unlock()
-	r.recordDeregistration(id, now.UnixMilli())
-	if r.state.current == nil || r.state.current.ID != id {
-		return false
+	isCurrent := r.state.current != nil && r.state.current.ID == id &&
+		(incarnation == 0 || r.state.incarnation == 0 || r.state.incarnation <= incarnation)
+	switch {
+	case incarnation != 0:
+	case isCurrent && r.state.incarnation != 0:
+		incarnation = r.state.incarnation
+	default:
+		incarnation = now.UnixMilli()
 	}
-	r.withdrawLocked(true)
-	return true
+	d := Departure{ID: id, Incarnation: incarnation}
+	r.recordDeparture(d)
+	if isCurrent {
+		r.withdrawLocked(true)
+	}
+	r.changeMu.Unlock()
+	if r.OnDeparture != nil {
+		r.OnDeparture(d)
+	}
+	return isCurrent
 }
 
 func (r *Registry) drain() bool {
--- /dev/null
+++ b/internal/announce/announce_test.go
@@ -0,0 +1,131 @@
+package announce
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func heartbeat(id string, incarnation int64, sequence uint64, draining bool) Heartbeat {
+	return Heartbeat{
+		Announcement: Announcement{ID: id, Service: "katalog", Address: "10.0.0.1:80"},
+		Incarnation:  incarnation, Sequence: sequence, Draining: draining,
+	}
+}
+
+func currentID(r *Registry) string {
+	current, draining := r.Current()
+	switch {
+	case current == nil:
+		return ""
+	case draining:
+		return current.ID + " draining"
+	}
+	return current.ID
+}
+
+// Guards against a delayed heartbeat of a process that has left, applied by a node that has just started, in each order in
+// which the heartbeat and the knowledge of the departure may arrive.
+func TestHeartbeatsAreHeldUntilDeparturesAreKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	left := []Departure{{ID: "a", Incarnation: 10}}
+	tests := map[string]struct {
+		steps func(r *Registry)
+		want  string
+	}{
+		"heartbeat of a process that has left, before": {func(r *Registry) {
+			r.HandleHeartbeat(heartbeat("a", 10, 5, false), now)
+			r.AddDepartures(left)
+			r.EndRestore(now, true)
+		}, ""},
+		"heartbeat of a process that has left, after": {func(r *Registry) {
+			r.AddDepartures(left)
+			r.EndRestore(now, true)
+			r.HandleHeartbeat(heartbeat("a", 10, 5, false), now)
+		}, ""},
+		"departure learned late": {func(r *Registry) {
+			r.EndRestore(now, true)
+			r.HandleHeartbeat(heartbeat("a", 10, 5, false), now)
+			r.AddDepartures(left)
+			r.HandleHeartbeat(heartbeat("a", 10, 6, false), now)
+		}, ""},
+		"departure learned late, of an earlier process": {func(r *Registry) {
+			r.EndRestore(now, true)
+			r.HandleHeartbeat(heartbeat("a", 11, 1, false), now)
+			r.AddDepartures(left)
+		}, "a"},
+		"deregistered while held": {func(r *Registry) {
+			r.HandleHeartbeat(heartbeat("a", 10, 5, false), now)
+			r.Deregister("a", 10, now)
+			r.EndRestore(now, true)
+		}, ""},
+		"drains while held": {func(r *Registry) {
+			r.HandleHeartbeat(heartbeat("a", 10, 5, false), now)
+			r.HandleHeartbeat(heartbeat("a", 10, 6, true), now)
+			r.EndRestore(now, true)
+		}, "a draining"},
+		"next process, older heartbeat later": {func(r *Registry) {
+			r.HandleHeartbeat(heartbeat("a", 11, 1, false), now)
+			r.HandleHeartbeat(heartbeat("a", 10, 9, false), now)
+			r.AddDepartures(left)
+			r.EndRestore(now, true)
+		}, "a"},
+		"departures unknown": {func(r *Registry) {
+			r.HandleHeartbeat(heartbeat("a", 10, 5, false), now)
+			r.EndRestore(now, false)
+		}, ""},
+		"departures unknown, next heartbeat": {func(r *Registry) {
+			r.HandleHeartbeat(heartbeat("a", 10, 5, false), now)
+			r.EndRestore(now, false)
+			r.HandleHeartbeat(heartbeat("a", 10, 6, false), now)
+		}, "a"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &Registry{}
+			r.StartRestore()
+			test.steps(r)
+			if got := currentID(r); got != test.want {
+				t.Errorf("announced %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a delayed deregistration of an earlier process that withdraws its successor with the same ID, and against
+// departures that are not passed on.
+func TestDeregistrationOfAnEarlierProcess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var departures []Departure
+	r := &Registry{OnDeparture: func(d Departure) { departures = append(departures, d) }}
+	r.HandleHeartbeat(heartbeat("a", 20, 1, false), now)
+	if r.Deregister("a", 10, now) || currentID(r) != "a" {
+		t.Errorf("announced %q after the deregistration of an earlier process", currentID(r))
+	}
+	r.HandleHeartbeat(heartbeat("a", 20, 2, true), now)
+	r.HandleHeartbeat(heartbeat("a", 20, 3, true), now)
+	if !r.Deregister("a", 20, now) || currentID(r) != "" {
+		t.Errorf("announced %q after its deregistration", currentID(r))
+	}
+	want := "[{a 10} {a 20} {a 20}]"
+	if got := fmt.Sprint(departures); got != want {
+		t.Errorf("departures %s, want %s", got, want)
+	}
+}
+
+// Guards against a long-lived node that forgets the latest departure because it has seen many.
+func TestLatestDeparturesAreKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := &Registry{}
+	for i := range int64(3 * maxDeparted) {
+		r.Deregister(fmt.Sprint("s", i), 1+i, now)
+	}
+	for i := int64(2*maxDeparted + 1); i < 3*maxDeparted; i++ {
+		if outcome := r.HandleHeartbeat(heartbeat(fmt.Sprint("s", i), 1+i, 9, false), now); outcome != Stale {
+			t.Fatalf("heartbeat of s%d, which has left: %s", i, outcome)
+		}
+	}
+	if len(r.departed) > maxDeparted {
+		t.Errorf("%d departures in memory", len(r.departed))
+	}
+}
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -29,11 +29,12 @@
 // discardOutput is a membership.Output that does nothing.
 type discardOutput struct{}
 
-func (discardOutput) SendDatagram(string, []byte)         {}
-func (discardOutput) NewerBundle(uint64, string)          {}
-func (discardOutput) Changed(_, _ *wire.Member)           {}
-func (discardOutput) Quarantined([]*wire.QuarantineEntry) {}
-func (discardOutput) Sync(string, *wire.SyncRequest)      {}
+func (discardOutput) SendDatagram(string, []byte)           {}
+func (discardOutput) NewerBundle(uint64, string)            {}
+func (discardOutput) Changed(_, _ *wire.Member)             {}
+func (discardOutput) OwnDepartures([]*wire.Departure, bool) {}
+func (discardOutput) Quarantined([]*wire.QuarantineEntry)   {}
+func (discardOutput) Sync(string, *wire.SyncRequest)        {}
 
 func tableMember(i int, now time.Time) *wire.Member {
 	service := fmt.Sprintf("service-%03d", i%serviceCount)
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -26,6 +26,15 @@
 	return result
 }
 
+// AddDepartures announces departures of backend servers on this node's VM to the other nodes, which keep them for later
+// processes of this node. known states that this node has learned which departures earlier processes acknowledged.
+func (e *Engine) AddDepartures(departures []*wire.Departure, known bool) {
+	e.update(func(now time.Time) {
+		e.node.AddDepartures(now, departures, known)
+		e.publish(now)
+	})
+}
+
 // SetLeaving immediately announces to the other nodes that this node is draining and accepts no new work.
 func (e *Engine) SetLeaving() { e.setLeaving(true) }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -76,6 +76,9 @@
 	// OnNewerBundle reports a member that has a newer bundle version. Later datagrams repeat the report, at most
 	// every 500 ms, until SetBundle is called with that version.
 	OnNewerBundle func(version uint64, peerAddr string)
+	// OnOwnDepartures receives departures of backend servers on this node's VM that another node knows. known states that
+	// it knows all that earlier processes of this node have acknowledged.
+	OnOwnDepartures func(departures []*wire.Departure, known bool)
 	// OnQuarantine receives new and changed quarantine entries.
 	OnQuarantine func([]*wire.QuarantineEntry)
 	// SyncWith exchanges full state with a peer and passes the reply to HandleSyncReply. It runs on its
--- a/internal/engine/output.go
+++ b/internal/engine/output.go
@@ -21,6 +21,13 @@
 	}
 }
 
+// OwnDepartures implements membership.Output.
+func (o *output) OwnDepartures(departures []*wire.Departure, known bool) {
+	if hook := o.hooks.OnOwnDepartures; hook != nil {
+		o.pendingHooks = append(o.pendingHooks, func() { hook(departures, known) })
+	}
+}
+
 // Quarantined implements membership.Output.
 func (o *output) Quarantined(entries []*wire.QuarantineEntry) {
 	if hook := o.hooks.OnQuarantine; hook != nil {
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -134,7 +134,8 @@
 }
 
 func equalExceptBundle(a, b *wire.Member) bool {
-	return a.Incarnation == b.Incarnation && a.State == b.State && equalAttributes(a, b)
+	return a.Incarnation == b.Incarnation && a.State == b.State && equalAttributes(a, b) &&
+		a.DeparturesKnown == b.DeparturesKnown && equalDepartures(a.Departures, b.Departures)
 }
 
 func (n *Node) enqueueUpdate(m *wire.Member, pushNow bool, source recordSource) {
@@ -160,6 +161,7 @@
 // own incarnation, such as a DEAD one, but does refute a higher incarnation, which would hide its LEAVING
 // record.
 func (n *Node) refute(now time.Time, received *wire.Member) {
+	n.reportOwnDepartures(received.Departures, received.DeparturesKnown)
 	own := Incarnation(n.self.Incarnation)
 	stale := received.Incarnation < n.self.Incarnation
 	consistent := received.Incarnation == n.self.Incarnation && received.State <= n.self.State && equalAttributes(received, n.self)
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -87,6 +87,9 @@
 	NewerBundle(version uint64, peerAddr string)
 	// Changed reports a new record of a member; before is nil for a new member.
 	Changed(before, after *wire.Member)
+	// OwnDepartures reports departures of backend servers on this node's VM that another node knows. known states that
+	// it knows all that earlier processes of this node have acknowledged.
+	OwnDepartures(departures []*wire.Departure, known bool)
 	// Quarantined reports new or changed entries.
 	Quarantined([]*wire.QuarantineEntry)
 	// Sync requests a full-state exchange. The reply is passed to Node.HandleSyncReply.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -35,6 +35,8 @@
 		return errors.Wrapf(ErrBadRecord, "unknown state %d of %q", m.State, m.NodeId)
 	case Incarnation(m.Incarnation).ProcessStartMs() > uint64(now.Add(maxClockSkew).UnixMilli()):
 		return errors.Wrapf(ErrBadRecord, "incarnation %d of %q is too far in the future", m.Incarnation, m.NodeId)
+	case !validDepartures(m.Departures):
+		return errors.Wrapf(ErrBadRecord, "departures of %q", m.NodeId)
 	case proto.Size(m) > MaxRecordBytes:
 		return errors.Wrapf(ErrBadRecord, "record of %q has %d bytes, limit %d", m.NodeId, proto.Size(m), MaxRecordBytes)
 	}
@@ -45,9 +47,12 @@
 }
 
 // Merge combines two records of the same node. The record with the higher incarnation wins; within an
-// incarnation the later state (ALIVE, SUSPECT, LEAVING, DEAD) wins. Merge is commutative, associative and
-// idempotent. It returns a or b itself if one of them is the result.
-func Merge(a, b *wire.Member) *wire.Member {
+// incarnation the later state (ALIVE, SUSPECT, LEAVING, DEAD) wins. The result has the departures of both. Merge is
+// commutative, associative and idempotent. It returns a or b itself if one of them is the result.
+func Merge(a, b *wire.Member) *wire.Member { return withDepartures(newer(a, b), a, b) }
+
+// newer is Merge without the departures.
+func newer(a, b *wire.Member) *wire.Member {
 	if a.Incarnation != b.Incarnation {
 		if a.Incarnation > b.Incarnation {
 			return a
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -54,6 +54,12 @@
 	if count == 0 || count > maxDigests || bits.OnesCount(uint(count)) != 1 {
 		return reply
 	}
+	// The first record of a request with digests is that of the node that sends it.
+	if len(request.Members) > 0 {
+		if m := n.Record(request.Members[0].GetNodeId()); m != nil {
+			reply.Departures, reply.DeparturesKnown = m.Departures, m.DeparturesKnown
+		}
+	}
 	reply.Buckets = uint32(count)
 	differs := make([]bool, count)
 	for i, digest := range n.list.foldedDigests(count) {
@@ -78,6 +84,7 @@
 
 // HandleSyncReply merges the reply of the node at peerAddr and sends it the records that are newer here.
 func (n *Node) HandleSyncReply(now time.Time, peerAddr string, reply *wire.SyncReply) {
+	n.reportOwnDepartures(reply.GetDepartures(), reply.GetDeparturesKnown())
 	before := n.list.version
 	remote := make(map[string]*wire.Member, len(reply.GetMembers()))
 	for _, m := range reply.GetMembers() {
--- a/internal/membershiptest/fleet.go
+++ b/internal/membershiptest/fleet.go
@@ -327,6 +327,9 @@
 	h.SetBundleVersion(h.fleet.Now, version)
 }
 
+// OwnDepartures implements membership.Output.
+func (h *Host) OwnDepartures([]*wire.Departure, bool) {}
+
 // Quarantined implements membership.Output.
 func (h *Host) Quarantined(entries []*wire.QuarantineEntry) { h.QuarantineReports += len(entries) }
 
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -179,5 +179,6 @@
 		return errors.Newf("unexpected %s from %s", frameName(f), peerAddr)
 	}
 	n.engine.HandleSyncReply(peerAddr, f.GetSyncReply())
+	n.departures.set(&n.departures.peerReply)
 	return nil
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -41,14 +41,15 @@
 
 func (n *Node) engineHooks() engine.Hooks {
 	return engine.Hooks{
-		GateLoad:      n.gate.Load,
-		OnReport:      n.onProbeReport,
-		OnNewerBundle: func(version uint64, peerAddr string) { go n.fetchBundle(version, peerAddr) },
-		OnQuarantine:  func(entries []*wire.QuarantineEntry) { n.quarantine.Merge(entries, time.Now()) },
-		SyncWith:      n.syncWith,
-		Subset:        subsetEndpoints,
-		OnTick:        n.onTick,
-		PlanProbes:    n.planProbes,
+		GateLoad:        n.gate.Load,
+		OnReport:        n.onProbeReport,
+		OnNewerBundle:   func(version uint64, peerAddr string) { go n.fetchBundle(version, peerAddr) },
+		OnQuarantine:    func(entries []*wire.QuarantineEntry) { n.quarantine.Merge(entries, time.Now()) },
+		OnOwnDepartures: n.onOwnDepartures,
+		SyncWith:        n.syncWith,
+		Subset:          subsetEndpoints,
+		OnTick:          n.onTick,
+		PlanProbes:      n.planProbes,
 	}
 }
 
--- /dev/null
+++ b/internal/node/departures_test.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dandelionspoke/internal/announce"
+	"dandelionspoke/internal/objectstoretest"
+	"dandelionspoke/internal/settings"
+)
+
+// departureFleet is a set of nodes that are ended without notice and started again under their node IDs.
+type departureFleet struct {
+	t     *testing.T
+	store *objectstoretest.Store
+	nodes []*Node
+}
+
+func newDepartureFleet(t *testing.T, size int) *departureFleet {
+	f := &departureFleet{t: t, store: objectstoretest.New(), nodes: make([]*Node, size)}
+	for i := range f.nodes {
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range f.nodes {
+			f.kill(i)
+		}
+	})
+	f.waitFor("all nodes know each other", func() bool {
+		for _, n := range f.nodes {
+			if len(n.liveMembers()) < size {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *departureFleet) start(i int) {
+	f.t.Helper()
+	s := settings.LoopbackDefaults()
+	s.NodeID = fmt.Sprintf("node-%d", i)
+	s.FailureDomain = "local-a"
+	for _, other := range f.nodes {
+		if other != nil {
+			s.Seeds = append(s.Seeds, other.Addrs().Peer)
+		}
+	}
+	n, err := New(Options{Settings: s, Store: f.store})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := n.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.nodes[i] = n
+}
+
+func (f *departureFleet) kill(i int) {
+	if f.nodes[i] != nil {
+		_ = f.nodes[i].Close()
+		f.nodes[i] = nil
+	}
+}
+
+func (f *departureFleet) waitFor(what string, condition func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s: not reached within 10s", what)
+		}
+	}
+}
+
+func (f *departureFleet) current(i int) string {
+	current, _ := f.nodes[i].registry.Current()
+	if current == nil {
+		return ""
+	}
+	return current.ID
+}
+
+func (f *departureFleet) heartbeat(i int, incarnation int64, sequence uint64) announce.Outcome {
+	return f.nodes[i].registry.HandleHeartbeat(announce.Heartbeat{
+		Announcement: announce.Announcement{ID: "katalog-1", Service: "katalog", Address: "127.0.0.1:1"},
+		Incarnation:  incarnation, Sequence: sequence,
+	}, time.Now())
+}
+
+// Guards against a delayed heartbeat that announces a backend server again after its departure has been acknowledged and
+// nodes have restarted: the node itself, with neighbours that have restarted since, and all at once, with the store away at
+// the departure, at the restart or both.
+func TestDepartureOutlivesRestarts(t *testing.T) {
+	const born = 1000
+	tests := []struct {
+		name                           string
+		downAtDeparture, downAtRestart bool
+		restartNeighbours, restartAll  bool
+		storeReturns                   time.Duration // after the restart; 0 leaves it down
+		wantSuccessor                  time.Duration // within which a new process is announced
+	}{
+		{name: "node", wantSuccessor: time.Second},
+		{name: "node, store away at the departure", downAtDeparture: true, wantSuccessor: time.Second},
+		{name: "node, store away at the restart", downAtRestart: true, wantSuccessor: 2 * time.Second},
+		{name: "node, store away", downAtDeparture: true, downAtRestart: true, wantSuccessor: 2 * time.Second},
+		{name: "node, then neighbours, store away", downAtDeparture: true, downAtRestart: true, restartNeighbours: true, wantSuccessor: 2 * time.Second},
+		{name: "all at once", restartAll: true, wantSuccessor: 2 * time.Second},
+		{name: "all at once, store away at the restart", restartAll: true, downAtRestart: true, storeReturns: time.Second, wantSuccessor: 10 * time.Second},
+		{name: "all at once, store away", restartAll: true, downAtDeparture: true, downAtRestart: true, storeReturns: time.Second, wantSuccessor: 10 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newDepartureFleet(t, 3)
+			f.waitFor("the server is announced", func() bool {
+				f.heartbeat(0, born, 1)
+				return f.current(0) == "katalog-1"
+			})
+			f.store.SetDown(test.downAtDeparture)
+			acknowledged := time.Now()
+			f.nodes[0].registry.Deregister("katalog-1", born, time.Now())
+			if took := time.Since(acknowledged); took > 900*time.Millisecond {
+				t.Errorf("the acknowledgement took %v", took)
+			}
+			f.kill(0)
+			f.store.SetDown(test.downAtRestart)
+			if test.restartAll {
+				f.kill(1)
+				f.kill(2)
+			}
+			f.start(0)
+			if test.restartAll {
+				f.start(1)
+				f.start(2)
+			}
+			if test.restartNeighbours {
+				f.waitFor("the node has restored the departures", func() bool { return f.heartbeat(0, born, 3) == announce.Stale })
+				for i := 1; i < 3; i++ {
+					f.kill(i)
+					f.start(i)
+					f.waitFor("the neighbour has joined", func() bool { return len(f.nodes[i].liveMembers()) == 3 })
+				}
+				f.kill(0)
+				f.start(0)
+			}
+			restarted, returned := time.Now(), false
+			for sequence := uint64(4); time.Since(restarted) < 2*time.Second; sequence++ {
+				if test.storeReturns > 0 && !returned && time.Since(restarted) > test.storeReturns {
+					f.store.SetDown(false)
+					returned = true
+				}
+				f.heartbeat(0, born, sequence)
+				if id := f.current(0); id != "" {
+					t.Fatalf("%s is announced %v after the restart", id, time.Since(restarted))
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			for sequence := uint64(1); f.current(0) != "katalog-1"; sequence++ {
+				if time.Since(restarted) > 2*time.Second+test.wantSuccessor {
+					t.Fatal("a new process of the server is not announced")
+				}
+				f.heartbeat(0, born+1, sequence)
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -32,16 +32,20 @@
 	// maxDomainAddresses is the largest number of addresses in a members object that is used. 23,000 nodes in 15 failure
 	// domains have about 1,500 each.
 	maxDomainAddresses = 8000
+	// maxStoredDepartures limits the departures in a members object; the latest are kept.
+	maxStoredDepartures = 2000
 	// remoteJoinsPerRegion is the expected number of nodes per region that join through a node of another region first
 	// when the whole region starts. An exchange of 86 members sends up to 40 kB over the billed inter-region link.
 	remoteJoinsPerRegion = 8
 )
 
-// domainMembers is the content of the object members/DOMAIN: the addresses through which a starting node can join.
+// domainMembers is the content of the object members/DOMAIN: the addresses through which a starting node can join, and the
+// latest departures of backend servers, which a node must know after a restart.
 type domainMembers struct {
-	FailureDomain string   `json:"failure_domain"`
-	Region        string   `json:"region"`
-	PeerAddresses []string `json:"peer_addresses"`
+	FailureDomain string            `json:"failure_domain"`
+	Region        string            `json:"region"`
+	PeerAddresses []string          `json:"peer_addresses"`
+	Departures    []storedDeparture `json:"departures,omitempty"`
 }
 
 // join contacts seeds, and nodes listed in the store, whenever this node knows no other node. It runs until the node is
@@ -164,6 +168,7 @@
 	defer cancel()
 	objects, err := n.store.List(ctx, membersPrefix)
 	if err != nil {
+		n.departures.set(&n.departures.storeFailed)
 		n.logger.Info("failed to read members", "event", "store_read_failed", "error", err)
 		return nil
 	}
@@ -173,6 +178,7 @@
 			domains = append(domains, d)
 		}
 	}
+	n.restoreFromStore(domains)
 	return domains
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/wire"
@@ -64,44 +60,27 @@
 // mergeDomainMembers joins an unknown node listed in the domain's object, then writes the current addresses. A write
 // conflict means that another reader of the domain has written; the caller retries.
 func (n *Node) mergeDomainMembers(ctx context.Context) ([]string, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	key := membersPrefix + n.settings.FailureDomain
-	old, err := n.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
-		return nil, err
-	}
-	n.joinUnknownMember(key, old.Value)
-	addresses := n.domainAddresses()
-	value, err := json.Marshal(domainMembers{
-		FailureDomain: n.settings.FailureDomain, Region: n.settings.Region, PeerAddresses: addresses,
+	var addresses []string
+	err := n.updateDomainMembers(ctx, func(m *domainMembers) {
+		n.joinUnknownMember(m.PeerAddresses)
+		addresses = n.domainAddresses()
+		m.PeerAddresses = addresses
 	})
 	if err != nil {
 		return nil, err
 	}
-	if string(value) == string(old.Value) {
-		return addresses, nil
-	}
-	_, err = n.store.Put(ctx, key, value, old.Version)
-	return addresses, err
+	return addresses, nil
 }
 
 // joinUnknownMember joins through the first responding stored address that belongs to no known member. One exchange
 // transfers all members of its group.
-func (n *Node) joinUnknownMember(key string, stored []byte) {
-	if len(stored) == 0 {
-		return
-	}
-	d, ok := n.decodeMembers(key, stored)
-	if !ok {
-		return
-	}
+func (n *Node) joinUnknownMember(stored []string) {
 	known := map[string]bool{n.settings.Peer.Advertise: true}
 	for _, m := range n.engine.Records() {
 		known[m.PeerAddr] = known[m.PeerAddr] || m.State != wire.MemberState_DEAD
 	}
 	attempts := 0
-	for _, addr := range d.PeerAddresses {
+	for _, addr := range stored {
 		if known[addr] {
 			continue
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	claimRouter    *claim.Router
 	isStoreReader  atomic.Bool // this node reads the store for its failure domain
 	joinAttempted  atomic.Bool // the first attempt to join other nodes has ended
+	departures     departureState
 	// probePolicyVersion and probeRand are used only by the engine loop.
 	probePolicyVersion uint64
 	probeRand          *rand.Rand
@@ -165,6 +166,8 @@
 	n.gate.OnCrash = n.onBackendCrash
 	n.gate.WriteLimiter = n.writeLimiter
 	n.registry.OnChange = n.onBackendChange
+	n.registry.OnDeparture = n.onDeparture
+	n.registry.StartRestore()
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget, ServiceBudgets: n.serviceBudgets,
 		Logger: n.logger, Protocol: n.adapter.CallerProtocol, Latency: n.metrics.Histogram("ingress_request_seconds"), Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
@@ -215,6 +218,7 @@
 	}
 	n.background(n.runMaintenance)
 	n.background(n.join)
+	n.background(n.awaitDepartures)
 	if n.settings.Backend.PortCheck > 0 {
 		n.background(n.checkHealth)
 	}
