--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -260,6 +260,23 @@
 	return q.dispatch(now)
 }
 
+// Withdraw refuses the waiting requests that are not expected to start within maxWait; with 0, all of them.
+func (q *Queue) Withdraw(now time.Time, maxWait time.Duration) []Decision {
+	var decisions []Decision
+	withdraw := func(l *waitList, average serviceTime, slots int) {
+		ahead := 0
+		for _, e := range l.removeWhere(func(*entry) bool {
+			ahead++
+			return maxWait <= 0 || average.wait(ahead-1, slots) > maxWait
+		}) {
+			decisions = append(decisions, q.refuse(now, e, verdict.Draining))
+		}
+	}
+	withdraw(&q.short, q.shortServiceTime, q.limits.Slots-q.inUseLong)
+	withdraw(&q.long, q.longServiceTime, q.limits.LongSlots)
+	return decisions
+}
+
 // Expire refuses the waiting requests whose deadline or lateness limit has passed and starts those that may start
 // now. The gate calls it at NextDecision or on a tick of a few milliseconds.
 func (q *Queue) Expire(now time.Time) []Decision { return q.dispatch(now) }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -22,6 +22,9 @@
 	// reused connection at the moment the request is sent.
 	backendIdleTimeout  = 5 * time.Second
 	maxIdleBackendConns = 64
+	// drainQueueTime is the time for which requests that wait when the backend server starts to drain may still be sent to
+	// it. Servers go on serving for 2.5 s and more after the acknowledgement, of which connecting may take 0.5 s.
+	drainQueueTime = time.Second
 	// defaultMaxResponseHeaderBytes replaces the 10 MiB of net/http: a faulty backend server that answers on all of its
 	// slots with a header without end would otherwise exhaust the memory of the VM.
 	defaultMaxResponseHeaderBytes = 64 << 10
@@ -71,8 +74,10 @@
 	waiters  map[admission.Ticket]chan admission.Decision
 	backend  *Backend
 	draining bool
-	// backendDraining is set while the backend server drains and the node itself does not.
+	// backendDraining is set while the backend server drains and the node itself does not. No waiting request is sent to it
+	// after drainCutoff.
 	backendDraining      bool
+	drainCutoff          time.Time
 	backendDown          bool
 	maxResponseKeepBytes int
 	slowness             *slownessTracker
@@ -102,12 +107,21 @@
 	g.connections.Store(newConnectionPool(g.connections.Load().maxConnections, limit))
 }
 
-// SetBackend sets the backend server. With a nil backend, the gate refuses all requests.
+// SetBackend sets the backend server. With a nil backend, the gate refuses all requests. Requests that wait for another
+// server are refused.
 func (g *Gate) SetBackend(b *Backend) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.backend.isServer(b) {
+		g.withdrawWaiting(0)
+	}
 	g.backend = b
 	g.backendDown = false
-	g.mu.Unlock()
+}
+
+// isServer reports whether both are the same backend server, also after a restart under the same ID and address.
+func (b *Backend) isServer(other *Backend) bool {
+	return b != nil && other != nil && b.ID == other.ID && b.Service == other.Service && b.Address == other.Address
 }
 
 // Backend returns the announced backend server, or nil.
@@ -162,11 +176,33 @@
 	g.mu.Unlock()
 }
 
-// SetBackendDraining makes the gate refuse new requests while the backend server drains.
+// SetBackendDraining makes the gate refuse new requests while the backend server drains. Waiting requests are refused too,
+// unless they are expected to start within drainQueueTime and do, so that they can be sent to other endpoints.
 func (g *Gate) SetBackendDraining(draining bool) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	if draining && !g.backendDraining {
+		g.drainCutoff = time.Now().Add(drainQueueTime)
+		g.withdrawWaiting(drainQueueTime)
+		time.AfterFunc(drainQueueTime, g.endDrainQueue)
+	}
 	g.backendDraining = draining
-	g.mu.Unlock()
+}
+
+// endDrainQueue refuses the requests that still wait for a draining backend server at drainCutoff.
+func (g *Gate) endDrainQueue() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.backendDraining && !time.Now().Before(g.drainCutoff) {
+		g.withdrawWaiting(0)
+	}
+}
+
+// withdrawWaiting refuses the waiting requests that are not expected to start within maxWait. It is called with mu held.
+func (g *Gate) withdrawWaiting(maxWait time.Duration) {
+	if g.queue != nil {
+		g.deliverDecisions(g.queue.Withdraw(time.Now(), maxWait))
+	}
 }
 
 // SetBackendDown makes the gate refuse new requests while the backend server fails its health check.
@@ -254,6 +290,10 @@
 	waitErr := verdict.New(verdict.NotRun, verdict.QueueTimeout, "ended while waiting for a slot")
 	select {
 	case decision := <-decided:
+		if decision.Admitted && !g.mayStartWaiting(b) {
+			g.releaseSlot(t, 0)
+			return g.admissionResult(t, b, false, verdict.Draining)
+		}
 		return g.admissionResult(t, b, decision.Admitted, decision.Reason)
 	case <-done:
 	case <-withdrawn:
@@ -276,6 +316,14 @@
 	return 0, nil, waitErr
 }
 
+// mayStartWaiting reports whether a request that has waited for b may be sent to it. The process may have been paused since
+// the decision, and the timer of drainCutoff is late then.
+func (g *Gate) mayStartWaiting(b *Backend) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.backend.isServer(b) && (!g.backendDraining || time.Now().Before(g.drainCutoff))
+}
+
 // deliverDecisions sends decisions to the waiting requests. It is called with mu held.
 func (g *Gate) deliverDecisions(decisions []admission.Decision) {
 	for _, decision := range decisions {
