--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -91,6 +91,8 @@
 	pendingAttempts sync.Map
 	// closing is set when no more attempts may start.
 	closing atomic.Bool
+	// latestDeadline is the latest deadline of new requests while the node is about to end; nil at other times.
+	latestDeadline atomic.Pointer[time.Time]
 }
 
 // New returns an ingress.
@@ -105,6 +107,10 @@
 // other nodes. Requests that still arrive are served through the gates of other nodes.
 func (in *Ingress) SetDraining(draining bool) { in.draining.Store(draining) }
 
+// LimitDeadlines makes the ingress refuse new requests whose deadline is after latest: the node ends then, and a request that
+// still runs would be cut off without a response. Requests that have been sent to a gate continue.
+func (in *Ingress) LimitDeadlines(latest time.Time) { in.latestDeadline.Store(&latest) }
+
 // Withdraw cancels the attempts that have not started to run: gates refuse those that still wait for a slot, and no
 // new attempt starts. A node calls it shortly before it aborts the requests in flight, so that callers whose request
 // has not run are told so. Requests that are running continue. Withdraw returns when the gates have been notified or
@@ -173,6 +179,9 @@
 	if err := q.readBodyPrefix(ctx, w, in.bodyLimit(q.route)); err != nil {
 		return err
 	}
+	if latest := in.latestDeadline.Load(); latest != nil && q.deadline.After(*latest) {
+		return verdict.New(verdict.NotRun, verdict.Draining, "the node ends before the deadline of the request")
+	}
 	if in.IsQuarantined != nil && (in.IsQuarantined(q.fingerprint) || in.IsQuarantined(q.callerFingerprint)) {
 		return verdict.New(verdict.NotRun, verdict.Quarantined, "the request has crashed backend servers")
 	}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -65,11 +65,15 @@
 	return func() { timer.Stop() }
 }
 
-// shutdownIngress closes the ingress listener and waits until its requests have been answered.
+// shutdownIngress closes the ingress listener and waits until its requests have been answered. Once callers have had the time
+// to leave, requests are accepted only if their deadline passes before the drain ends.
 func (n *Node) shutdownIngress(ctx context.Context) {
 	if len(n.servers) > 0 {
 		_ = n.ingressListener.Close()
 		n.ingressListener.WaitIdle(ctx, maxIdleWait(ctx))
+		if deadline, ok := ctx.Deadline(); ok {
+			n.ingress.LimitDeadlines(deadline.Add(-withdrawLeadTime))
+		}
 		_ = n.servers[0].Shutdown(ctx)
 	}
 	n.ingress.Wait()
