--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -35,7 +35,8 @@
 	acceptAnyWait       bool   // later attempts accept any expected wait
 	moves               int    // refusals by gates that do not count as attempts
 	excluded            uint64 // bitmask of endpoint indexes already tried
-	excludedBeforeMoves uint64 // excluded without the endpoints that refused as busy
+	excludedBeforeMoves uint64 // excluded without the endpoints whose gates refused as busy
+	lastBit             uint64 // bit of the newest attempt's endpoint in excluded
 	results             chan attemptResult
 	// running holds the cancel functions of the attempts that have not ended, by attempt number.
 	running         map[int]context.CancelFunc
@@ -104,9 +105,11 @@
 	if !state.acceptAnyWait && state.moves == 0 {
 		state.excludedBeforeMoves = state.excluded
 	}
+	state.lastBit = 0
 	if i < 64 {
-		state.excluded |= 1 << i
+		state.lastBit = 1 << i
 	}
+	state.excluded |= state.lastBit
 	state.countedAttempts++
 	state.startedAttempts++
 	state.lastEndpoint = ep
@@ -352,6 +355,7 @@
 	if !d.Retry {
 		return false
 	}
+	state.excludedBeforeMoves |= state.lastBit
 	if d.Wait > 0 {
 		select {
 		case <-time.After(d.Wait):
