--- a/internal/claim/message.go
+++ b/internal/claim/message.go
@@ -106,7 +106,7 @@
 func encodeOutcome(o Outcome) *wire.ClaimOutcome {
 	encoded := &wire.ClaimOutcome{Verdict: o.Verdict.Wire(), Status: uint32(o.Status), Body: o.Body, Partial: o.Partial}
 	for name, values := range o.Header {
-		encoded.Headers = append(encoded.Headers, &wire.Header{Name: name, Values: values})
+		encoded.Headers = append(encoded.Headers, wire.NewHeader(name, values))
 	}
 	return encoded
 }
@@ -117,7 +117,7 @@
 		decoded.Header = http.Header{}
 	}
 	for _, h := range o.GetHeaders() {
-		decoded.Header[h.Name] = h.Values
+		decoded.Header[h.Name] = h.All()
 	}
 	return decoded
 }
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -86,6 +87,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if path, _, _ := strings.Cut(c.head.Target, "?"); strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
+		// Keeps net/http from escaping characters that the caller sent unescaped.
+		target.Opaque = path
+	}
 	target.Scheme = "http"
 	target.Host = backend.Address
 	req := &http.Request{
@@ -93,7 +98,7 @@
 		ProtoMajor: 1, ProtoMinor: 1, ContentLength: c.head.ContentLength,
 	}
 	for _, h := range c.head.Headers {
-		req.Header[h.Name] = h.Values
+		req.Header[h.Name] = h.All()
 	}
 	requestContext := RequestContext{Endpoint: backend.ID, Depth: int(c.head.Depth) + 1, Priority: int(c.head.Priority)}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -261,7 +266,7 @@
 	out := make([]*wire.Header, 0, len(h))
 	for name, values := range h {
 		if !isHopByHop(name) {
-			out = append(out, &wire.Header{Name: name, Values: values})
+			out = append(out, wire.NewHeader(name, values))
 		}
 	}
 	return out
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -65,7 +65,7 @@
 func (in *Ingress) requestHead(q *request, ep *table.Endpoint, remote *peer.Remote) *wire.RequestHead {
 	head := &wire.RequestHead{
 		AttemptId: newAttemptID(), Service: q.serviceName, Route: q.route.Name, Endpoint: ep.ID,
-		Method: q.httpRequest.Method, Target: q.httpRequest.URL.RequestURI(), Host: q.httpRequest.Host, Headers: q.headers,
+		Method: q.httpRequest.Method, Target: requestTarget(q.httpRequest), Host: q.httpRequest.Host, Headers: q.headers,
 		ContentLength: q.contentLength(), Streamed: q.bodyRest != nil,
 		DeadlineMs: uint32(max(time.Until(q.deadline).Milliseconds(), 0)), Priority: uint32(q.priority),
 		Long: q.long, Region: in.Region, Depth: uint32(q.depth), Idempotent: q.idempotent,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -337,7 +337,7 @@
 func writeHead(w http.ResponseWriter, head *wire.ResponseHead) {
 	h := w.Header()
 	for _, header := range head.Headers {
-		h[header.Name] = header.Values
+		h[header.Name] = header.All()
 	}
 	if head.ContentLength >= 0 && h.Get("Content-Length") == "" {
 		h.Set("Content-Length", strconv.FormatInt(head.ContentLength, 10))
@@ -351,7 +351,7 @@
 
 func writeTrailers(w http.ResponseWriter, trailers []*wire.Header) {
 	for _, t := range trailers {
-		w.Header()[http.TrailerPrefix+t.Name] = t.Values
+		w.Header()[http.TrailerPrefix+t.Name] = t.All()
 	}
 }
 
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -146,7 +146,7 @@
 func httpHeader(headers []*wire.Header) http.Header {
 	h := make(http.Header, len(headers))
 	for _, header := range headers {
-		h[header.Name] = header.Values
+		h[header.Name] = header.All()
 	}
 	return h
 }
--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -137,6 +138,39 @@
 	}
 }
 
+// Guards against requests and responses that are changed or refused because of characters that other parts of the path would
+// escape or can't encode.
+func TestUnusualCharactersPassUnchanged(t *testing.T) {
+	p := newRequestPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["X-Seen"] = r.Header["X-Sent"]
+		_, _ = io.WriteString(w, r.RequestURI)
+	}), nil)
+	for _, target := range []string{
+		"/a|b", `/a"b`, "/a^b{c}", "/a%7Cb", "/a%2fb/../c", "/a//b", "/\u00e5?q=a|b&r=%zz", "/a?", "/?x={}", "/a;b=c", "/a%20b+c",
+	} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(p.caller.URL, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a\r\nX-Sent: caf\xe9\r\nX-Sent: second\r\nConnection: close\r\n\r\n", target); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", target, err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || string(body) != target {
+			t.Errorf("%s arrived as %s, status %d", target, body, resp.StatusCode)
+		}
+		if seen := resp.Header["X-Seen"]; len(seen) != 2 || seen[0] != "caf\xe9" || seen[1] != "second" {
+			t.Errorf("%s: header values %q", target, seen)
+		}
+	}
+}
+
 // Guards against a caller that takes a truncated response for a complete one.
 func TestTruncatedResponseIsNotComplete(t *testing.T) {
 	p := newRequestPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/ingress/protocol.go
+++ b/internal/ingress/protocol.go
@@ -100,7 +100,7 @@
 				filtered = append(filtered, h)
 			}
 		}
-		headers = append(filtered, &wire.Header{Name: "X-Forwarded-For", Values: values})
+		headers = append(filtered, wire.NewHeader("X-Forwarded-For", values))
 	}
 	return headers
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
@@ -91,6 +93,15 @@
 	return q, nil
 }
 
+// requestTarget returns the path and query of a request as the caller sent them. Those of an absolute URL, and those that are
+// not UTF-8, are encoded anew.
+func requestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") && utf8.ValidString(r.RequestURI) {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // readBodyPrefix reads the start of the body and computes the fingerprint. It refuses bodies above limit bytes.
 func (q *request) readBodyPrefix(ctx context.Context, w http.ResponseWriter, limit int64) error {
 	if q.httpRequest.ContentLength > limit {
