--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 )
@@ -36,8 +37,8 @@
 
 // Validate reports the first field that is missing or malformed.
 func (a *Announcement) Validate() error {
-	if a.ID == "" || len(a.ID) > maxNameBytes {
-		return errors.Newf("id: 1 to %d bytes are allowed", maxNameBytes)
+	if a.ID == "" || len(a.ID) > maxNameBytes || !utf8.ValidString(a.ID) {
+		return errors.Newf("id: 1 to %d bytes of UTF-8 are allowed", maxNameBytes)
 	}
 	if a.Service == "" || len(a.Service) > maxNameBytes {
 		return errors.Newf("service: 1 to %d bytes are allowed", maxNameBytes)
