--- a/cmd/dandelionspoke/path_test.go
+++ b/cmd/dandelionspoke/path_test.go
@@ -303,3 +303,33 @@
 	}
 	f.waitReady(f.nodes[0])
 }
+
+// Guards against a process that ends because its settings change while it starts: it gets SIGHUP while it reads them.
+func TestHangupDuringStart(t *testing.T) {
+	f := startFleet(t, 1)
+	text, err := os.ReadFile(f.settingsFiles[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.nodes[0].kill()
+	pipe, regular := f.path("pipe.toml"), f.write("regular.toml", string(text))
+	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := spawnProcess(t, "node", "--settings", pipe)
+	settings, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns when the process has opened the pipe
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer settings.Close()
+	if err := os.Rename(regular, pipe); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP)
+	time.Sleep(50 * time.Millisecond)
+	if _, err := settings.Write(text); err != nil {
+		t.Fatal(err)
+	}
+	_ = settings.Close()
+	p.awaitListening()
+}
--- a/cmd/dandelionspoke/process_test.go
+++ b/cmd/dandelionspoke/process_test.go
@@ -44,8 +44,9 @@
 	cmd    *exec.Cmd
 	stderr lockedBuffer
 	// fields are the key=value pairs of the msg=listening line that the command prints.
-	fields map[string]string
-	exited chan struct{}
+	fields    map[string]string
+	listening chan string // receives that line
+	exited    chan struct{}
 }
 
 // lockedBuffer is a buffer that is safe for concurrent use.
@@ -74,7 +75,18 @@
 // startProcess starts a command and returns when the command has printed its msg=listening line.
 func startProcess(t *testing.T, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: strings.Join(args, " "), cmd: exec.Command(binary, args...), exited: make(chan struct{})}
+	p := spawnProcess(t, args...)
+	p.awaitListening()
+	return p
+}
+
+// spawnProcess starts a command.
+func spawnProcess(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{
+		t: t, name: strings.Join(args, " "), cmd: exec.Command(binary, args...),
+		listening: make(chan string, 1), exited: make(chan struct{}),
+	}
 	p.cmd.Stderr = &p.stderr
 	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
@@ -84,26 +96,29 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(p.kill)
-	listening := make(chan string, 1)
 	go func() {
 		lines := bufio.NewScanner(stdout)
 		for lines.Scan() {
 			if strings.HasPrefix(lines.Text(), "msg=listening ") {
-				listening <- lines.Text()
+				p.listening <- lines.Text()
 			}
 		}
 		_ = p.cmd.Wait()
 		close(p.exited)
 	}()
+	return p
+}
+
+func (p *process) awaitListening() {
+	p.t.Helper()
 	select {
-	case line := <-listening:
+	case line := <-p.listening:
 		p.fields = parseFields(line)
 	case <-p.exited:
-		t.Fatalf("%s exited before it listened: %s", p.name, p.stderr.String())
+		p.t.Fatalf("%s exited before it listened: %s", p.name, p.stderr.String())
 	case <-time.After(processTimeout):
-		t.Fatalf("%s does not listen within the timeout: %s", p.name, p.stderr.String())
+		p.t.Fatalf("%s does not listen within the timeout: %s", p.name, p.stderr.String())
 	}
-	return p
 }
 
 func parseFields(line string) map[string]string {
--- a/internal/cli/signals.go
+++ b/internal/cli/signals.go
@@ -6,6 +6,8 @@
 	"os/signal"
 	"sync"
 	"syscall"
+
+	"dandelionspoke/internal/hangup"
 )
 
 // stopSignals handles SIGTERM and SIGINT: the first signal requests a drain, the second one an immediate exit.
@@ -41,13 +43,12 @@
 	}
 }
 
-// onHangup calls reload at each SIGHUP until the second stop signal or release. By default SIGHUP would end the
-// process.
+// onHangup calls reload at each SIGHUP until the second stop signal or release, and for one received while the process
+// started.
 func (s *stopSignals) onHangup(reload func()) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+	hangups := hangup.Catch()
 	s.wg.Go(func() {
-		defer signal.Stop(hangups)
+		defer hangup.Release()
 		for {
 			select {
 			case <-hangups:
