--- a/cmd/dandelionspoke/path_test.go
+++ b/cmd/dandelionspoke/path_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -304,6 +305,27 @@
 	f.waitReady(f.nodes[0])
 }
 
+// Guards against answers to "OPTIONS *" that no backend server has given.
+func TestServerWideOptionsHaveNoRoute(t *testing.T) {
+	f := startFleet(t, 1)
+	conn, err := net.Dial("tcp", f.nodes[0].fields["ingress"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusNotFound {
+		t.Errorf("OPTIONS * got status %d, want %d as for any path without a route", resp.StatusCode, http.StatusNotFound)
+	}
+}
+
 // Guards against a process that ends because its settings change while it starts: it gets SIGHUP while it reads them.
 func TestHangupDuringStart(t *testing.T) {
 	f := startFleet(t, 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -308,6 +308,8 @@
 	n.serveOn(n.ingressListener, "ingress", &http.Server{
 		Handler: n.ingress, ReadHeaderTimeout: in.HeaderTimeout, IdleTimeout: in.IdleTimeout, MaxHeaderBytes: in.MaxHeaderBytes,
 		ConnState: n.ingressListener.TrackState, ConnContext: httpconn.Context,
+		// Otherwise net/http answers "OPTIONS *" itself, with a status that no backend server has given.
+		DisableGeneralOptionsHandler: true,
 	})
 	return nil
 }
