--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -110,6 +110,9 @@
 	// OnChange is called when the backend server is announced, changes, drains or is withdrawn. Calls do not
 	// overlap. current is nil if no backend server is announced; incarnation is that of its latest heartbeat.
 	OnChange func(current *Announcement, incarnation int64, draining bool)
+	// OnDeparture is called after a process has announced that it leaves, and before HandleHeartbeat or Deregister returns.
+	// It may block for a short time. Set it before the first heartbeat; nil disables the call.
+	OnDeparture func(Departure)
 
 	changeMu      sync.Mutex // held during a change and its OnChange call, so that OnChange sees the changes in order
 	lastHeartbeat time.Time  // guarded by changeMu
@@ -117,10 +120,6 @@
 	mu    sync.Mutex
 	state serverState
 
-	// OnDeparture is called after a process has announced that it leaves, and before HandleHeartbeat or Deregister returns.
-	// It may block for a short time. Set it before the first heartbeat; nil disables the call.
-	OnDeparture func(Departure)
-
 	// departed maps the IDs of servers to the newest of their processes that has left. It includes servers that this node
 	// did not know, because a delayed heartbeat may arrive after the deregistration. Guarded by changeMu.
 	departed map[string]int64
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -179,6 +179,6 @@
 		return errors.Newf("unexpected %s from %s", frameName(f), peerAddr)
 	}
 	n.engine.HandleSyncReply(peerAddr, f.GetSyncReply())
-	n.departures.set(&n.departures.peerReply)
+	n.departures.peerReply.Store(true)
 	return nil
 }
--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,8 +21,10 @@
 	departureAckDelay = 500 * time.Millisecond
 	// departureGossipTime is the time in which a departure reaches several other nodes.
 	departureGossipTime = 150 * time.Millisecond
-	// departureRetryInterval is the time between two tries to write a departure to the store.
-	departureRetryInterval = time.Second
+	// minDepartureRetryInterval and maxDepartureRetryInterval bound the time between two tries to write a departure to the
+	// store, which doubles with each.
+	minDepartureRetryInterval = time.Second
+	maxDepartureRetryInterval = 15 * time.Second
 	// departureRetention is the time for which the store keeps a departure. Heartbeats are delayed by seconds.
 	departureRetention = 10 * time.Minute
 	// restoreSourceWait is the age of the process up to which the second of the two sources is waited for.
@@ -31,6 +33,8 @@
 	// has stated the departures. Heartbeats are delayed by seconds, so that a process which still sends some has not left.
 	maxRestoreTime      = 8 * time.Second
 	restorePollInterval = 10 * time.Millisecond
+	// conflictRetryInterval is the time after which a write is tried again when another node of the domain has written.
+	conflictRetryInterval = 10 * time.Millisecond
 )
 
 // storedDeparture is an entry of a members object.
@@ -42,25 +46,12 @@
 
 // departureState tracks which sources have stated the departures that earlier processes of this node acknowledged.
 type departureState struct {
-	mu        sync.Mutex
-	peerReply bool // another node has replied to an exchange
-	peerKnown bool // another node has stated all departures
-	storeRead bool // the members object of the domain has been read
+	peerReply atomic.Bool // another node has replied to an exchange
+	peerKnown atomic.Bool // another node has stated all departures
+	storeRead atomic.Bool // the members object of the domain has been read
 	// storeFailed is set if the store could not be read when the process started. It may then lack departures that were
 	// acknowledged during its outage.
-	storeFailed bool
-}
-
-func (s *departureState) set(field *bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	*field = true
-}
-
-func (s *departureState) isSet(field *bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return *field
+	storeFailed atomic.Bool
 }
 
 // onDeparture announces a departure to the other nodes and writes it to the store, so that later processes of this node know
@@ -87,16 +78,15 @@
 // departure is outdated or the node is closed.
 func (n *Node) storeDeparture(d announce.Departure, at time.Time) {
 	entry := storedDeparture{Departure: d, NodeID: n.settings.NodeID, At: at}
-	for time.Since(at) < departureRetention {
+	for interval := minDepartureRetryInterval; time.Since(at) < departureRetention; {
 		err := n.updateDomainMembers(n.ctx, func(m *domainMembers) { m.addDeparture(entry) })
 		if err == nil {
 			return
 		}
-		wait := departureRetryInterval
-		if errors.Is(err, objectstore.ErrConflict) {
-			wait = restorePollInterval // another node of the domain has written
-		} else {
+		wait := conflictRetryInterval
+		if !errors.Is(err, objectstore.ErrConflict) {
 			n.logger.Info("failed to write a departure", "event", "store_write_failed", "endpoint", d.ID, "error", err)
+			wait, interval = interval, min(2*interval, maxDepartureRetryInterval)
 		}
 		if !sleep.For(n.ctx, wait) {
 			return
@@ -158,7 +148,7 @@
 		}
 	}
 	n.restoreDepartures(restored)
-	n.departures.set(&n.departures.storeRead)
+	n.departures.storeRead.Store(true)
 }
 
 // onOwnDepartures adds the departures of this node's backend servers that another node knows.
@@ -169,7 +159,7 @@
 	}
 	n.restoreDepartures(restored)
 	if known {
-		n.departures.set(&n.departures.peerKnown)
+		n.departures.peerKnown.Store(true)
 	}
 }
 
@@ -210,23 +200,21 @@
 // departuresKnown reports whether heartbeats may be applied. The store and the other nodes may each lack the latest
 // departure, so that both are asked where they can be reached.
 func (n *Node) departuresKnown() bool {
-	age := n.uptime()
 	s := &n.departures
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	waited := n.uptime() >= restoreSourceWait
 	switch {
 	case n.store == nil:
-		return s.peerKnown || n.joinAttempted.Load()
-	case s.storeRead && (s.peerKnown || !s.storeFailed):
-		return s.peerReply || n.joinAttempted.Load() || age >= restoreSourceWait
+		return s.peerKnown.Load() || n.joinAttempted.Load()
+	case s.storeRead.Load() && (s.peerKnown.Load() || !s.storeFailed.Load()):
+		return s.peerReply.Load() || n.joinAttempted.Load() || waited
 	}
-	return s.peerKnown && age >= restoreSourceWait
+	return s.peerKnown.Load() && waited
 }
 
 // readDepartures reads the members object of this node's domain, unless a list has been read. It retries until ctx ends.
 func (n *Node) readDepartures(ctx context.Context) {
 	key := membersPrefix + n.settings.FailureDomain
-	for wait := firstReadRetryInterval; !n.departures.isSet(&n.departures.storeRead); wait *= 2 {
+	for wait := firstReadRetryInterval; !n.departures.storeRead.Load(); wait *= 2 {
 		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		o, err := n.store.Get(readCtx, key)
 		cancel()
@@ -240,7 +228,7 @@
 			n.restoreFromStore(domains)
 			return
 		}
-		n.departures.set(&n.departures.storeFailed)
+		n.departures.storeFailed.Store(true)
 		n.logger.Info("failed to read departures", "event", "store_read_failed", "error", err)
 		if !sleep.For(ctx, wait) {
 			return
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -168,7 +168,7 @@
 	defer cancel()
 	objects, err := n.store.List(ctx, membersPrefix)
 	if err != nil {
-		n.departures.set(&n.departures.storeFailed)
+		n.departures.storeFailed.Store(true)
 		n.logger.Info("failed to read members", "event", "store_read_failed", "error", err)
 		return nil
 	}
