--- a/internal/gate/connections.go
+++ b/internal/gate/connections.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 
 	"dandelionspoke/internal/netopt"
@@ -26,8 +27,13 @@
 type backendConnection struct {
 	pool      *connectionPool
 	transport *http.Transport
+	// refused holds the identifiers of the requests that have been refused on the connection.
+	refused []string
 }
 
+// maxRefusedPerConnection is the number of refusals after which a connection is not used again.
+const maxRefusedPerConnection = 64
+
 // newConnectionPool returns a pool of at most maxConnections connections; 0 means no limit.
 func newConnectionPool(maxConnections int, maxHeaderBytes int64) *connectionPool {
 	p := &connectionPool{maxConnections: maxConnections, maxHeaderBytes: maxHeaderBytes}
@@ -37,9 +43,10 @@
 	return p
 }
 
-// acquire returns a connection for one request. While all are in use it waits until ctx ends; the error then has the
-// verdict NotRun.
-func (p *connectionPool) acquire(ctx context.Context) (*backendConnection, error) {
+// acquire returns a connection for one request, on which a request with the same identifier has not been refused: a faulty
+// backend server may send a second copy of the refusal, which can't be told from the answer. While all connections are in use
+// it waits until ctx ends; the error then has the verdict NotRun.
+func (p *connectionPool) acquire(ctx context.Context, requestID string) (*backendConnection, error) {
 	if p.inUse != nil {
 		select {
 		case p.inUse <- struct{}{}:
@@ -49,18 +56,27 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if last := len(p.idle) - 1; last >= 0 {
-		c := p.idle[last]
-		p.idle[last] = nil
-		p.idle = p.idle[:last]
-		return c, nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !slices.Contains(c.refused, requestID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, nil
+		}
 	}
 	return &backendConnection{pool: p, transport: newTransport(p.maxHeaderBytes)}, nil
 }
 
+// recordRefusal records that a request has been refused on the connection, and reports whether the connection may be used
+// again. Without an identifier, nothing tells a second copy of the refusal from the answer to any later request.
+func (c *backendConnection) recordRefusal(requestID string) (reusable bool) {
+	if requestID == "" || len(c.refused) >= maxRefusedPerConnection {
+		return false
+	}
+	c.refused = append(c.refused, requestID)
+	return true
+}
+
 // release ends the use of a connection. It is kept only if reusable is set, which requires that the response belonged to
-// the request and has been read completely. After a refusal a faulty backend server may send a second copy of it, which
-// can't be told from the answer to the same request if that is sent again on the connection.
+// the request and has been read completely.
 func (c *backendConnection) release(reusable bool) {
 	p := c.pool
 	p.mu.Lock()
--- a/internal/gate/connections_test.go
+++ b/internal/gate/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,20 +13,20 @@
 // request.
 func TestConnectionLimit(t *testing.T) {
 	p := newConnectionPool(2, defaultMaxResponseHeaderBytes)
-	first, err := p.acquire(context.Background())
+	first, err := p.acquire(context.Background(), "")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err = p.acquire(context.Background()); err != nil {
+	if _, err = p.acquire(context.Background(), ""); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
-	if _, err := p.acquire(ctx); verdict.Of(err) != verdict.NotRun || err == nil {
+	if _, err := p.acquire(ctx, ""); verdict.Of(err) != verdict.NotRun || err == nil {
 		t.Fatalf("a third connection was acquired, error %v; want not-run", err)
 	}
 	first.release(true)
-	again, err := p.acquire(context.Background())
+	again, err := p.acquire(context.Background(), "")
 	if err != nil || again != first {
 		t.Fatalf("got connection %p, error %v; want the one released, %p", again, err, first)
 	}
@@ -38,7 +39,7 @@
 		name                  string
 		reusable, close, kept bool
 	}{{"after a response", true, false, true}, {"after a refusal", false, false, false}, {"after the pool was closed", true, true, false}} {
-		c, _ := p.acquire(context.Background())
+		c, _ := p.acquire(context.Background(), "")
 		if test.close {
 			p.close()
 		}
@@ -48,3 +49,29 @@
 		}
 	}
 }
+
+// Guards against a request that is sent again on a connection on which it has been refused, and against a connection that is
+// not used for other requests.
+func TestRefusedRequestGetsAnotherConnection(t *testing.T) {
+	p := newConnectionPool(0, defaultMaxResponseHeaderBytes)
+	c, _ := p.acquire(context.Background(), "a")
+	c.release(c.recordRefusal("a"))
+	if again, _ := p.acquire(context.Background(), "a"); again == c {
+		t.Error("the refused request got the same connection")
+	}
+	other, _ := p.acquire(context.Background(), "b")
+	if other != c {
+		t.Error("another request got a new connection")
+	}
+	if other.recordRefusal("") {
+		t.Error("a connection may be used again after a refusal without an identifier")
+	}
+	for n := 1; n < maxRefusedPerConnection; n++ {
+		if !other.recordRefusal(fmt.Sprint(n)) {
+			t.Fatalf("not reusable after %d refusals", n+1)
+		}
+	}
+	if other.recordRefusal("last") {
+		t.Error("the refusals of a connection are not bounded")
+	}
+}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -21,6 +21,8 @@
 	// crashProbeDelay gives a crashing process time to close its listener before the gate probes it.
 	crashProbeDelay   = 50 * time.Millisecond
 	crashProbeTimeout = 200 * time.Millisecond
+	// maxRefusalBodyBytes bounds how much of a refusal is read to make its connection reusable.
+	maxRefusalBodyBytes = 4 << 10
 )
 
 // forward sends the request to the backend server and streams the response to the ingress. The slot must be held until
@@ -38,7 +40,8 @@
 	if c.head.ContentLength < 0 || c.head.Streamed {
 		_ = c.conn.Write(&wire.Frame{Kind: &wire.Frame_Continue{Continue: &wire.Continue{}}})
 	}
-	conn, err := c.gate.connections.Load().acquire(ctx)
+	requestID := c.gate.protocol.RequestID(c.head.Headers)
+	conn, err := c.gate.connections.Load().acquire(ctx, requestID)
 	if err != nil {
 		return err
 	}
@@ -56,8 +59,10 @@
 	case info.MismatchReason != "":
 		return verdict.New(verdict.MayHaveRun, verdict.BackendBroken, "the answer is not to this request: %s", info.MismatchReason)
 	case info.OtherInstance:
+		reusable = info.Identified && conn.recordRefusal(requestID) && drained(resp)
 		return verdict.New(verdict.NotRun, verdict.WrongGate, "another backend server has the address %s", backend.Address)
 	case info.NotRun:
+		reusable = info.Identified && conn.recordRefusal(requestID) && drained(resp)
 		return verdict.New(verdict.NotRun, verdict.BackendRefused, "the backend server refused the request")
 	}
 	received := &responseBody{ReadCloser: resp.Body}
@@ -70,6 +75,12 @@
 	return err
 }
 
+// drained reads the rest of a short response, so that its connection can be used again, and reports whether it can.
+func drained(resp *http.Response) bool {
+	n, err := io.CopyN(io.Discard, resp.Body, maxRefusalBodyBytes)
+	return n < maxRefusalBodyBytes && errors.Is(err, io.EOF) && !resp.Close
+}
+
 // responseBody records whether the body of a response ended early.
 type responseBody struct {
 	io.ReadCloser
--- a/internal/gate/load.go
+++ b/internal/gate/load.go
@@ -149,7 +149,7 @@
 		return
 	}
 	g.Counters.LoadProbes.Add(1)
-	conn, err := g.connections.Load().acquire(ctx)
+	conn, err := g.connections.Load().acquire(ctx, "")
 	if err != nil {
 		g.logger.Info("backend load probe not sent", "event", "load_probe_failed", "address", address, "error", err)
 		return
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -33,6 +33,8 @@
 
 // ResponseInfo is the information that the gate takes from the head of a response.
 type ResponseInfo struct {
+	// Identified means that the response names the request.
+	Identified bool
 	// NotRun means that the backend server states that it has not run the request.
 	NotRun bool
 	// OtherInstance means that another backend server now has the address. The request has not run.
