--- a/internal/membership/quarantine.go
+++ b/internal/membership/quarantine.go
@@ -36,8 +36,8 @@
 	return &quarantine{entries: map[string]*trackedEntry{}, unsent: map[string]*trackedEntry{}}
 }
 
-// add merges an entry: it keeps the later expiry, the higher crash count, the victims of both entries, and
-// Cleared if either entry has it. It reports whether anything changed.
+// add merges an entry: it keeps the later expiry, the higher crash count, and the victims and cleared victims of both
+// entries. It reports whether anything changed.
 func (q *quarantine) add(now time.Time, e *wire.QuarantineEntry) bool {
 	if !validQuarantine(now, e) {
 		return false
@@ -48,27 +48,60 @@
 		return false
 	}
 	merged := proto.CloneOf(e)
+	previous := &wire.QuarantineEntry{}
 	if current != nil {
-		merged.Deaths = max(e.Deaths, current.entry.Deaths)
-		merged.ExpiresUnixMs = max(e.ExpiresUnixMs, current.entry.ExpiresUnixMs)
-		merged.Victims = unionVictims(current.entry.Victims, e.Victims)
-		merged.Cleared = e.Cleared || current.entry.Cleared
-		if proto.Equal(merged, current.entry) {
-			return false
-		}
+		previous = current.entry
+	}
+	merged.Deaths = max(e.Deaths, previous.Deaths)
+	merged.ExpiresUnixMs = max(e.ExpiresUnixMs, previous.ExpiresUnixMs)
+	merged.Victims, merged.ClearedVictims = mergeVictims(e, previous)
+	merged.Cleared = len(merged.Victims) > 0 && len(merged.ClearedVictims) == len(merged.Victims)
+	if current != nil && proto.Equal(merged, current.entry) {
+		return false
 	}
 	q.entries[key] = &trackedEntry{entry: merged}
 	q.unsent[key] = q.entries[key]
 	return true
 }
 
-// unionVictims returns the sorted union, limited to maxVictims. After two nodes have each seen one crash
-// caused by the same request, both must hold both victims.
-func unionVictims(a, b []uint64) []uint64 {
+// mergeVictims returns the victims of both entries, limited to maxVictims, and those of them that either entry has cleared. After
+// two nodes have each seen one crash caused by the same request, both must hold both victims. The result does not depend
+// on the order of the entries, since nodes would otherwise send each other their versions forever. Victims that still count
+// come first, so that the limit drops others.
+func mergeVictims(a, b *wire.QuarantineEntry) (victims, cleared []uint64) {
+	clearedSet := sortedUnion(clearedOf(a), clearedOf(b))
+	isCleared := func(v uint64) bool { return slices.Contains(clearedSet, v) }
+	all := sortedUnion(a.GetVictims(), b.GetVictims())
+	slices.SortStableFunc(all, func(x, y uint64) int {
+		switch {
+		case isCleared(x) == isCleared(y):
+			return 0
+		case isCleared(y):
+			return -1
+		}
+		return 1
+	})
+	all = all[:min(len(all), maxVictims)]
+	for _, v := range all {
+		if isCleared(v) {
+			cleared = append(cleared, v)
+		}
+	}
+	return all, cleared
+}
+
+// clearedOf returns the cleared victims of an entry. Nodes of earlier versions state only that all are.
+func clearedOf(e *wire.QuarantineEntry) []uint64 {
+	if e.GetCleared() {
+		return e.GetVictims()
+	}
+	return e.GetClearedVictims()
+}
+
+func sortedUnion(a, b []uint64) []uint64 {
 	all := slices.Concat(a, b)
 	slices.Sort(all)
-	all = slices.Compact(all)
-	return all[:min(len(all), maxVictims)]
+	return slices.Compact(all)
 }
 
 func validQuarantine(now time.Time, e *wire.QuarantineEntry) bool {
