--- a/cmd/dandelionspoke/fleet_test.go
+++ b/cmd/dandelionspoke/fleet_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -95,11 +96,18 @@
 	nodePorts     = 9_000
 )
 
+// usedAddresses holds the addresses that freeAddress has returned. An address is bound only some time later, and drawing one
+// twice for a node makes its start fail.
+var usedAddresses sync.Map
+
 // freeAddress returns a loopback address whose TCP and UDP port is free.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", firstNodePort+mathrand.IntN(nodePorts))
+		if _, used := usedAddresses.LoadOrStore(address, true); used {
+			continue
+		}
 		tcp, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
