--- a/internal/membership/departures.go
+++ b/internal/membership/departures.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// MaxDepartures is the number of departures in a record; the latest are kept. A VM has one backend server at a time.
-	MaxDepartures = 3
-	// maxEndpointIDBytes limits the ID in a departure, so that a record with MaxDepartures fits into a datagram.
+	// maxDepartures is the number of departures in a record; the latest are kept. A VM has one backend server at a time.
+	maxDepartures = 3
+	// maxEndpointIDBytes limits the ID in a departure, so that a record with maxDepartures fits into a datagram.
 	maxEndpointIDBytes = 64
 )
 
@@ -30,7 +30,7 @@
 	return merged
 }
 
-// mergeDepartures returns the MaxDepartures latest departures of both lists, the latest first. Like Merge, it is
+// mergeDepartures returns the maxDepartures latest departures of both lists, the latest first. Like Merge, it is
 // commutative, associative and idempotent.
 func mergeDepartures(a, b []*wire.Departure) []*wire.Departure {
 	if len(a)+len(b) == 0 {
@@ -41,7 +41,7 @@
 		return cmp.Or(cmp.Compare(y.GetIncarnation(), x.GetIncarnation()), cmp.Compare(x.GetEndpointId(), y.GetEndpointId()))
 	})
 	merged = slices.CompactFunc(merged, equalDeparture)
-	return merged[:min(len(merged), MaxDepartures)]
+	return merged[:min(len(merged), maxDepartures)]
 }
 
 func equalDeparture(x, y *wire.Departure) bool {
@@ -52,7 +52,7 @@
 
 // validDepartures reports whether a record may hold these departures.
 func validDepartures(departures []*wire.Departure) bool {
-	return len(departures) <= MaxDepartures && !slices.ContainsFunc(departures, func(d *wire.Departure) bool {
+	return len(departures) <= maxDepartures && !slices.ContainsFunc(departures, func(d *wire.Departure) bool {
 		return d.GetEndpointId() == "" || len(d.GetEndpointId()) > maxEndpointIDBytes
 	})
 }
--- a/internal/membership/departures_test.go
+++ b/internal/membership/departures_test.go
@@ -34,7 +34,7 @@
 	for i := range int64(10) {
 		all = mergeDepartures([]*wire.Departure{departure("a", i)}, all)
 	}
-	if len(all) != MaxDepartures || all[0].Incarnation != 9 || all[MaxDepartures-1].Incarnation != 10-MaxDepartures {
+	if len(all) != maxDepartures || all[0].Incarnation != 9 || all[maxDepartures-1].Incarnation != 10-maxDepartures {
 		t.Errorf("kept %v", all)
 	}
 }
--- a/internal/membership/record_test.go
+++ b/internal/membership/record_test.go
@@ -57,7 +57,7 @@
 	m.BundleVersion = rapid.Uint64Range(0, 2).Draw(t, label+"bundle")
 	m.UdpAddr = rapid.SampledFrom([]string{"10.0.0.1:1", "10.0.0.2:1"}).Draw(t, label+"address")
 	m.Endpoints = []*wire.EndpointRecord{{Id: "e", Slots: rapid.Uint32Range(1, 2).Draw(t, label+"slots")}}
-	for range rapid.IntRange(0, MaxDepartures).Draw(t, label+"departures") {
+	for range rapid.IntRange(0, maxDepartures).Draw(t, label+"departures") {
 		id := rapid.SampledFrom([]string{"e", "f"}).Draw(t, label+"departed")
 		m.Departures = mergeDepartures(m.Departures, []*wire.Departure{departure(id, rapid.Int64Range(1, 4).Draw(t, label+"born"))})
 	}
--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -57,7 +57,7 @@
 // onDeparture announces a departure to the other nodes and writes it to the store, so that later processes of this node know
 // it. It returns when the store has it, or after departureAckDelay; the write then continues.
 func (n *Node) onDeparture(d announce.Departure) {
-	n.engine.AddDepartures([]*wire.Departure{{EndpointId: d.ID, Incarnation: d.Incarnation}}, false)
+	n.engine.AddDepartures(departuresToWire(d), false)
 	if n.store == nil {
 		sleep.For(n.ctx, departureGossipTime)
 		return
@@ -168,11 +168,15 @@
 		return
 	}
 	n.registry.AddDepartures(departures)
+	n.engine.AddDepartures(departuresToWire(departures...), false)
+}
+
+func departuresToWire(departures ...announce.Departure) []*wire.Departure {
 	converted := make([]*wire.Departure, len(departures))
 	for i, d := range departures {
 		converted[i] = &wire.Departure{EndpointId: d.ID, Incarnation: d.Incarnation}
 	}
-	n.engine.AddDepartures(converted, false)
+	return converted
 }
 
 // awaitDepartures ends the hold of heartbeats once the departures that earlier processes of this node acknowledged are known,
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -207,11 +207,7 @@
 		for _, victim := range m.GetVictims() {
 			e.addVictim(victim)
 		}
-		cleared := m.GetClearedVictims()
-		if m.GetCleared() {
-			cleared = m.GetVictims()
-		}
-		for _, victim := range cleared {
+		for _, victim := range m.GetClearedVictims() {
 			e.clear(victim)
 		}
 		if expires.After(e.expires) {
