Add the interfaces of client accounts, rate limits, slow start by rate and evacuations

Cause: two customers need client accounts with keys and limits, allowed regions, slow start by rate and evacuations of failure domains; the bundle, the settings and the messages between nodes know nothing of them.

The bundle gets accounts, allowed regions and the ramp of a service, the settings get the bounds of the parts, the wire the messages that they exchange. Nothing uses the new fields yet, so that deployments are served as before.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -18,6 +18,22 @@
 	Policy   Policy             `toml:"policy"`
 	Services map[string]Service `toml:"services"`
 	Routes   []Route            `toml:"routes"`
+	// Accounts holds the client accounts by name. If it is empty, requests need no key and belong to no account.
+	Accounts map[string]Account `toml:"accounts"`
+}
+
+// Account is a client account: who may send requests, and how many.
+type Account struct {
+	// KeyDigests are the SHA-256 digests, in hexadecimal, of the keys that select the account.
+	KeyDigests []string `toml:"key_digests"`
+	// Priority takes precedence over that of the route; nil leaves the route's.
+	Priority *int `toml:"priority"`
+	// RatePerSecond and Burst limit the requests over all nodes together, in requests per second and requests. A rate of 0
+	// means no limit.
+	RatePerSecond float64 `toml:"rate_per_second"`
+	Burst         float64 `toml:"burst"`
+	// AllowedRegions are the regions whose backend servers may run the account's requests; empty allows all.
+	AllowedRegions []string `toml:"allowed_regions"`
 }
 
 // Service holds the limits of each endpoint of one service. Zero fields take the defaults of SetDefaults.
@@ -38,6 +54,9 @@
 	// FarBias is the factor by which the expected time in a remote region must be lower than in the local region. A
 	// higher value sends fewer bytes over the inter-region link, whose traffic is billed.
 	FarBias float64 `toml:"far_bias"`
+	// RampPerSecond is the number of requests per second that a backend server tolerates during its slow start; 0 means no
+	// limit.
+	RampPerSecond float64 `toml:"ramp_per_second"`
 }
 
 // Class separates short from long requests, which have separate wait lists and slot limits.
@@ -72,6 +91,10 @@
 	Objective Duration `toml:"objective"`
 	// MaxAttempts is the maximum number of endpoints that one request is sent to; zero: the policy's value.
 	MaxAttempts int `toml:"max_attempts"`
+	// AllowAnonymous permits requests without a key when the bundle has accounts.
+	AllowAnonymous bool `toml:"allow_anonymous"`
+	// AllowedRegions are the regions whose backend servers may run the route's requests; empty allows all.
+	AllowedRegions []string `toml:"allowed_regions"`
 }
 
 // WeightedService is one destination of a split route.
--- a/internal/bundle/sections.go
+++ b/internal/bundle/sections.go
@@ -14,7 +14,7 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Sections is the canonical form of a bundle: one TOML text for the policy, for each service and for each
+// Sections is the canonical form of a bundle: one TOML text for the policy, for each service, each account and each
 // route, by section name. Nodes transfer and hash these texts as they are and never encode them again, so
 // that nodes with different versions of the schema compute the same hashes.
 type Sections map[string]string
@@ -23,6 +23,7 @@
 	policySection = "policy"
 	servicePrefix = "service/"
 	routePrefix   = "route/"
+	accountPrefix = "account/"
 )
 
 // Hash is a SHA-256 digest.
@@ -63,6 +64,11 @@
 			return nil, err
 		}
 	}
+	for name, account := range b.Accounts {
+		if err := s.add(accountPrefix+name, account); err != nil {
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
@@ -117,7 +123,7 @@
 	bundle   *Bundle
 }
 
-// decodeReusing does the work of Bundle. It copies the services and routes whose sections are unchanged since previous
+// decodeReusing does the work of Bundle. It copies the services, accounts and routes whose sections are unchanged since previous
 // instead of decoding them again.
 func (s Sections) decodeReusing(version uint64, previous decodedBundle) (*Bundle, error) {
 	b := &Bundle{Version: version, Services: make(map[string]Service, len(s))}
@@ -138,13 +144,17 @@
 	return b, nil
 }
 
-// copyInto copies the service or route of the named section into b. It returns false if it copies nothing, as for the
+// copyInto copies the service, account or route of the named section into b. It returns false if it copies nothing, as for the
 // policy.
 func (d decodedBundle) copyInto(b *Bundle, name string) bool {
 	if service, ok := strings.CutPrefix(name, servicePrefix); ok {
 		b.Services[service] = d.bundle.Services[service]
 		return true
 	}
+	if account, ok := strings.CutPrefix(name, accountPrefix); ok {
+		b.setAccount(account, d.bundle.Accounts[account])
+		return true
+	}
 	if route, ok := strings.CutPrefix(name, routePrefix); ok {
 		i, found := slices.BinarySearchFunc(d.bundle.Routes, route, compareRouteName)
 		if found {
@@ -167,6 +177,12 @@
 		b.Services[service] = value
 		return err
 	}
+	if account, found := strings.CutPrefix(name, accountPrefix); found {
+		var value Account
+		err := decodeSection(text, &value)
+		b.setAccount(account, value)
+		return err
+	}
 	if route, found := strings.CutPrefix(name, routePrefix); found {
 		var value Route
 		err := decodeSection(text, &value)
@@ -179,6 +195,13 @@
 	return errors.New("unknown section")
 }
 
+func (b *Bundle) setAccount(name string, a Account) {
+	if b.Accounts == nil {
+		b.Accounts = map[string]Account{}
+	}
+	b.Accounts[name] = a
+}
+
 func decodeSection(text string, target any) error {
 	return toml.NewDecoder(strings.NewReader(text)).DisallowUnknownFields().Decode(target)
 }
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -29,6 +29,8 @@
 	// Depth is the call depth of the requests that the backend server makes on behalf of this one.
 	Depth    int
 	Priority int
+	// Account is the name of the client account; empty for a request without one.
+	Account string
 }
 
 // ResponseInfo is the information that the gate takes from the head of a response.
--- a/internal/ingress/protocol.go
+++ b/internal/ingress/protocol.go
@@ -39,6 +39,9 @@
 	Key string
 	// Caller identifies the caller for the quarantine of crashing requests; empty when it is not known.
 	Caller string
+	// Credential is the key that selects the client account, as the caller presented it; empty when it presents none. It is
+	// secret: it must not be logged, stored or forwarded.
+	Credential string
 }
 
 // Headers of a call. Depth, priority and deadline pass a call's context from hop to hop and are trusted only from
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -141,7 +141,7 @@
 	}
 	objects := make([]Object, len(list.Objects))
 	for i, o := range list.Objects {
-		objects[i] = Object(o)
+		objects[i] = Object{Key: o.Key, Value: o.Value, Version: o.Version}
 	}
 	return objects, list.Revision, nil
 }
--- a/internal/objectstore/store.go
+++ b/internal/objectstore/store.go
@@ -41,6 +41,9 @@
 	Key     string
 	Value   []byte
 	Version int64
+	// Generation is the generation of the store that the object was read from. It rises when the store is restored from a
+	// copy, after which versions are given out again. It is 0 if the store does not state it.
+	Generation uint64
 }
 
 // Event is a change to one object.
--- a/internal/objectstoretest/server.go
+++ b/internal/objectstoretest/server.go
@@ -83,7 +83,7 @@
 	}
 	list := objectstore.ListResponse{Revision: revision}
 	for _, o := range objects {
-		list.Objects = append(list.Objects, objectstore.ListObject(o))
+		list.Objects = append(list.Objects, objectstore.ListObject{Key: o.Key, Value: o.Value, Version: o.Version})
 	}
 	_ = json.NewEncoder(w).Encode(list) // the client detects a broken connection
 }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -76,6 +76,15 @@
 		{Name: "retry.floor", Allowed: "a number from 0 to 1000000", Default: "the bundle's policy", set: numberSetter(0, 1e6, func(s *Settings) *float64 { return &s.Retry.Floor })},
 		{Name: "retry.window", Allowed: "a duration from \"1s\" to \"10m\"", Default: "the bundle's policy", set: durationSetter(time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Retry.Window })},
 
+		{Name: "accounts.fail_closed", Allowed: "true or false", Default: "false", set: booleanSetter(func(s *Settings) *bool { return &s.Accounts.FailClosed })},
+		{Name: "accounts.revocation", Allowed: "a duration from \"1s\" to \"10m\"", Default: "none", set: durationSetter(time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Accounts.Revocation })},
+		{Name: "rate_limit.window", Allowed: "a duration from \"1s\" to \"10m\"", Default: "no rate limits", set: durationSetter(time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.RateLimit.Window })},
+		{Name: "rate_limit.tolerance", Allowed: "a number from 0 to 10", Default: "0", set: numberSetter(0, 10, func(s *Settings) *float64 { return &s.RateLimit.Tolerance })},
+		{Name: "rate_limit.slack", Allowed: "a number from 0 to 1000000", Default: "0", set: numberSetter(0, 1e6, func(s *Settings) *float64 { return &s.RateLimit.Slack })},
+		{Name: "slow_start.tolerance", Allowed: "a number from 0 to 100", Default: "no ramp", set: numberSetter(0, 100, func(s *Settings) *float64 { return &s.SlowStart.Tolerance })},
+		{Name: "slow_start.slack", Allowed: "a number from 0 to 1000000", Default: "0", set: numberSetter(0, 1e6, func(s *Settings) *float64 { return &s.SlowStart.Slack })},
+		{Name: "evacuation.within", Allowed: "a duration from \"100ms\" to \"10m\"", Default: "no evacuations", set: durationSetter(100*time.Millisecond, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Evacuation.Within })},
+
 		{Name: "store.url", Allowed: "an http or https URL with a host", Default: "no direct store access", set: setStoreURL},
 		{Name: "store.region", Allowed: nameAllowed, Default: "unknown", set: nameSetter(func(s *Settings) *string { return &s.Store.Region })},
 		{Name: "store.token", Allowed: "printable ASCII text without spaces", Default: "none", set: tokenSetter(func(s *Settings) *string { return &s.Store.Token })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,42 @@
 	Health  Health
 	Metrics Metrics
 	Retry   Retry
+	// Accounts, RateLimit, SlowStart and Evacuation configure parts that are off while they are zero.
+	Accounts   Accounts
+	RateLimit  RateLimit
+	SlowStart  SlowStart
+	Evacuation Evacuation
+}
+
+// Accounts configures the selection of client accounts by key.
+type Accounts struct {
+	// FailClosed refuses requests with a key at a node that could not confirm for Revocation that its bundle is the latest.
+	// Otherwise the node uses the bundle that it has.
+	FailClosed bool
+	// Revocation is the time within which a withdrawn key stops working.
+	Revocation time.Duration
+}
+
+// RateLimit bounds what the rate limits of accounts permit: in any window, all nodes together send at most
+// (rate*Window + burst)*(1 + Tolerance) + Slack requests of an account. A Window of 0 disables the limits.
+type RateLimit struct {
+	Window    time.Duration
+	Tolerance float64
+	Slack     float64 // in requests
+}
+
+// SlowStart bounds what a backend server gets in any second of its slow start: the service's ramp per second times
+// Tolerance, plus Slack requests. A Tolerance of 0 disables the ramp.
+type SlowStart struct {
+	Tolerance float64
+	Slack     float64 // in requests
+}
+
+// Evacuation configures the evacuation of failure domains.
+type Evacuation struct {
+	// Within is the time after the store's acknowledgement within which an evacuated failure domain gets no more requests; 0
+	// disables evacuations.
+	Within time.Duration
 }
 
 // Backend describes the backend server on the node's VM.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -80,6 +80,16 @@
 	BackendRefused Reason = "backend-refused"
 	// Busy means that the expected wait exceeds the maximum that the request accepts. Another endpoint may accept it.
 	Busy Reason = "busy"
+	// UnknownKey means that the request carries a key of no account, or none where one is required.
+	UnknownKey Reason = "unknown-key"
+	// RateLimited means that the account has reached its rate limit.
+	RateLimited Reason = "rate-limited"
+	// SlowStart means that the backend server has just started and accepts few requests per second.
+	SlowStart Reason = "slow-start"
+	// Evacuated means that the backend server's failure domain is being evacuated.
+	Evacuated Reason = "evacuated"
+	// NoAllowedRegion means that no endpoint is known in the regions that the route and the account allow.
+	NoAllowedRegion Reason = "no-allowed-region"
 )
 
 // Header names of failure responses.
@@ -125,6 +135,10 @@
 	switch r {
 	case NoRoute:
 		return http.StatusNotFound
+	case UnknownKey:
+		return http.StatusUnauthorized
+	case RateLimited:
+		return http.StatusTooManyRequests
 	case BadRequest, TooDeep:
 		return http.StatusBadRequest
 	case BodyTooLarge:
