Select the client account of a request by its key

Cause: bundles may hold client accounts, but requests were served without regard to keys.

The ingress selects the account before anything else: 401 for an unknown key, and for none on a route that requires one. With accounts in the bundle, the Authorization header and the caller's account header are not forwarded; the gate sets the account's name. The account's priority goes before the route's. Claims, quarantine fingerprints and kept outcomes differ between accounts and are unchanged for requests without one. Refusals are counted by reason and account. Retry-After of a rate limit is the time that the refusal states.

--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -111,7 +111,7 @@
 	for _, h := range c.head.Headers {
 		req.Header[h.Name] = h.All()
 	}
-	requestContext := RequestContext{Endpoint: backend.ID, Depth: int(c.head.Depth) + 1, Priority: int(c.head.Priority)}
+	requestContext := RequestContext{Endpoint: backend.ID, Depth: int(c.head.Depth) + 1, Priority: int(c.head.Priority), Account: c.head.Account}
 	if deadline, ok := ctx.Deadline(); ok {
 		requestContext.Remaining = max(time.Until(deadline), time.Millisecond)
 	}
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -48,6 +48,9 @@
 	Slowness float64
 }
 
+// AccountHeader is the header in which the built-in protocol tells the backend server the name of the client account.
+const AccountHeader = "Dandelionspoke-Account"
+
 // nativeProtocol is the built-in protocol.
 type nativeProtocol struct{}
 
@@ -61,6 +64,9 @@
 	}
 	h.Set("Dandelionspoke-Depth", strconv.Itoa(r.Depth))
 	h.Set("Dandelionspoke-Priority", strconv.Itoa(r.Priority))
+	if r.Account != "" {
+		h.Set(AccountHeader, r.Account)
+	}
 }
 
 // backendRefusalHeader marks a 503 response in which the backend server itself states that it has not run the request.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -66,6 +66,9 @@
 	OnRequest func(service string)
 	// OnSuccess is called with the fingerprints of each request whose response was relayed completely. May be nil.
 	OnSuccess func(fingerprints ...[]byte)
+	// BundleConfirmed reports whether it was confirmed recently that the bundle in force is the latest. While it returns
+	// false, requests with a key are refused. If nil, the bundle that the node has applies.
+	BundleConfirmed func() bool
 }
 
 // Counters are totals since the start. They are safe for concurrent use.
@@ -74,6 +77,8 @@
 	// Hedges counts the hedges sent, HedgesWon those that responded first, and the others the hedges that were not sent
 	// because no endpoint had room or the budget did not permit them.
 	Hedges, HedgesWon, HedgesNoRoom, HedgesNoBudget atomic.Int64
+	// UnknownKeys counts the requests refused for a missing key or one of no account.
+	UnknownKeys atomic.Int64
 }
 
 // Ingress is an http.Handler. It is safe for concurrent use.
@@ -84,6 +89,7 @@
 	latencyTrackers sync.Map // service name to *retry.LatencyTracker
 	startedAt       time.Time
 	classes         admission.Classes
+	accountRefusals accountRefusals
 	overloads       sync.Map // service name to the time.Time of its last overload
 	splitSequences  sync.Map // name of a split route to *splitSequence
 	inFlight        sync.WaitGroup
@@ -160,11 +166,15 @@
 		return err
 	}
 	err = in.serveParsed(w, r, q)
+	in.accountRefusals.record(q, err)
 	in.logRequestEnd(r.Context(), q, err)
 	return err
 }
 
 func (in *Ingress) serveParsed(w http.ResponseWriter, r *http.Request, q *request) error {
+	if err := in.selectAccount(q); err != nil {
+		return err
+	}
 	in.awaitEndpoints(r.Context(), q)
 	if q.service == nil {
 		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "service %s has no endpoint", q.serviceName)
@@ -244,6 +254,9 @@
 	in.Counters.Failed.Add(1)
 	e := verdict.As(err)
 	in.closeIfDraining(w, r)
+	if e.Reason == verdict.UnknownKey {
+		w.Header().Set("WWW-Authenticate", "Bearer") // HTTP requires it in each response with status 401
+	}
 	in.Protocol.Fail(w, r, e, retryAfter(e))
 }
 
@@ -263,8 +276,11 @@
 )
 
 // retryAfter returns the delay after which a refused request may be accepted, or 0 when the refusal does not depend on
-// time.
+// time. That of a rate limit is known and is not bounded.
 func retryAfter(e *verdict.Error) time.Duration {
+	if e.Verdict == verdict.NotRun && e.Reason.Status() == http.StatusTooManyRequests {
+		return e.Wait
+	}
 	if e.Verdict != verdict.NotRun || e.Reason.Status() < http.StatusInternalServerError || e.Reason == verdict.Quarantined {
 		return 0
 	}
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -50,7 +50,7 @@
 func (in *Ingress) acquireClaim(ctx context.Context, q *request, claims claim.KeyClaimer) (claim.Result, error) {
 	waitEnd := time.Now().Add(min(maxHeldClaimWait, time.Until(q.deadline)/2))
 	for wait := minClaimPollInterval; ; wait = min(2*wait, maxClaimPollInterval) {
-		result, err := claims.Acquire(ctx, q.idempotencyKey, q.fingerprint, newAttemptID())
+		result, err := claims.Acquire(ctx, q.claimKey(), q.fingerprint, newAttemptID())
 		undecided := err == nil && result.Kind == claim.Held && result.Verdict == verdict.MayHaveRun
 		if !undecided || time.Now().Add(wait).After(waitEnd) {
 			return result, err
@@ -63,6 +63,9 @@
 	}
 }
 
+// claimKey returns the key of the request's claim. Requests of two accounts with one idempotency key have different claims.
+func (q *request) claimKey() string { return q.scopedToAccount(q.idempotencyKey) }
+
 func (in *Ingress) replay(w http.ResponseWriter, o claim.Outcome) {
 	in.Counters.Replays.Add(1)
 	in.Counters.Answered.Add(1)
@@ -111,9 +114,9 @@
 		defer cancel()
 		var err error
 		if o.Verdict == verdict.NotRun {
-			err = claims.Release(ctx, q.idempotencyKey)
+			err = claims.Release(ctx, q.claimKey())
 		} else {
-			err = claims.Complete(ctx, q.idempotencyKey, o)
+			err = claims.Complete(ctx, q.claimKey(), o)
 		}
 		if err != nil {
 			in.Logger.Warn("claim not settled", "event", "claim_not_settled", "service", q.serviceName,
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -23,6 +23,9 @@
 	if q.lastEndpoint != nil {
 		attrs = append(attrs, slog.String("endpoint", q.lastEndpoint.ID), slog.String("node", q.lastEndpoint.NodeID))
 	}
+	if q.accountName != "" {
+		attrs = append(attrs, slog.String("account", q.accountName))
+	}
 	if q.hedgeWon {
 		attrs = append(attrs, slog.Bool("hedge_won", true))
 	}
--- a/internal/ingress/protocol.go
+++ b/internal/ingress/protocol.go
@@ -1,11 +1,13 @@
 package ingress
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"dandelionspoke/internal/account"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/verdict"
@@ -20,6 +22,8 @@
 	Call(r *http.Request, maxDepth int) (Call, error)
 	// Forwarded returns the headers to forward to the backend server.
 	Forwarded(r *http.Request) []*wire.Header
+	// AccountHeader returns the canonical name of the header in which the gate tells the backend server the account.
+	AccountHeader() string
 	// Fail writes the response to a failed request. retryAfter is the delay after which a retry may be accepted; 0
 	// when a retry would not help.
 	Fail(w http.ResponseWriter, r *http.Request, e *verdict.Error, retryAfter time.Duration)
@@ -60,7 +64,7 @@
 
 // Call implements Protocol.
 func (nativeProtocol) Call(r *http.Request, maxDepth int) (Call, error) {
-	c := Call{Key: r.Header.Get(keyHeader), Priority: -1}
+	c := Call{Key: r.Header.Get(keyHeader), Priority: -1, Credential: account.Credential(r.Header)}
 	if len(c.Key) > maxKeyBytes {
 		return c, verdict.New(verdict.NotRun, verdict.BadRequest, "%s longer than %d bytes", keyHeader, maxKeyBytes)
 	}
@@ -108,16 +112,22 @@
 	return headers
 }
 
+// AccountHeader implements Protocol.
+func (nativeProtocol) AccountHeader() string { return gate.AccountHeader }
+
 // nativeRetryAfterSeconds is sent with each refusal for lack of capacity. HTTP requires whole seconds.
 const nativeRetryAfterSeconds = "1"
 
 // Fail implements Protocol.
-func (nativeProtocol) Fail(w http.ResponseWriter, _ *http.Request, e *verdict.Error, _ time.Duration) {
+func (nativeProtocol) Fail(w http.ResponseWriter, _ *http.Request, e *verdict.Error, retryAfter time.Duration) {
 	h := w.Header()
 	h.Set(verdict.Header, e.Verdict.String())
 	h.Set(verdict.ReasonHeader, string(e.Reason))
 	if e.Verdict == verdict.NotRun && e.Reason.Status() == http.StatusServiceUnavailable {
 		h.Set("Retry-After", nativeRetryAfterSeconds)
 	}
+	if e.Reason.Status() == http.StatusTooManyRequests && retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
 	http.Error(w, e.Error(), e.Reason.Status())
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -56,6 +56,13 @@
 	callerFingerprint []byte
 	caller            string
 	headers           []*wire.Header
+	// credential is the caller's key until selectAccount has used it. It must not be logged.
+	credential string
+	// account and accountName are those of the client account; zero without one.
+	account     *bundle.Account
+	accountName string
+	// callerSetsPriority is set if the caller overrides the priority of the route and the account.
+	callerSetsPriority bool
 }
 
 // parse matches the route and reads the caller's parameters.
@@ -80,11 +87,11 @@
 		httpRequest: r, route: route, snapshot: snapshot, service: snapshot.Service(service), serviceName: service, id: call.ID, caller: call.Caller,
 		idempotent: route.IsIdempotent(r.Method), idempotencyKey: call.Key, depth: call.Depth,
 		long:     in.classes.Long(service, route.Name, route.Class == bundle.Long),
-		priority: route.Priority, startedAt: time.Now(),
+		priority: route.Priority, startedAt: time.Now(), credential: call.Credential,
 	}
 	q.deadline = q.startedAt.Add(route.Timeout.D())
 	if call.Priority >= 0 {
-		q.priority = call.Priority
+		q.priority, q.callerSetsPriority = call.Priority, true
 	}
 	if call.Remaining > 0 && call.Remaining < route.Timeout.D() {
 		q.deadline = q.startedAt.Add(call.Remaining)
@@ -108,7 +115,7 @@
 		return verdict.New(verdict.NotRun, verdict.BodyTooLarge, "body of %d bytes, limit %d", q.httpRequest.ContentLength, limit)
 	}
 	// The Host header is not part of the fingerprint: a repeat through another node may have that node's address there.
-	digest := retry.NewDigest(q.httpRequest.Method, q.route.Service+" "+q.httpRequest.URL.RequestURI())
+	digest := retry.NewDigest(q.httpRequest.Method, q.scopedToAccount(q.route.Service+" "+q.httpRequest.URL.RequestURI()))
 	if q.httpRequest.Body != nil && q.httpRequest.Body != http.NoBody {
 		body := http.MaxBytesReader(w, q.httpRequest.Body, limit)
 		_ = http.NewResponseController(w).SetReadDeadline(q.deadline)
--- a/internal/system/snapshot.go
+++ b/internal/system/snapshot.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"dandelionspoke/internal/account"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/membership"
 	"dandelionspoke/internal/steady"
@@ -58,9 +59,9 @@
 	switch {
 	case b == nil:
 	case prev != nil && prev.Bundle == b && prev.Routes != nil:
-		snap.Routes = prev.Routes
+		snap.Routes, snap.Accounts = prev.Routes, prev.Accounts
 	default:
-		snap.Routes = bundle.NewIndex(b)
+		snap.Routes, snap.Accounts = bundle.NewIndex(b), account.NewIndex(b)
 	}
 	suspects := suspectNodes(members)
 	size := 0
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionspoke/internal/account"
 	"dandelionspoke/internal/bundle"
 )
 
@@ -115,6 +116,7 @@
 	Routes   *bundle.Index  // of Bundle; nil without one
 	Services map[string]*Service
 	TakenAt  time.Time
+	Accounts *account.Index // of Bundle; nil if it has no accounts
 }
 
 // Match returns the route that matches a request, or nil. host must not include a port.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -82,6 +82,8 @@
 	Busy Reason = "busy"
 	// UnknownKey means that the request carries a key of no account, or none where one is required.
 	UnknownKey Reason = "unknown-key"
+	// Unconfirmed means that the node could not confirm that its accounts are up to date.
+	Unconfirmed Reason = "bundle-unconfirmed"
 	// RateLimited means that the account has reached its rate limit.
 	RateLimited Reason = "rate-limited"
 	// SlowStart means that the backend server has just started and accepts few requests per second.
