Refuse keys at nodes that cannot confirm their bundle

Cause: with accounts.fail_closed, a withdrawn key must stop working also at nodes that no longer hear of new bundles.

Change: store readers read the bundle five times within accounts.revocation and record the time at which each successful read was sent. Other nodes obtain confirmations by bundle requests, whose replies carry an age; it counts from the time at which the request was sent. Requests with a key get 503 with Retry-After (reason bundle-unconfirmed) while the confirmation is older than accounts.revocation. Without the setting there are no reads, no requests and no ages in replies.

--- a/internal/node/accounts.go
+++ b/internal/node/accounts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"dandelionspoke/internal/account"
 )
@@ -10,6 +11,9 @@
 type accountState struct {
 	Accounts int `json:"accounts"`
 	Keys     int `json:"keys"`
+	// ConfirmedAgeMs is the time since the bundle was last confirmed as the latest; nil if keys do not depend on it or it has
+	// not been confirmed.
+	ConfirmedAgeMs *int64 `json:"confirmed_age_ms"`
 }
 
 // accountIndex returns the index of the accounts that requests use; nil without accounts.
@@ -22,7 +26,12 @@
 
 func (n *Node) accountState() accountState {
 	index := n.accountIndex()
-	return accountState{Accounts: index.Accounts(), Keys: index.Keys()}
+	state := accountState{Accounts: index.Accounts(), Keys: index.Keys()}
+	if age, confirmed := n.confirmation.Age(time.Now()); confirmed && n.settings.Accounts.FailClosed {
+		ms := age.Milliseconds()
+		state.ConfirmedAgeMs = &ms
+	}
+	return state
 }
 
 // addAccountMetrics adds the metrics of accounts, if the bundle has any.
@@ -32,6 +41,9 @@
 		return
 	}
 	m["accounts"], m["account_keys"] = int64(state.Accounts), int64(state.Keys)
+	if state.ConfirmedAgeMs != nil {
+		m["bundle_confirmed_age_ms"] = *state.ConfirmedAgeMs
+	}
 	m["ingress_unknown_keys"] = n.ingress.Counters.UnknownKeys.Load()
 	for reason, byAccount := range n.ingress.AccountRefusals() {
 		for name, count := range byAccount {
--- a/internal/node/accounts_test.go
+++ b/internal/node/accounts_test.go
@@ -20,8 +20,10 @@
 
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/objectstoretest"
+	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
 	"dandelionspoke/internal/sleep"
+	"dandelionspoke/internal/wire"
 )
 
 const (
@@ -48,9 +50,10 @@
 	return b.buf.String()
 }
 
-// accountFleet is two nodes, of which only the first has a backend server.
+// accountFleet is two nodes, of which only the first has a backend server and access to the store.
 type accountFleet struct {
 	t     *testing.T
+	store *objectstoretest.Store
 	nodes [2]*Node
 	log   lockedBuffer
 	runs  atomic.Int64
@@ -79,25 +82,18 @@
 // startAccountFleet starts the fleet; change may modify the settings of a node.
 func startAccountFleet(t *testing.T, change func(*settings.Settings)) *accountFleet {
 	t.Helper()
-	f := &accountFleet{t: t}
-	store := objectstoretest.New()
+	f := &accountFleet{t: t, store: objectstoretest.New()}
 	for i := range f.nodes {
+		options := Options{Store: f.store}
 		s := settings.LoopbackDefaults()
 		s.Bundle.Unsigned = true
 		if i > 0 {
 			s.Seeds = []string{f.nodes[0].Addrs().Peer}
+			options.Store = nil
 		}
 		change(&s)
-		logger := slog.New(slog.NewTextHandler(&f.log, &slog.HandlerOptions{Level: slog.LevelDebug}))
-		n, err := New(Options{Settings: s, Logger: logger, Store: store})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := n.Start(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = n.Close() })
-		f.nodes[i] = n
+		options.Settings = s
+		f.nodes[i] = f.startNode(options)
 	}
 	backend := httptest.NewServer(http.HandlerFunc(f.runRequest))
 	t.Cleanup(backend.Close)
@@ -105,6 +101,20 @@
 	return f
 }
 
+func (f *accountFleet) startNode(o Options) *Node {
+	f.t.Helper()
+	o.Logger = slog.New(slog.NewTextHandler(&f.log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	n, err := New(o)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := n.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = n.Close() })
+	return n
+}
+
 // runRequest answers with the number of the run and the request's headers.
 func (f *accountFleet) runRequest(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Run", fmt.Sprint(f.runs.Add(1)))
@@ -136,6 +146,35 @@
 	})
 }
 
+// rollout writes a bundle to the store.
+func (f *accountFleet) rollout(b *bundle.Bundle) {
+	f.t.Helper()
+	e, err := bundle.NewEnvelope(b)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var keys []bundle.SigningKey
+	var lines []string
+	for _, name := range []string{"author", "approver"} {
+		k, err := bundle.GenerateKey(name)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		keys, lines = append(keys, k), append(lines, k.Public())
+	}
+	trusted, err := bundle.ParseTrustedKeys(lines)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	e.Sign(keys[0])
+	if err := e.Approve(keys[1], trusted); err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := rollout.NewOperator(f.store, trusted).Rollout(f.t.Context(), e, nil); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 func (f *accountFleet) await(what string, ok func() bool) {
 	f.t.Helper()
 	for started := time.Now(); !ok(); time.Sleep(10 * time.Millisecond) {
@@ -322,3 +361,74 @@
 		t.Errorf("status %d: %s", r.status, r.body)
 	}
 }
+
+// Guards against a key that works again at a node that has restarted without access to the store.
+func TestWithdrawnKeyIsRefusedAfterARestart(t *testing.T) {
+	f := startAccountFleet(t, func(*settings.Settings) {})
+	withdrawn := accountBundle(2)
+	delete(withdrawn.Accounts, "lagos")
+	f.putInForce(withdrawn)
+	f.awaitServing()
+	s := f.nodes[1].settings
+	if err := f.nodes[1].Close(); err != nil {
+		t.Fatal(err)
+	}
+	restarted := f.startNode(Options{Settings: s})
+	for started := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		switch r := f.send(http.DefaultClient, restarted, "GET", "/closed", lagosKey); {
+		case r.status == http.StatusUnauthorized:
+			return
+		case r.status != http.StatusServiceUnavailable || time.Since(started) > 8*time.Second:
+			t.Fatalf("status %d: %s", r.status, r.body)
+		}
+	}
+}
+
+// Guards against a node that serves keys without a confirmation of its bundle, or that refuses other requests for lack of one.
+// The second node has no access to the store and must learn of the confirmation and its end from the first.
+func TestUnconfirmedBundleRefusesKeys(t *testing.T) {
+	f := startAccountFleet(t, func(s *settings.Settings) {
+		s.Accounts = settings.Accounts{FailClosed: true, Revocation: time.Second}
+	})
+	f.rollout(accountBundle(1))
+	f.awaitServing()
+	status := func(n *Node) int { return f.send(http.DefaultClient, n, "GET", "/closed", lagosKey).status }
+	for _, n := range f.nodes {
+		f.await("the key is served", func() bool { return status(n) == http.StatusOK })
+	}
+	f.store.SetDown(true)
+	down := time.Now()
+	for i, n := range f.nodes {
+		f.await("the key is refused", func() bool { return status(n) == http.StatusServiceUnavailable })
+		if took := time.Since(down); took > 1500*time.Millisecond {
+			t.Errorf("node %d served the key until %v after the store went away", i, took)
+		}
+		r := f.send(http.DefaultClient, n, "GET", "/closed", unknownKey)
+		if r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" || r.header.Get("Dandelionspoke-Reason") != "bundle-unconfirmed" {
+			t.Errorf("node %d: status %d, headers %v", i, r.status, r.header)
+		}
+		if r := f.send(http.DefaultClient, n, "GET", "/open", ""); r.status != http.StatusOK {
+			t.Errorf("node %d: status %d without a key", i, r.status)
+		}
+	}
+	f.store.SetDown(false)
+	for _, n := range f.nodes {
+		f.await("the key is served again", func() bool { return status(n) == http.StatusOK })
+	}
+}
+
+// Guards against nodes that ask for confirmations in a deployment whose settings do not require them.
+func TestConfirmationsAreOffByDefault(t *testing.T) {
+	f := startAccountFleet(t, func(*settings.Settings) {})
+	f.rollout(accountBundle(1))
+	f.awaitServing()
+	f.store.ResetCounts()
+	time.Sleep(1500 * time.Millisecond)
+	if counts, _ := f.store.Counts(); counts.Get > 3 {
+		t.Errorf("%d reads in 1.5 s", counts.Get)
+	}
+	reply, err := f.nodes[0].bundleReply(&wire.BundleRequest{})
+	if err != nil || reply.HasConfirmedAge {
+		t.Errorf("reply states an age: %t, error %v", reply.GetHasConfirmedAge(), err)
+	}
+}
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -144,7 +144,7 @@
 }
 
 func (n *Node) serveBundle(conn *peer.Conn, request *wire.BundleRequest) {
-	reply, err := n.bundleProvider.Reply(request)
+	reply, err := n.bundleReply(request)
 	if err != nil {
 		n.logger.Error("bundle request failed", "event", "bundle_request_failed", "error", err)
 		return
@@ -156,6 +156,11 @@
 func (n *Node) exchange(peerAddr string, f *wire.Frame, timeout time.Duration) (*wire.Frame, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, timeout)
 	defer cancel()
+	return n.exchangeWithin(ctx, peerAddr, f)
+}
+
+// exchangeWithin is like exchange, limited only by ctx.
+func (n *Node) exchangeWithin(ctx context.Context, peerAddr string, f *wire.Frame) (*wire.Frame, error) {
 	conn, err := n.peerPool.Open(ctx, peerAddr, peer.SessionControl)
 	if err != nil {
 		return nil, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionspoke/internal/account"
 	"dandelionspoke/internal/adapter"
 	"dandelionspoke/internal/announce"
 	"dandelionspoke/internal/balance"
@@ -84,6 +85,7 @@
 	isStoreReader  atomic.Bool // this node reads the store for its failure domain
 	joinAttempted  atomic.Bool // the first attempt to join other nodes has ended
 	departures     departureState
+	confirmation   account.Confirmation // of the bundle in force
 	// probePolicyVersion and probeRand are used only by the engine loop.
 	probePolicyVersion uint64
 	probeRand          *rand.Rand
@@ -172,7 +174,8 @@
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget, ServiceBudgets: n.serviceBudgets,
 		Logger: n.logger, Protocol: n.adapter.CallerProtocol, Latency: n.metrics.Histogram("ingress_request_seconds"), Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
 		IsQuarantined: n.isQuarantined, OnRequest: n.onIngressRequest, OnSuccess: n.onRequestSuccess,
-		ClaimsFor: func(service string) claim.KeyClaimer { return n.claimRouter.For(service) },
+		ClaimsFor:       func(service string) claim.KeyClaimer { return n.claimRouter.For(service) },
+		BundleConfirmed: n.bundleConfirmed(),
 	})
 }
 
@@ -222,6 +225,9 @@
 	if n.settings.Backend.PortCheck > 0 {
 		n.background(n.checkHealth)
 	}
+	if n.settings.Accounts.FailClosed {
+		n.background(n.confirmBundle)
+	}
 	if n.store != nil {
 		n.background(n.readFirstBundle)
 		n.background(n.followStore)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -66,6 +66,7 @@
 		ctx, cancel := context.WithCancel(n.ctx)
 		stop = cancel
 		r := &rollout.Reader{Store: n.store, Source: n.adapter.Bundles, Deliver: n.offerFromStore, Log: n.logger}
+		n.configureReader(r)
 		n.background(func() { r.Run(ctx) })
 		n.background(func() { n.writeStatus(ctx) })
 		n.background(func() { n.maintainDomainMembers(ctx) })
@@ -113,7 +114,7 @@
 	var live []rollout.Member
 	for _, m := range n.engine.Members() {
 		if m.State == wire.MemberState_ALIVE || m.State == wire.MemberState_SUSPECT {
-			live = append(live, rollout.Member{NodeID: m.NodeId, FailureDomain: m.FailureDomain, BundleVersion: m.BundleVersion})
+			live = append(live, rollout.Member{NodeID: m.NodeId, FailureDomain: m.FailureDomain, BundleVersion: m.BundleVersion, PeerAddr: m.PeerAddr})
 		}
 	}
 	return live
--- a/internal/rollout/reader.go
+++ b/internal/rollout/reader.go
@@ -25,6 +25,7 @@
 	FailureDomain string
 	// BundleVersion is the version that the node has in force.
 	BundleVersion uint64
+	PeerAddr      string
 }
 
 // IsReader reports whether self is among the perDomain members of its failure domain with the highest
@@ -101,6 +102,12 @@
 	// Deliver is called with each new envelope, one call at a time. The envelope is not verified.
 	Deliver func(*bundle.Envelope)
 	Log     *slog.Logger
+	// OnConfirmed is called after each read of the object that succeeded, with the time at which the read was sent. The
+	// bundle in force is then the latest valid one as of that time: an object that is newer and valid has been delivered.
+	// If it is nil, ConfirmInterval does not apply.
+	OnConfirmed func(sentAt time.Time)
+	// ConfirmInterval is the time between the reads for OnConfirmed, which are made in addition to all others.
+	ConfirmInterval time.Duration
 
 	lastVersion int64 // version of the last object that was delivered or was malformed
 }
@@ -113,11 +120,12 @@
 	if r.Source.NoPoll {
 		ticker.Stop()
 	}
+	confirm := r.confirmTicks(ctx)
 	for failures := 0; ctx.Err() == nil; failures++ {
 		events, err := r.Store.Watch(ctx, r.Source.key(), r.lastVersion)
 		if err != nil {
 			r.Log.Warn("bundle watch failed", "error", err)
-		} else if r.follow(ctx, events, ticker.C) {
+		} else if r.follow(ctx, events, ticker.C, confirm) {
 			failures = 0
 		}
 		r.backOff(ctx, failures)
@@ -126,13 +134,15 @@
 
 // follow handles events and polls until the watch ends or ctx is canceled. It reports whether the watch delivered an
 // event.
-func (r *Reader) follow(ctx context.Context, events <-chan objectstore.Event, poll <-chan time.Time) (delivered bool) {
+func (r *Reader) follow(ctx context.Context, events <-chan objectstore.Event, poll, confirm <-chan time.Time) (delivered bool) {
 	for {
 		select {
 		case <-ctx.Done():
 			return delivered
 		case <-poll:
 			r.poll(ctx)
+		case <-confirm:
+			r.confirm(ctx)
 		case e, open := <-events:
 			if !open {
 				return delivered
@@ -143,7 +153,44 @@
 	}
 }
 
-func (r *Reader) poll(ctx context.Context) {
+// confirmTicks returns a channel that is ready at each ConfirmInterval until ctx is canceled, and at once for the first time;
+// nil without OnConfirmed.
+func (r *Reader) confirmTicks(ctx context.Context) <-chan time.Time {
+	if r.OnConfirmed == nil {
+		return nil
+	}
+	ticks := make(chan time.Time, 1)
+	ticks <- time.Now()
+	go func() {
+		ticker := time.NewTicker(r.ConfirmInterval)
+		defer ticker.Stop()
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case now := <-ticker.C:
+				select {
+				case ticks <- now:
+				default: // the previous read has not ended
+				}
+			}
+		}
+	}()
+	return ticks
+}
+
+// confirm reads the object within ConfirmInterval, so that a store that does not respond delays the events of the watch no
+// longer.
+func (r *Reader) confirm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.ConfirmInterval)
+	defer cancel()
+	sentAt := time.Now()
+	if r.poll(ctx) {
+		r.OnConfirmed(sentAt)
+	}
+}
+
+// poll reads the object and delivers it if it differs from the last one. It reports whether the read succeeded.
+func (r *Reader) poll(ctx context.Context) bool {
 	o, err := r.Store.Get(ctx, r.Source.key())
 	switch {
 	case err == nil && o.Version != r.lastVersion:
@@ -152,6 +199,7 @@
 	case !errors.Is(err, objectstore.ErrNotFound) && ctx.Err() == nil:
 		r.Log.Warn("bundle read failed", "error", err)
 	}
+	return err == nil
 }
 
 // handleEvent delivers the object of an event. It ignores versions that are not newer than the last one, because a
