--- a/internal/node/confirm.go
+++ b/internal/node/confirm.go
@@ -14,29 +14,19 @@
 	"dandelionspoke/internal/wire"
 )
 
-// defaultRevocation applies if accounts.fail_closed is set without accounts.revocation.
-const defaultRevocation = 5 * time.Second
-
-func (n *Node) revocation() time.Duration {
-	if n.settings.Accounts.Revocation == 0 {
-		return defaultRevocation
-	}
-	return n.settings.Accounts.Revocation
-}
-
 // bundleConfirmed returns the function that tells the ingress whether the bundle may be used for requests with a key; nil if
 // it always may.
 func (n *Node) bundleConfirmed() func() bool {
 	if !n.settings.Accounts.FailClosed {
 		return nil
 	}
-	return func() bool { return n.confirmation.Within(time.Now(), n.revocation()) }
+	return func() bool { return n.confirmation.Within(time.Now(), n.settings.Accounts.Revocation) }
 }
 
 // configureReader makes a reader of the store confirm the bundle, if keys depend on it.
 func (n *Node) configureReader(r *rollout.Reader) {
 	if n.settings.Accounts.FailClosed {
-		r.OnConfirmed, r.ConfirmInterval = n.confirmation.RecordRead, account.ConfirmInterval(n.revocation())
+		r.OnConfirmed, r.ConfirmInterval = n.confirmation.RecordRead, account.ConfirmInterval(n.settings.Accounts.Revocation)
 	}
 }
 
@@ -44,7 +34,7 @@
 func (n *Node) confirmBundle() {
 	sources := confirmationSources{node: n}
 	f := account.Follower{
-		Confirmation: &n.confirmation, Revocation: n.revocation(), Sources: sources.addresses, Ask: n.askConfirmation,
+		Confirmation: &n.confirmation, Revocation: n.settings.Accounts.Revocation, Sources: sources.addresses, Ask: n.askConfirmation,
 		OnChange: func(confirmed bool, err error) {
 			n.logger.Info("confirmation of the bundle changed", "event", "bundle_confirmation", "confirmed", confirmed, "error", err)
 		},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,7 +55,7 @@
 	// FailClosed refuses requests with a key at a node that could not confirm for Revocation that its bundle is the latest.
 	// Otherwise the node uses the bundle that it has.
 	FailClosed bool
-	// Revocation is the time within which a withdrawn key stops working.
+	// Revocation is the time within which a withdrawn key stops working. It has an effect only with FailClosed.
 	Revocation time.Duration
 }
 
@@ -212,6 +212,7 @@
 	DefaultDrainReserve = 0
 	DefaultPortCheck    = 500 * time.Millisecond
 	DefaultWatchWait    = 20 * time.Second
+	DefaultRevocation   = 5 * time.Second
 )
 
 // LoopbackDefaults returns settings for nodes in tests and demos: each listener on a loopback address with an ephemeral
@@ -241,6 +242,7 @@
 		Announce:     Announce{Listen: DefaultAnnounceListen},
 		Store:        Store{Timeout: DefaultStoreTimeout, WatchWait: DefaultWatchWait, CallsPerSecond: DefaultCallsPerSecond},
 		Log:          Log{Level: slog.LevelInfo},
+		Accounts:     Accounts{Revocation: DefaultRevocation},
 		GCPercent:    DefaultGCPercent,
 		DrainTimeout: DefaultDrainTimeout,
 		DrainReserve: DefaultDrainReserve,
