Read the current bundle at the start if it has accounts

Cause: a starting node reads a copy of the bundle that may be some seconds old, so a key withdrawn in that time worked again until a newer bundle arrived.

Change: if the copy has accounts, the node reads the current bundle before it puts one in force. If the store does not answer within 500 ms, it uses the copy as before.

Result: TestFirstBundleHasNoWithdrawnKey passes and fails without the change.

--- a/internal/bundle/accounts.go
+++ b/internal/bundle/accounts.go
@@ -7,6 +7,7 @@
 	"maps"
 	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -42,6 +43,16 @@
 	return d, nil
 }
 
+// HasAccounts reports whether the sections contain an account.
+func (s Sections) HasAccounts() bool {
+	for name := range s {
+		if strings.HasPrefix(name, accountPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkAccounts adds the errors of all accounts. Messages do not show key digests, since an operator may have entered a key
 // in place of its digest.
 func (v *validator) checkAccounts(b *Bundle) {
--- a/internal/node/accounts_test.go
+++ b/internal/node/accounts_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -8,6 +9,9 @@
 	"testing"
 	"time"
 
+	"dandelionspoke/internal/objectstore"
+	"dandelionspoke/internal/objectstoretest"
+	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
 	"dandelionspoke/internal/wire"
 )
@@ -201,3 +205,31 @@
 		t.Errorf("reply states an age: %t, error %v", reply.GetHasConfirmedAge(), err)
 	}
 }
+
+// withdrawalStore returns a copy from before the withdrawal of a key to stale reads.
+type withdrawalStore struct {
+	*objectstoretest.Store
+	before objectstore.Object
+}
+
+func (s *withdrawalStore) GetStale(context.Context, string) (objectstore.Object, error) {
+	return s.before, nil
+}
+
+// Guards against a node that accepts a withdrawn key after its start because it read an old copy of the bundle.
+func TestFirstBundleHasNoWithdrawnKey(t *testing.T) {
+	f := startAccountFleet(t, func(*settings.Settings) {})
+	f.rollout(accountBundle(1))
+	before, err := f.store.Get(t.Context(), rollout.CurrentKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.rollout(accountBundle(2))
+	s := settings.LoopbackDefaults()
+	s.Bundle.Unsigned = true
+	n := f.startNode(Options{Settings: s, Store: &withdrawalStore{f.store, before}})
+	f.await("a bundle is in force", func() bool { return n.bundles.inForce.Load() != nil })
+	if v := n.bundles.inForce.Load().Version; v != 2 {
+		t.Errorf("version %d came into force first", v)
+	}
+}
--- a/internal/node/firstbundle.go
+++ b/internal/node/firstbundle.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/netopt"
 	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/sleep"
@@ -25,6 +26,8 @@
 	// region it is 1 to 3 ms.
 	minRemoteStoreRTT = 15 * time.Millisecond
 	storeRTTSamples   = 3
+	// freshReadTimeout leaves a starting node time to serve its first callers, which wait up to 2 s for a bundle.
+	freshReadTimeout = 500 * time.Millisecond
 )
 
 // readFirstBundle reads a bundle from a possibly stale copy of the store, so that a node that starts, alone or
@@ -47,7 +50,7 @@
 		envelope, err := n.adapter.Bundles.ReadStale(ctx, store)
 		cancel()
 		if err == nil {
-			n.offerFromStore(envelope)
+			n.offerFromStore(n.withCurrentAccounts(envelope))
 			return
 		}
 		n.logger.Info("failed to read the first bundle", "event", "store_read_failed", "try", attempt, "error", err)
@@ -57,6 +60,23 @@
 	}
 }
 
+// withCurrentAccounts returns the envelope of the store's current bundle if the given one, which may be out of date, has
+// accounts: a key that was withdrawn in the meantime must not work again after a restart. Without an answer of the store
+// within freshReadTimeout it returns the given one, since peers may not have a bundle either.
+func (n *Node) withCurrentAccounts(stale *bundle.Envelope) *bundle.Envelope {
+	if !stale.Sections.HasAccounts() {
+		return stale
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, freshReadTimeout)
+	defer cancel()
+	current, err := n.adapter.Bundles.Read(ctx, n.store)
+	if err != nil {
+		n.logger.Info("failed to read the current bundle", "event", "store_read_failed", "error", err)
+		return stale
+	}
+	return current
+}
+
 // storeIsRemote reports whether the store appears to be in another region: even the shortest of a few connects took at
 // least minRemoteStoreRTT.
 func (n *Node) storeIsRemote() bool {
--- a/internal/rollout/reader.go
+++ b/internal/rollout/reader.go
@@ -95,6 +95,16 @@
 	return s.decode(o)
 }
 
+// Read returns the envelope from a read of the store that is not stale. It is not verified. An error is that of the store or
+// reports a malformed object.
+func (s Source) Read(ctx context.Context, store objectstore.Store) (*bundle.Envelope, error) {
+	o, err := store.Get(ctx, s.key())
+	if err != nil {
+		return nil, err
+	}
+	return s.decode(o)
+}
+
 // Reader watches the bundle in a store and delivers each new version. Only nodes for which IsReader is true run one.
 type Reader struct {
 	Store  objectstore.Store
