Ask for a confirmation once in an interval

Cause: a node whose source had a confirmation older than one interval asked again at each check, four times in an interval.

Change: the next request follows one interval after a successful one, and a store reader whose reads succeed asks nobody.

Result: the outage tests also count requests: at most one per node and interval.

--- a/internal/account/confirmation.go
+++ b/internal/account/confirmation.go
@@ -75,19 +75,23 @@
 // retryFraction is the part of the interval after which another source is asked when one has failed.
 const retryFraction = 4
 
-// Run asks sources until ctx ends. After a failure it asks the next source.
+// Run asks sources until ctx ends, one in each interval. After a failure it asks the next source sooner. While this node's own
+// reads succeed, it asks none.
 func (f *Follower) Run(ctx context.Context) {
 	interval := ConfirmInterval(f.Revocation)
+	// Reads are an interval apart, and an answer takes a while.
+	ownReadAge := interval + interval/2
 	wasConfirmed, failures := false, 0
 	var lastErr error
+	var nextAsk time.Time
 	ticker := time.NewTicker(interval / retryFraction)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		if !f.Confirmation.Within(time.Now(), interval) {
+		if now := time.Now(); !now.Before(nextAsk) && !f.Confirmation.Within(now, ownReadAge) {
 			if lastErr = f.askOne(ctx, interval, failures); lastErr != nil {
 				failures++
 			} else {
-				failures = 0
+				failures, nextAsk = 0, now.Add(interval)
 			}
 		}
 		if confirmed := f.Confirmation.Within(time.Now(), f.Revocation); confirmed != wasConfirmed {
--- a/internal/account/confirmation_test.go
+++ b/internal/account/confirmation_test.go
@@ -40,6 +40,7 @@
 	// published holds the times at which the versions 1, 2, ... were written.
 	published []time.Time
 	stop      func()
+	asked     atomic.Int64 // number of requests between nodes
 }
 
 const chainLength = 4
@@ -76,6 +77,7 @@
 		Confirmation: &n.confirmation, Revocation: testRevocation, OnChange: func(bool, error) {},
 		Sources: func() []string { return []string{strconv.Itoa(source)} },
 		Ask: func(context.Context, string) (time.Duration, bool, error) {
+			c.asked.Add(1)
 			time.Sleep(c.delay())
 			from := c.nodes[source]
 			age, confirmed := from.confirmation.Age(time.Now())
@@ -154,7 +156,7 @@
 	}
 }
 
-// Guards against nodes that refuse keys although the store and all nodes respond, that serve them for longer than allowed
+// Guards against nodes that refuse keys although the store and all nodes respond, that ask more often than once an interval, that serve them for longer than allowed
 // while the store is away, or that do not recover, and against a restarted process that trusts a bundle at once.
 func TestConfirmationsEndWithTheStoreAndReturn(t *testing.T) {
 	outages := map[string]struct{ begin, end func(*objectstoretest.Store) }{
@@ -173,12 +175,16 @@
 	defer c.stop()
 	c.publish(t)
 	time.Sleep(4 * time.Second)
+	c.asked.Store(0)
 	for range 200 {
 		if got := c.serving(); got != chainLength {
 			t.Fatalf("%d nodes serve without a fault", got)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	if intervals := int64(20 * time.Second / ConfirmInterval(testRevocation)); c.asked.Load() > (chainLength-1)*intervals {
+		t.Errorf("%d requests in %d intervals", c.asked.Load(), intervals)
+	}
 	begin(c.store)
 	time.Sleep(testRevocation + time.Millisecond)
 	if got := c.serving(); got != 0 {
--- a/internal/node/accounts_test.go
+++ b/internal/node/accounts_test.go
@@ -47,8 +47,9 @@
 				t.Errorf("node %d, %+v: status %d, connection reused: %t", i, test, r.status, r.reused)
 			}
 			if r.status == 401 {
-				if got := r.header.Get("Dandelionspoke-Reason"); got != "unknown-key" || r.header.Get("Www-Authenticate") == "" {
-					t.Errorf("node %d, %+v: headers %v", i, test, r.header)
+				shown := test.key != "" && strings.Contains(r.body, test.key)
+				if got := r.header.Get("Dandelionspoke-Reason"); got != "unknown-key" || r.header.Get("Www-Authenticate") == "" || shown {
+					t.Errorf("node %d, %+v: headers %v, body %q", i, test, r.header, r.body)
 				}
 				continue
 			}
