Keep the weights of split routes over many nodes

Cause: each node started at a random offset of a golden ratio sequence. One request of a node is a random draw, and two successive ones do not balance each other (both go to a part of weight 0.5 with probability 0.12), so over many nodes with one or two requests each the shares are random.

Change: a smooth weighted round robin in whole numbers at each node, started at the node's rank among the members that it knows, or at a random position while it knows none. Nothing is exchanged. bundle.Route.Destination has no caller any more and is removed; its test moves to ingress, where it checks each number of successive requests instead of the sum of 10,000.

The test passes the rank through Config.FleetRank, as the node does; its bounds, sizes and arrivals are unchanged. With an empty Config the position would be drawn at random, and the outcome would differ from run to run.

Without the fix, the new tests fail: 195 nodes: 47 requests to a with weight 0.2 2000 nodes: 993 requests to a with weight 0.5 weights [0.2 0.3 0.5]: 650 of 3261 requests to part 0

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -103,21 +103,6 @@
 	Weight  float64 `toml:"weight"`
 }
 
-// Destination returns the service for a request. On a split route u, a number uniform in [0, 1), selects the service.
-func (r *Route) Destination(u float64) string {
-	total := 0.0
-	for _, s := range r.Split {
-		total += s.Weight
-	}
-	for _, s := range r.Split {
-		u -= s.Weight / total
-		if u < 0 {
-			return s.Service
-		}
-	}
-	return r.Service
-}
-
 // MaxPriority is the highest number, and so the lowest priority, of a route.
 const MaxPriority = 7
 
--- a/internal/bundle/route_test.go
+++ b/internal/bundle/route_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"testing"
 	"time"
 
@@ -30,25 +29,6 @@
 	})
 }
 
-// TestDestinationFollowsWeights guards against services of a split route whose shares of the requests do not match their
-// weights.
-func TestDestinationFollowsWeights(t *testing.T) {
-	r := Route{Service: "a", Split: []WeightedService{{"a", 90}, {"b", 9}, {"c", 1}}}
-	const draws = 10_000
-	got := map[string]float64{}
-	for i := range draws {
-		got[r.Destination(float64(i)/draws)]++
-	}
-	for _, s := range r.Split {
-		if share := 100 * got[s.Service] / draws; math.Abs(share-s.Weight) > 0.1 {
-			t.Errorf("service %s got %v %% of the requests, want %v", s.Service, share, s.Weight)
-		}
-	}
-	if (&Route{Service: "a"}).Destination(0.5) != "a" {
-		t.Error("a route without Split does not use Service")
-	}
-}
-
 // TestLimitedTo guards against limits above those of the endpoint, and wait lists that are sized for more slots than are
 // used.
 func TestLimitedTo(t *testing.T) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -66,6 +66,9 @@
 	OnRequest func(service string)
 	// OnSuccess is called with the fingerprints of each request whose response was relayed completely. May be nil.
 	OnSuccess func(fingerprints ...[]byte)
+	// FleetRank returns the rank of this node among the members of the fleet, from 0, and false while it knows no other
+	// member. Nodes with successive ranks start split routes at successive positions. If nil, the rank is unknown.
+	FleetRank func() (rank int, ok bool)
 }
 
 // Counters are totals since the start. They are safe for concurrent use.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,7 +172,7 @@
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget, ServiceBudgets: n.serviceBudgets,
 		Logger: n.logger, Protocol: n.adapter.CallerProtocol, Latency: n.metrics.Histogram("ingress_request_seconds"), Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
 		IsQuarantined: n.isQuarantined, OnRequest: n.onIngressRequest, OnSuccess: n.onRequestSuccess,
-		ClaimsFor: func(service string) claim.KeyClaimer { return n.claimRouter.For(service) },
+		ClaimsFor: func(service string) claim.KeyClaimer { return n.claimRouter.For(service) }, FleetRank: n.fleetRank,
 	})
 }
 
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -26,6 +26,21 @@
 	return addresses
 }
 
+// fleetRank returns the rank of this node's ID among those of the members that are not DEAD, and false while it knows no
+// other. Nodes that know different members may get the same rank.
+func (n *Node) fleetRank() (rank int, ok bool) {
+	for _, m := range n.engine.Records() {
+		if m.State == wire.MemberState_DEAD || m.NodeId == n.settings.NodeID {
+			continue
+		}
+		ok = true
+		if m.NodeId < n.settings.NodeID {
+			rank++
+		}
+	}
+	return rank, ok
+}
+
 // uptime returns the time since the node was created.
 func (n *Node) uptime() time.Duration { return time.Since(n.createdAt) }
 
