Answer 502 to responses with a status or fields that HTTP lacks

Cause: net/http's client reads any status of three digits, field names with spaces and any trailers; its server panics on a status below 100, sends 101 as it is and 102 to 199 without a final response, and drops or changes malformed fields. Nothing between them checked a response.

Change: gate.CheckResponse and CheckTrailers. The gate checks the status before the protocol reads the response, and the head before it is sent on; the ingress checks heads and trailers of other nodes, retained responses and the status of stored ones. A malformed head is a failed attempt that may have run, with the existing reasons; a malformed trailer breaks the response off; forbidden trailers are dropped. A final status of 100 to 199 is a failure too; 1xx responses before a final one are skipped as before. A response to HEAD without a length no longer gets Content-Length: 0.

--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -53,6 +53,9 @@
 	}
 	defer resp.Body.Close()
 	c.backendStatus = resp.StatusCode
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.BackendBroken, "malformed response: %v", err)
+	}
 	info := c.gate.protocol.Read(req.Header, resp)
 	c.gate.recordSlowness(info.Slowness)
 	switch {
@@ -185,11 +188,14 @@
 		Status: uint32(resp.StatusCode), Headers: HeadersToWire(resp.Header),
 		ContentLength: resp.ContentLength, Load: c.gate.Load(),
 	}
+	if err := CheckResponse(c.head.Method, head); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.BackendBroken, "malformed response: %v", err)
+	}
 	c.recorder.retained.Response = head
 	if resp.ContentLength >= 0 && resp.ContentLength <= wire.MaxChunkBytes {
 		return c.relayBuffered(resp, head)
 	}
-	if isCloseDelimited(resp) {
+	if isCloseDelimited(resp) && c.head.Method != http.MethodHead {
 		return c.relayCloseDelimited(resp, head)
 	}
 	return c.relayStream(resp, head, nil)
@@ -224,13 +230,17 @@
 }
 
 func (c *call) sendBuffered(resp *http.Response, head *wire.ResponseHead, body []byte) error {
+	end, err := c.endFrame(resp)
+	if err != nil {
+		return err
+	}
 	c.recorder.headSent = true
 	c.recorder.addBody(body)
 	frames := []*wire.Frame{{Kind: &wire.Frame_Response{Response: head}}}
 	if len(body) > 0 {
 		frames = append(frames, &wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: body}}})
 	}
-	_ = c.conn.WriteAll(append(frames, c.endFrame(resp))...)
+	_ = c.conn.WriteAll(append(frames, end)...)
 	return nil
 }
 
@@ -263,13 +273,23 @@
 			return verdict.New(verdict.Ran, verdict.PeerBroken, "%v", sendErr)
 		}
 	}
-	_ = c.conn.Write(c.endFrame(resp))
+	end, err := c.endFrame(resp)
+	if err != nil {
+		return err
+	}
+	_ = c.conn.Write(end)
 	return nil
 }
 
-func (c *call) endFrame(resp *http.Response) *wire.Frame {
-	c.recorder.retained.Trailers = HeadersToWire(resp.Trailer)
-	return &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Trailers: c.recorder.retained.Trailers, Load: c.gate.Load()}}}
+// endFrame returns the last frame of a response. It returns an error if the trailers are malformed; the response then ends
+// without its last frame, as one that breaks off.
+func (c *call) endFrame(resp *http.Response) (*wire.Frame, error) {
+	trailers, err := CheckTrailers(HeadersToWire(resp.Trailer))
+	if err != nil {
+		return nil, verdict.New(verdict.Ran, verdict.BackendBroken, "malformed trailers: %v", err)
+	}
+	c.recorder.retained.Trailers = trailers
+	return &wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Trailers: c.recorder.retained.Trailers, Load: c.gate.Load()}}}, nil
 }
 
 // HeadersToWire converts HTTP headers to their wire form, without hop-by-hop headers.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -42,7 +42,7 @@
 	in.pendingAttempts.Delete(query)
 	if err != nil {
 		resp.close()
-		return in.resolveFailure(ctx, resp, query, err)
+		return in.resolveFailure(ctx, q, resp, query, err)
 	}
 	return resp, nil
 }
@@ -98,13 +98,22 @@
 	case *wire.Frame_Response:
 		resp.head = k.Response
 		resp.conn.Remote().RecordGeneration(k.Response.GetLoad().GetGeneration())
-		return nil
+		return checkResponse(q, resp, k.Response)
 	case *wire.Frame_Refusal:
 		return in.refusalError(ctx, resp, k.Refusal)
 	}
 	return errors.Newf("unexpected frame %T instead of an answer", f.Kind)
 }
 
+// checkResponse returns an error if the head of a response from another node is malformed.
+func checkResponse(q *request, resp *response, head *wire.ResponseHead) error {
+	if err := gate.CheckResponse(q.httpRequest.Method, head); err != nil {
+		resp.observation.end(balance.Failed, head.GetLoad())
+		return verdict.New(verdict.MayHaveRun, verdict.PeerBroken, "malformed response: %v", err)
+	}
+	return nil
+}
+
 // refusalError records the refusal of a gate and returns its verdict as an error.
 func (in *Ingress) refusalError(ctx context.Context, resp *response, r *wire.Refusal) error {
 	resp.conn.Remote().RecordGeneration(r.GetLoad().GetGeneration())
@@ -171,7 +180,7 @@
 
 // resolveFailure returns the verdict of a failed exchange. When the connection broke, it queries the gate and returns
 // the response if the gate has retained it.
-func (in *Ingress) resolveFailure(ctx context.Context, resp *response, query *wire.AttemptQuery, err error) (*response, error) {
+func (in *Ingress) resolveFailure(ctx context.Context, q *request, resp *response, query *wire.AttemptQuery, err error) (*response, error) {
 	var refusal *verdict.Error
 	if errors.As(err, &refusal) {
 		return nil, refusal
@@ -190,6 +199,9 @@
 	in.Logger.Info("attempt resolved", "event", "attempt_resolved", "endpoint", resp.endpoint.ID,
 		"verdict", verdict.FromWire(outcome.Verdict), "has_answer", outcome.HasAnswer, "cause", err)
 	if outcome.HasAnswer {
+		if err := checkResponse(q, resp, outcome.GetResponse()); err != nil {
+			return nil, err
+		}
 		return &response{endpoint: resp.endpoint, head: outcome.Response, retained: outcome}, nil
 	}
 	return nil, verdict.New(verdict.FromWire(outcome.Verdict), verdict.PeerBroken, "the connection to the gate broke")
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
+	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/httpconn"
 	"dandelionspoke/internal/metrics"
 	"dandelionspoke/internal/peer"
@@ -313,11 +314,16 @@
 	writeHead(w, resp.head)
 	if resp.retained != nil {
 		_, _ = w.Write(resp.retained.Body)
-		writeTrailers(w, resp.retained.Trailers)
+		if err := writeTrailers(w, resp.retained.Trailers); err != nil {
+			return http.ErrAbortHandler
+		}
 		in.Counters.Answered.Add(1)
 		return nil
 	}
 	err := copyBody(w, resp)
+	if err == nil {
+		err = writeTrailers(w, resp.body.End().Trailers)
+	}
 	outcome := outcomeOf(q.httpRequest.Context(), resp.head.Status, err)
 	resp.observation.end(outcome, resp.body.End().GetLoad())
 	if outcome == balance.Success {
@@ -329,7 +335,6 @@
 	if err != nil {
 		return http.ErrAbortHandler
 	}
-	writeTrailers(w, resp.body.End().Trailers)
 	in.Counters.Answered.Add(1)
 	if in.OnSuccess != nil {
 		in.OnSuccess(q.fingerprint, q.callerFingerprint)
@@ -352,10 +357,16 @@
 	}
 }
 
-func writeTrailers(w http.ResponseWriter, trailers []*wire.Header) {
+// writeTrailers sets the trailers of a response. It sets none and returns an error if one is malformed.
+func writeTrailers(w http.ResponseWriter, trailers []*wire.Header) error {
+	trailers, err := gate.CheckTrailers(trailers)
+	if err != nil {
+		return err
+	}
 	for _, t := range trailers {
 		w.Header()[http.TrailerPrefix+t.Name] = t.All()
 	}
+	return nil
 }
 
 func copyBody(w http.ResponseWriter, resp *response) error {
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionspoke/internal/claim"
+	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
 )
@@ -35,6 +36,9 @@
 	}
 	switch result.Kind {
 	case claim.Replay:
+		if err := gate.CheckStatus(result.Outcome.Status); err != nil {
+			return verdict.New(verdict.MayHaveRun, verdict.BackendBroken, "malformed stored response: %v", err)
+		}
 		in.replay(w, result.Outcome)
 		return nil
 	case claim.Run:
