Close the ingress listener without resetting queued connections

Cause: after its grace period the listener closed its socket although the kernel might have queued connections since the last accept; Accept does not look once its deadline has passed. The kernel resets these. A drain closes the callers' connections, so that they connect again at that moment.

Change: a closing listener lets the kernel drop new connection requests by a socket filter, waits 2 ms for handshakes in progress and closes its socket once the accept queue is empty.

--- a/internal/httpconn/listener.go
+++ b/internal/httpconn/listener.go
@@ -19,6 +19,11 @@
 // acceptGracePeriod is the time for which a closing listener still accepts connections.
 const acceptGracePeriod = 50 * time.Millisecond
 
+// settlePeriod is the time between the moment from which a closing listener drops connection requests and the close of its
+// socket, in which handshakes in progress end. It covers the round trip to callers of the same region. Callers that connect
+// in this time learn only a second later that the listener has closed, so it is short.
+const settlePeriod = 2 * time.Millisecond
+
 const (
 	// idlePeriod is the time without an open request after which the remaining connections count as idle. A caller
 	// that sends a request on an idle connection within this time gets a response that closes the connection.
@@ -39,11 +44,10 @@
 	closeErr    error         // error of closing tcp; valid once acceptDone is closed
 	// PipelinedRequests counts the requests that started while an earlier request of their connection was unanswered.
 	PipelinedRequests atomic.Int64
-
-	mu             sync.Mutex
-	activeConns    map[net.Conn]struct{}
-	pendingStreams []*stream // additional streams of connections, to be returned by Accept
-	streamsClosed  bool      // no more streams are accepted
+	mu                sync.Mutex
+	activeConns       map[net.Conn]struct{}
+	pendingStreams    []*stream // additional streams of connections, to be returned by Accept
+	streamsClosed     bool      // no more streams are accepted
 }
 
 type acceptResult struct {
@@ -51,6 +55,14 @@
 	err  error
 }
 
+// ListenConfig returns the configuration with which sockets for NewListener are opened. The kernel does not let Multipath TCP
+// sockets drop connection requests, which Close needs.
+func ListenConfig() *net.ListenConfig {
+	config := &net.ListenConfig{}
+	config.SetMultipathTCP(false)
+	return config
+}
+
 // NewListener returns a listener that accepts connections from tcp and takes ownership of it.
 func NewListener(tcp *net.TCPListener) *Listener {
 	l := &Listener{
@@ -61,12 +73,16 @@
 	return l
 }
 
-// acceptLoop passes connections from tcp to Accept, until acceptGracePeriod after Close.
+// acceptLoop passes connections from tcp to Accept, until acceptGracePeriod after Close and until the accept queue is empty.
 func (l *Listener) acceptLoop() {
 	defer close(l.acceptDone)
+	settling := false // connection requests are dropped
 	for {
 		socket, err := l.tcp.Accept()
 		if err != nil && l.closing.Load() {
+			if l.extendForQueued(&settling) {
+				continue
+			}
 			l.closeErr = l.tcp.Close()
 			l.mu.Lock()
 			l.streamsClosed = true
@@ -81,6 +97,20 @@
 	}
 }
 
+// extendForQueued is called when the deadline of a closing listener has passed. It reports true, with a new deadline, if
+// handshakes in progress or queued connections have to be awaited: closing the socket resets queued connections, and Accept
+// does not look for them once its deadline has passed.
+func (l *Listener) extendForQueued(settling *bool) bool {
+	if !*settling {
+		*settling = true
+		// If this fails, connections that arrive between the last look at the queue and the close are reset.
+		_ = dropConnectionRequests(l.tcp)
+	} else if queued, err := hasQueuedConnections(l.tcp); err != nil || !queued {
+		return false
+	}
+	return l.tcp.SetDeadline(time.Now().Add(settlePeriod)) == nil
+}
+
 // Accept implements net.Listener. It returns streams.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
--- /dev/null
+++ b/internal/httpconn/listener_test.go
@@ -0,0 +1,58 @@
+package httpconn
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against connections that are reset without an answer because they are in the kernel's accept queue at the moment
+// in which the listener closes. A caller whose connect fails, also late, knows that nothing of its request was read.
+func TestCloseResetsNoConnection(t *testing.T) {
+	const (
+		closes  = 5
+		callers = 8
+		runTime = 20 * time.Millisecond
+	)
+	var answered, reset atomic.Int64
+	for range closes {
+		tcp, err := ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := NewListener(tcp.(*net.TCPListener))
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: l.TrackState, ConnContext: Context}
+		var running sync.WaitGroup
+		running.Go(func() { _ = server.Serve(l) })
+		for range callers {
+			running.Go(func() {
+				for {
+					conn, err := net.DialTimeout("tcp", l.Addr().String(), 500*time.Millisecond)
+					if err != nil {
+						return
+					}
+					fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+					response, err := io.ReadAll(conn)
+					conn.Close()
+					if err != nil || len(response) == 0 {
+						reset.Add(1)
+						return
+					}
+					answered.Add(1)
+				}
+			})
+		}
+		time.Sleep(runTime)
+		l.Close()
+		running.Wait()
+		server.Close()
+	}
+	if reset.Load() > 0 || answered.Load() == 0 {
+		t.Errorf("%d connections were reset, %d requests answered", reset.Load(), answered.Load())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -295,9 +295,9 @@
 
 func (n *Node) startIngress(ctx context.Context) error {
 	in := n.settings.Ingress
-	l, err := listen(ctx, "ingress", in.Listen)
+	l, err := httpconn.ListenConfig().Listen(ctx, "tcp", in.Listen)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "ingress.listen")
 	}
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
