End only the request at hand after a panic in its handling

Cause: panics of goroutines that are started for a request (concurrent attempts, bodies, claims, peer streams, the gate) ended the process, and those in the caller's goroutine closed its connection without a response.

Change: they are recovered at the boundary of the request, logged once with stack and identifier (panic_recovered), counted (ingress_panics, gate_panics), and the request ends with reason internal-error: not-run if nothing had been passed on, else may-have-run; a response that has begun is aborted. Slots, observations, pending attempts and the gate's mutex are released. Such a request is not tried again.

httpconn.NewListener takes a logger for it; the tests that call it pass one that discards.

--- a/internal/claim/router.go
+++ b/internal/claim/router.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"dandelionspoke/internal/recovery"
 	"dandelionspoke/internal/wire"
 )
 
@@ -88,12 +89,20 @@
 	return ctx, func() { stop(); cancel() }
 }
 
-// runInBackground starts f in a goroutine unless the Router is closed. Close waits for f to return.
+// runInBackground starts f in a goroutine unless the Router is closed. Close waits for f to return. A panic of f is logged;
+// what f would have released expires.
 func (r *Router) runInBackground(f func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.closed {
-		r.group.Go(f)
+		r.group.Go(func() {
+			defer func() {
+				if value := recover(); value != nil {
+					recovery.Log(r.config.Log, value)
+				}
+			}()
+			f()
+		})
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -45,6 +45,8 @@
 	Admitted, Queued, Refused, Ran, Broken, Canceled, Queries, Crashes, DuplicateAttempts, LoadProbes atomic.Int64
 	// Pauses counts the pauses of the process.
 	Pauses atomic.Int64
+	// Panics counts the panics that ended an attempt.
+	Panics atomic.Int64
 }
 
 // Gate admits and forwards requests to one backend server. It is safe for concurrent use.
@@ -237,26 +239,35 @@
 // admit acquires a slot and returns its ticket, or an error with verdict NotRun. The wait for a slot ends when done or
 // withdrawn is closed.
 func (g *Gate) admit(done, withdrawn <-chan struct{}, r admission.Request) (admission.Ticket, *Backend, error) {
-	g.mu.Lock()
-	backend := g.backend
-	if err := g.checkAccepting(backend); err != nil {
-		g.mu.Unlock()
+	ticket, backend, outcome, decided, err := g.offer(r)
+	switch {
+	case err != nil:
 		return 0, nil, err
-	}
-	ticket, outcome := g.queue.Offer(time.Now(), r)
-	g.deliverDecisions(outcome.Decisions)
-	if outcome.State != admission.Queued {
-		g.mu.Unlock()
+	case decided == nil:
 		return g.admissionResult(ticket, backend, outcome.State == admission.Admitted, outcome.Reason)
 	}
-	decided := make(chan admission.Decision, 1)
-	g.waiters[ticket] = decided
-	g.scheduleNextDecision()
-	g.mu.Unlock()
 	g.Counters.Queued.Add(1)
 	return g.awaitDecision(done, withdrawn, ticket, backend, decided)
 }
 
+// offer offers a request to the queue. decided receives the decision on a queued request; it is nil for others.
+func (g *Gate) offer(r admission.Request) (ticket admission.Ticket, backend *Backend, outcome admission.Outcome, decided chan admission.Decision, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	backend = g.backend
+	if err := g.checkAccepting(backend); err != nil {
+		return 0, nil, outcome, nil, err
+	}
+	ticket, outcome = g.queue.Offer(time.Now(), r)
+	g.deliverDecisions(outcome.Decisions)
+	if outcome.State == admission.Queued {
+		decided = make(chan admission.Decision, 1)
+		g.waiters[ticket] = decided
+		g.scheduleNextDecision()
+	}
+	return ticket, backend, outcome, decided, nil
+}
+
 // checkAccepting returns an error with verdict NotRun when the gate accepts no requests.
 func (g *Gate) checkAccepting(backend *Backend) error {
 	switch {
@@ -299,14 +310,7 @@
 	case <-withdrawn:
 		waitErr = verdict.New(verdict.NotRun, verdict.Draining, "withdrawn by the ingress while waiting for a slot")
 	}
-	g.mu.Lock()
-	_, waiting := g.waiters[t]
-	if waiting {
-		delete(g.waiters, t)
-		g.deliverDecisions(g.queue.Cancel(time.Now(), t))
-	}
-	g.mu.Unlock()
-	if !waiting {
+	if !g.cancelWaiting(t) {
 		// The request was decided concurrently; if it was admitted, its slot must be released.
 		if decision := <-decided; decision.Admitted {
 			g.releaseSlot(t, 0)
@@ -316,6 +320,18 @@
 	return 0, nil, waitErr
 }
 
+// cancelWaiting removes a request from the queue. It reports false if the request has been decided.
+func (g *Gate) cancelWaiting(t admission.Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, waiting := g.waiters[t]; !waiting {
+		return false
+	}
+	delete(g.waiters, t)
+	g.deliverDecisions(g.queue.Cancel(time.Now(), t))
+	return true
+}
+
 // mayStartWaiting reports whether a request that has waited for b may be sent to it. The process may have been paused since
 // the decision, and the timer of drainCutoff is late then.
 func (g *Gate) mayStartWaiting(b *Backend) bool {
@@ -337,9 +353,9 @@
 // releaseSlot releases a slot. serviceTime is the time that the backend server spent on the request; 0 records none.
 func (g *Gate) releaseSlot(t admission.Ticket, serviceTime time.Duration) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.deliverDecisions(g.queue.Release(time.Now(), t, serviceTime))
 	g.scheduleNextDecision()
-	g.mu.Unlock()
 }
 
 // scheduleNextDecision sets the timer to the next time at which a waiting request may be refused or admitted although
@@ -364,6 +380,7 @@
 
 // decideWaiting refuses or admits the waiting requests that are due, and schedules the next decision.
 func (g *Gate) decideWaiting() {
+	defer g.recoverBackground()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deliverDecisions(g.queue.Expire(time.Now()))
--- a/internal/gate/load.go
+++ b/internal/gate/load.go
@@ -140,6 +140,7 @@
 
 // probeLoad sends a load probe and records the slowness that the response reports.
 func (g *Gate) probeLoad(address, path string) {
+	defer g.recoverBackground()
 	defer g.slowness.endProbe()
 	ctx, cancel := context.WithTimeout(context.Background(), backendDialTimeout)
 	defer cancel()
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -33,6 +33,11 @@
 	// slowness of the backend server when the attempt was offered to the queue; 0 if unknown
 	slowness      float64
 	backendStatus int // status code of the backend server's response; 0 if there is none
+	// ticket is that of the slot that the attempt holds while holdsSlot is set. forwarded is set once the backend server may
+	// have received the request.
+	ticket               admission.Ticket
+	holdsSlot, forwarded bool
+	registered           bool // the attempt history holds a record of the attempt that is still running
 }
 
 // Serve serves one attempt, whose head has already been read from conn, and writes the response or a refusal to conn.
@@ -40,6 +45,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Done()
 	c := &call{gate: g, conn: conn, head: head, body: newRequestBody()}
+	defer c.recoverServe()
 	if g.WriteLimiter != nil {
 		conn.SetWriteLimiter(g.WriteLimiter(head.Region, head.Long))
 	}
@@ -54,6 +60,7 @@
 		c.refuse(verdict.New(verdict.NotRun, verdict.AttemptRefused, "the attempt was refused earlier or is a duplicate"))
 		return
 	}
+	c.registered = true
 	timeout := time.Duration(head.DeadlineMs) * time.Millisecond
 	ctx, cancelTimeout := context.WithTimeout(ctx, timeout)
 	defer cancelTimeout()
@@ -96,15 +103,17 @@
 		c.finishRefused(err)
 		return
 	}
+	c.ticket, c.holdsSlot = ticket, true
 	admittedAt := time.Now()
 	if !admittedAt.Before(deadline) {
 		// The process may have been paused while the request waited, and the timer of ctx is late.
-		c.gate.releaseSlot(ticket, 0)
+		c.releaseSlot(0)
 		c.finishRefused(verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline passed before the request was sent"))
 		return
 	}
 	c.queueTime = admittedAt.Sub(offeredAt)
 	c.gate.QueueTime.Record(c.queueTime)
+	c.forwarded = true
 	err = c.forward(ctx, backend, c.body)
 	serviceTime := time.Since(admittedAt)
 	c.gate.ServiceTime.Record(serviceTime)
@@ -112,10 +121,18 @@
 	if err != nil && verdict.Of(err) == verdict.NotRun {
 		serviceTime = 0
 	}
-	c.gate.releaseSlot(ticket, serviceTime)
+	c.releaseSlot(serviceTime)
 	c.finish(err)
 }
 
+// releaseSlot releases the slot of the attempt, if it holds one.
+func (c *call) releaseSlot(serviceTime time.Duration) {
+	if c.holdsSlot {
+		c.holdsSlot = false
+		c.gate.releaseSlot(c.ticket, serviceTime)
+	}
+}
+
 func (g *Gate) responseKeepLimit() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -137,6 +154,7 @@
 // readRequest copies the chunks of the request body to c.body, and cancels the request when the ingress closes the
 // stream early.
 func (c *call) readRequest() {
+	defer c.recoverRead()
 	for {
 		f, err := c.conn.Read()
 		if err != nil {
@@ -200,6 +218,10 @@
 	e := verdict.As(err)
 	load := c.gate.Load()
 	c.logRefused(e, load)
+	c.sendRefusal(e, load)
+}
+
+func (c *call) sendRefusal(e *verdict.Error, load *wire.Load) {
 	refusal := &wire.Refusal{Verdict: e.Verdict.Wire(), Reason: string(e.Reason), Detail: e.Detail, Load: load}
 	_ = c.conn.Write(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: refusal}})
 }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"dandelionspoke/internal/recovery"
 )
 
 const (
@@ -60,26 +62,41 @@
 
 // readLoop reads from the socket until the connection ends.
 func (c *conn) readLoop() {
+	defer c.cancelRequests()
+	defer c.recoverRead()
 	chunk := make([]byte, readChunkSize)
-	for {
-		n, err := c.Conn.Read(chunk)
-		c.mu.Lock()
-		c.readBuffer = append(c.readBuffer, chunk[:n]...)
-		if err != nil && c.err == nil {
-			c.err = err
-		}
-		c.dispatch()
-		c.changed.Broadcast()
-		for c.err == nil && len(c.readBuffer)+len(c.primary.input) >= maxReadAhead {
-			c.changed.Wait()
-		}
-		ended := c.err != nil
-		c.mu.Unlock()
-		if ended {
-			c.cancelRequests()
-			return
-		}
+	for c.readChunk(chunk) {
+	}
+}
+
+// readChunk reads once from the socket, into chunk, and reports whether the connection goes on.
+func (c *conn) readChunk(chunk []byte) bool {
+	n, err := c.Conn.Read(chunk)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readBuffer = append(c.readBuffer, chunk[:n]...)
+	if err != nil && c.err == nil {
+		c.err = err
 	}
+	c.dispatch()
+	c.changed.Broadcast()
+	for c.err == nil && len(c.readBuffer)+len(c.primary.input) >= maxReadAhead {
+		c.changed.Wait()
+	}
+	return c.err == nil
+}
+
+// recoverRead closes a connection whose reading panicked, so that the process and its other connections go on.
+func (c *conn) recoverRead() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	recovery.Log(c.listener.logger, value, "remote", c.Conn.RemoteAddr())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	c.closeSocket()
 }
 
 // cancelRequests cancels the contexts of all requests of the connection.
--- a/internal/httpconn/listener.go
+++ b/internal/httpconn/listener.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -37,6 +38,7 @@
 // http.Server.Shutdown only after these have finished, because it drops requests whose header arrives after the call.
 type Listener struct {
 	tcp         *net.TCPListener
+	logger      *slog.Logger
 	closing     atomic.Bool
 	accepted    chan acceptResult
 	streamReady chan struct{} // holds an item while pendingStreams is not empty
@@ -64,9 +66,9 @@
 }
 
 // NewListener returns a listener that accepts connections from tcp and takes ownership of it.
-func NewListener(tcp *net.TCPListener) *Listener {
+func NewListener(tcp *net.TCPListener, logger *slog.Logger) *Listener {
 	l := &Listener{
-		tcp: tcp, accepted: make(chan acceptResult), streamReady: make(chan struct{}, 1), acceptDone: make(chan struct{}),
+		tcp: tcp, logger: logger, accepted: make(chan acceptResult), streamReady: make(chan struct{}, 1), acceptDone: make(chan struct{}),
 		activeConns: map[net.Conn]struct{}{},
 	}
 	go l.acceptLoop()
--- a/internal/httpconn/listener_test.go
+++ b/internal/httpconn/listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -25,7 +26,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		l := NewListener(tcp.(*net.TCPListener))
+		l := NewListener(tcp.(*net.TCPListener), slog.New(slog.DiscardHandler))
 		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: l.TrackState, ConnContext: Context}
 		var running sync.WaitGroup
 		running.Go(func() { _ = server.Serve(l) })
--- a/internal/httpconn/pipeline_test.go
+++ b/internal/httpconn/pipeline_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -22,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := NewListener(tcp.(*net.TCPListener))
+	l := NewListener(tcp.(*net.TCPListener), slog.New(slog.DiscardHandler))
 	server := &http.Server{Handler: handler, ConnState: l.TrackState, ConnContext: Context, IdleTimeout: 300 * time.Millisecond}
 	served := make(chan struct{})
 	go func() { defer close(served); _ = server.Serve(l) }()
@@ -263,7 +264,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := NewListener(tcp.(*net.TCPListener))
+	l := NewListener(tcp.(*net.TCPListener), slog.New(slog.DiscardHandler))
 	_ = l.Close()
 	if _, err := l.Accept(); err == nil {
 		t.Fatal("Accept on a closed listener succeeded")
--- a/internal/httpconn/readahead_test.go
+++ b/internal/httpconn/readahead_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -48,7 +49,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	})}
-	go func() { _ = server.Serve(NewListener(l.(*net.TCPListener))) }()
+	go func() { _ = server.Serve(NewListener(l.(*net.TCPListener), slog.New(slog.DiscardHandler))) }()
 	defer server.Close()
 	caller, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -22,24 +22,33 @@
 const verdictGrace = 150 * time.Millisecond
 
 // sendAttempt sends the request to one endpoint and returns the response once its head has arrived. The gate
-// refuses the attempt when it expects a wait above maxWait; 0 accepts any. Errors carry a verdict.
-func (in *Ingress) sendAttempt(ctx context.Context, q *request, ep *table.Endpoint, maxWait time.Duration) (*response, error) {
+// refuses the attempt when it expects a wait above maxWait; 0 accepts any. Errors carry a verdict. It recovers panics, since
+// it may run in a goroutine of its own.
+func (in *Ingress) sendAttempt(ctx context.Context, q *request, ep *table.Endpoint, maxWait time.Duration) (resp *response, err error) {
 	in.Counters.Attempts.Add(1)
 	obs := startObservation(ep, q.long)
+	defer func() {
+		if value := recover(); value != nil {
+			in.recordPanic(q, value)
+			obs.end(balance.Failed, nil)
+			if resp != nil {
+				resp.close()
+			}
+			resp, err = nil, errHandlingPanicked()
+		}
+	}()
 	conn, err := in.Opener.Open(ctx, ep, sessionClass(q.long))
 	if err != nil {
 		obs.end(openOutcome(ctx), nil)
 		return nil, verdict.New(verdict.NotRun, verdict.PeerUnreachable, "%v", err)
 	}
-	resp := &response{endpoint: ep, conn: conn, body: peer.NewBody(conn), observation: obs}
+	resp = &response{endpoint: ep, conn: conn, body: peer.NewBody(conn), observation: obs}
 	// The context ends verdictGrace after the deadline, or when the attempt is canceled. Closing the stream cancels the request at the gate.
 	resp.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	head := in.requestHead(q, ep, conn.Remote())
 	head.MaxWaitUs = uint32(maxWait.Microseconds())
 	query := &wire.AttemptQuery{AttemptId: head.AttemptId, Instance: conn.Remote().Instance, Generation: head.Generation}
-	in.pendingAttempts.Store(query, ep)
-	err = in.exchange(ctx, q, resp, head)
-	in.pendingAttempts.Delete(query)
+	err = in.exchangePending(ctx, q, resp, head, query)
 	if err != nil {
 		resp.close()
 		return in.resolveFailure(ctx, q, resp, query, err)
@@ -78,6 +87,13 @@
 	return head
 }
 
+// exchangePending is exchange for an attempt that Withdraw may cancel in the meantime.
+func (in *Ingress) exchangePending(ctx context.Context, q *request, resp *response, head *wire.RequestHead, query *wire.AttemptQuery) error {
+	in.pendingAttempts.Store(query, resp.endpoint)
+	defer in.pendingAttempts.Delete(query)
+	return in.exchange(ctx, q, resp, head)
+}
+
 // exchange sends the request and reads the head of the response.
 func (in *Ingress) exchange(ctx context.Context, q *request, resp *response, head *wire.RequestHead) error {
 	if err := sendRequest(q, resp.conn, head); err != nil {
@@ -89,7 +105,7 @@
 	}
 	if f.GetContinue() != nil {
 		q.bodyRestUsed = true
-		go streamBody(q, resp.conn)
+		go in.streamBody(q, resp.conn)
 		if f, err = resp.conn.Read(); err != nil {
 			return err
 		}
@@ -157,7 +173,13 @@
 }
 
 // streamBody sends the chunks of a large body, from its start. On a read error it closes the stream, which cancels the request.
-func streamBody(q *request, conn *peer.Conn) {
+func (in *Ingress) streamBody(q *request, conn *peer.Conn) {
+	defer func() {
+		if value := recover(); value != nil {
+			in.recordPanic(q, value)
+			_ = conn.Close()
+		}
+	}()
 	body := io.MultiReader(bytes.NewReader(q.bodyPrefix), q.bodyRest)
 	buf := make([]byte, wire.MaxChunkBytes)
 	for {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -78,6 +78,8 @@
 	// Hedges counts the hedges sent, HedgesWon those that responded first, and the others the hedges that were not sent
 	// because no endpoint had room or the budget did not permit them.
 	Hedges, HedgesWon, HedgesNoRoom, HedgesNoBudget atomic.Int64
+	// Panics counts the panics that ended a request.
+	Panics atomic.Int64
 }
 
 // Ingress is an http.Handler. It is safe for concurrent use.
@@ -126,6 +128,7 @@
 		query, ep := proto.CloneOf(key.(*wire.AttemptQuery)), value.(*table.Endpoint)
 		query.Withdraw = true
 		notified.Go(func() {
+			defer in.recoverBackground(nil)
 			conn, err := in.Opener.Open(ctx, ep, peer.SessionControl)
 			if err == nil {
 				_, err = exchangeQuery(ctx, conn, query)
@@ -155,8 +158,16 @@
 	}
 }
 
-func (in *Ingress) serve(w http.ResponseWriter, r *http.Request) error {
-	q, err := in.parse(r, in.awaitBundle(r.Context()))
+func (in *Ingress) serve(w http.ResponseWriter, r *http.Request) (err error) {
+	var q *request
+	defer func() {
+		if value := recover(); value != nil {
+			if err = in.handlerPanic(q, value); q != nil {
+				in.logRequestEnd(r.Context(), q, err)
+			}
+		}
+	}()
+	q, err = in.parse(r, in.awaitBundle(r.Context()))
 	if err != nil {
 		e := verdict.As(err)
 		in.Logger.Info("request refused", "event", "request_refused", "method", r.Method, "host", r.Host, "path", r.URL.Path,
@@ -311,6 +322,7 @@
 		in.Counters.HedgesWon.Add(1)
 	}
 	in.closeIfDraining(w, q.httpRequest)
+	q.responseStarted = true
 	writeHead(w, resp.head)
 	if resp.retained != nil {
 		_, _ = w.Write(resp.retained.Body)
@@ -320,6 +332,7 @@
 		in.Counters.Answered.Add(1)
 		return nil
 	}
+	defer resp.observation.end(balance.Failed, nil) // only if the rest panics
 	err := copyBody(w, resp)
 	if err == nil {
 		err = writeTrailers(w, resp.body.End().Trailers)
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -39,6 +39,7 @@
 		if err := gate.CheckStatus(result.Outcome.Status); err != nil {
 			return verdict.New(verdict.MayHaveRun, verdict.BackendBroken, "malformed stored response: %v", err)
 		}
+		q.responseStarted = true
 		in.replay(w, result.Outcome)
 		return nil
 	case claim.Run:
@@ -111,6 +112,7 @@
 	in.inFlight.Add(1)
 	go func() {
 		defer in.inFlight.Done()
+		defer in.recoverBackground(q)
 		ctx, cancel := context.WithTimeout(context.Background(), claimWriteTimeout)
 		defer cancel()
 		var err error
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -37,6 +37,7 @@
 	lastEndpoint        *table.Endpoint
 	status              int // of the response that was relayed; 0 for none
 	hedgeWon            bool
+	responseStarted     bool // the head of the response may have been sent
 	route               *bundle.Route
 	service             *table.Service
 	snapshot            *table.Snapshot
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -19,13 +19,18 @@
 		in.OnRequest(q.serviceName)
 	}
 	in.recordFirstAttempt(q)
+	cancelAll := func() { stop(); cancel() }
+	responded := false
+	defer func() {
+		if !responded {
+			cancelAll() // also after a panic, which would otherwise leave attempts running until the deadline
+		}
+	}()
 	resp, err := in.runAttempts(ctx, q)
 	if err != nil {
-		stop()
-		cancel()
 		return nil, err
 	}
-	resp.cancelAll = func() { stop(); cancel() }
+	responded, resp.cancelAll = true, cancelAll
 	return resp, nil
 }
 
@@ -283,6 +288,7 @@
 		cancel()
 	}
 	go func() {
+		defer in.recoverBackground(nil)
 		for range len(state.running) {
 			if r := <-state.results; r.err == nil {
 				r.response.observation.end(balance.Canceled, nil)
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -86,7 +86,7 @@
 		"ingress_attempt_queries": in.Queries.Load(), "ingress_replays": in.Replays.Load(),
 		"gate_admitted": g.Admitted.Load(), "gate_queued": g.Queued.Load(), "gate_refused": g.Refused.Load(),
 		"gate_ran": g.Ran.Load(), "gate_broken": g.Broken.Load(), "gate_canceled": g.Canceled.Load(),
-		"gate_attempt_queries": g.Queries.Load(), "gate_crashes": g.Crashes.Load(), "gate_pauses": g.Pauses.Load(), "gate_load_probes": g.LoadProbes.Load(), "gate_attempts_remembered": int64(n.gate.Attempts()),
+		"gate_attempt_queries": g.Queries.Load(), "gate_crashes": g.Crashes.Load(), "gate_pauses": g.Pauses.Load(), "gate_panics": g.Panics.Load(), "ingress_panics": in.Panics.Load(), "gate_load_probes": g.LoadProbes.Load(), "gate_attempts_remembered": int64(n.gate.Attempts()),
 		"gate_in_flight": int64(load.InFlight), "gate_queued_short": int64(load.QueuedShort), "gate_queued_long": int64(load.QueuedLong),
 		"retry_budget_spent": int64(budget.Spent), "retry_budget_denied": int64(budget.Denied),
 		"quarantine_known": int64(known), "quarantine_refused": int64(refused),
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,6 +12,7 @@
 	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/recovery"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/steady"
@@ -202,8 +203,14 @@
 // request has succeeded. Those that expire last are sent.
 const maxQuarantineGossip = 8
 
-// ServePeer implements peer.Handler.
+// ServePeer implements peer.Handler. It recovers panics, so that a request of another node ends only its own stream; the other
+// node then takes the exchange for broken.
 func (n *Node) ServePeer(ctx context.Context, conn *peer.Conn, first *wire.Frame) {
+	defer func() {
+		if value := recover(); value != nil {
+			recovery.Log(n.logger, value, "frame", frameName(first))
+		}
+	}()
 	switch k := first.Kind.(type) {
 	case *wire.Frame_Request:
 		n.gate.Serve(ctx, conn, k.Request)
--- a/internal/node/idle_wait_test.go
+++ b/internal/node/idle_wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"testing"
@@ -17,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := httpconn.NewListener(tcp.(*net.TCPListener))
+	l := httpconn.NewListener(tcp.(*net.TCPListener), slog.New(slog.DiscardHandler))
 	defer l.Close()
 	caller, accepted := net.Pipe()
 	defer caller.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -303,7 +303,7 @@
 	if !ok {
 		return errors.Newf("ingress.listen: %T is not a TCP listener", l)
 	}
-	n.ingressListener = httpconn.NewListener(tcp)
+	n.ingressListener = httpconn.NewListener(tcp, n.logger)
 	n.addresses.Ingress = l.Addr().String()
 	n.serveOn(n.ingressListener, "ingress", &http.Server{
 		Handler: n.ingress, ReadHeaderTimeout: in.HeaderTimeout, IdleTimeout: in.IdleTimeout, MaxHeaderBytes: in.MaxHeaderBytes,
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -148,12 +148,12 @@
 }
 
 // refusedEverywhere reports whether every endpoint would refuse the request for the same reason, or the
-// caller has canceled it.
+// caller has canceled it. A request whose handling panicked at one node would most likely do so at others.
 func (a Attempt) refusedEverywhere() bool {
 	switch a.Reason {
 	case verdict.NoRoute, verdict.NoBundle, verdict.BadRequest, verdict.BodyTooLarge, verdict.TooDeep,
 		verdict.Quarantined, verdict.Canceled, verdict.DeadlineExceeded, verdict.DeadlineTooShort,
-		verdict.ClaimUnavailable, verdict.ClaimHeld, verdict.ClaimMismatch:
+		verdict.ClaimUnavailable, verdict.ClaimHeld, verdict.ClaimMismatch, verdict.InternalError:
 		return true
 	}
 	return false
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -90,6 +90,8 @@
 	Evacuated Reason = "evacuated"
 	// NoAllowedRegion means that no endpoint is known in the regions that the route and the account allow.
 	NoAllowedRegion Reason = "no-allowed-region"
+	// InternalError means that the handling of the request at a node ended with a panic.
+	InternalError Reason = "internal-error"
 )
 
 // Header names of failure responses.
@@ -149,6 +151,8 @@
 		return http.StatusUnprocessableEntity
 	case DeadlineExceeded, QueueTimeout, DeadlineTooShort:
 		return http.StatusGatewayTimeout
+	case InternalError:
+		return http.StatusInternalServerError
 	case PeerBroken, BackendBroken:
 		return http.StatusBadGateway
 	default:
