--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -22,27 +22,36 @@
 const verdictGrace = 150 * time.Millisecond
 
 // sendAttempt sends the request to one endpoint and returns the response once its head has arrived. The gate
-// refuses the attempt when it expects a wait above maxWait; 0 accepts any. Errors carry a verdict.
-func (in *Ingress) sendAttempt(ctx context.Context, q *request, ep *table.Endpoint, maxWait time.Duration) (*response, error) {
+// refuses the attempt when it expects a wait above maxWait; 0 accepts any. Errors carry a verdict. It recovers panics, since
+// it may run in a goroutine of its own.
+func (in *Ingress) sendAttempt(ctx context.Context, q *request, ep *table.Endpoint, maxWait time.Duration) (resp *response, err error) {
 	in.Counters.Attempts.Add(1)
 	obs := startObservation(ep, q.long)
+	defer func() {
+		if value := recover(); value != nil {
+			in.recordPanic(q, value)
+			obs.end(balance.Failed, nil)
+			if resp != nil {
+				resp.close()
+			}
+			resp, err = nil, errHandlingPanicked()
+		}
+	}()
 	conn, err := in.Opener.Open(ctx, ep, sessionClass(q.long))
 	if err != nil {
 		obs.end(openOutcome(ctx), nil)
 		return nil, verdict.New(verdict.NotRun, verdict.PeerUnreachable, "%v", err)
 	}
-	resp := &response{endpoint: ep, conn: conn, body: peer.NewBody(conn), observation: obs}
+	resp = &response{endpoint: ep, conn: conn, body: peer.NewBody(conn), observation: obs}
 	// The context ends verdictGrace after the deadline, or when the attempt is canceled. Closing the stream cancels the request at the gate.
 	resp.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	head := in.requestHead(q, ep, conn.Remote())
 	head.MaxWaitUs = uint32(maxWait.Microseconds())
 	query := &wire.AttemptQuery{AttemptId: head.AttemptId, Instance: conn.Remote().Instance, Generation: head.Generation}
-	in.pendingAttempts.Store(query, ep)
-	err = in.exchange(ctx, q, resp, head)
-	in.pendingAttempts.Delete(query)
+	err = in.exchangePending(ctx, q, resp, head, query)
 	if err != nil {
 		resp.close()
-		return in.resolveFailure(ctx, resp, query, err)
+		return in.resolveFailure(ctx, q, resp, query, err)
 	}
 	return resp, nil
 }
@@ -79,6 +88,13 @@
 	return head
 }
 
+// exchangePending is exchange for an attempt that Withdraw may cancel in the meantime.
+func (in *Ingress) exchangePending(ctx context.Context, q *request, resp *response, head *wire.RequestHead, query *wire.AttemptQuery) error {
+	in.pendingAttempts.Store(query, resp.endpoint)
+	defer in.pendingAttempts.Delete(query)
+	return in.exchange(ctx, q, resp, head)
+}
+
 // exchange sends the request and reads the head of the response.
 func (in *Ingress) exchange(ctx context.Context, q *request, resp *response, head *wire.RequestHead) error {
 	if err := sendRequest(q, resp.conn, head); err != nil {
@@ -90,7 +106,7 @@
 	}
 	if f.GetContinue() != nil {
 		q.bodyRestUsed = true
-		go streamBody(q, resp.conn)
+		go in.streamBody(q, resp.conn)
 		if f, err = resp.conn.Read(); err != nil {
 			return err
 		}
@@ -99,13 +115,22 @@
 	case *wire.Frame_Response:
 		resp.head = k.Response
 		resp.conn.Remote().RecordGeneration(k.Response.GetLoad().GetGeneration())
-		return nil
+		return checkResponse(q, resp, k.Response)
 	case *wire.Frame_Refusal:
 		return in.refusalError(ctx, resp, k.Refusal)
 	}
 	return errors.Newf("unexpected frame %T instead of an answer", f.Kind)
 }
 
+// checkResponse returns an error if the head of a response from another node is malformed.
+func checkResponse(q *request, resp *response, head *wire.ResponseHead) error {
+	if err := gate.CheckResponse(q.httpRequest.Method, head); err != nil {
+		resp.observation.end(balance.Failed, head.GetLoad())
+		return verdict.New(verdict.MayHaveRun, verdict.PeerBroken, "malformed response: %v", err)
+	}
+	return nil
+}
+
 // refusalError records the refusal of a gate and returns its verdict as an error.
 func (in *Ingress) refusalError(ctx context.Context, resp *response, r *wire.Refusal) error {
 	resp.conn.Remote().RecordGeneration(r.GetLoad().GetGeneration())
@@ -149,7 +174,13 @@
 }
 
 // streamBody sends the chunks of a large body, from its start. On a read error it closes the stream, which cancels the request.
-func streamBody(q *request, conn *peer.Conn) {
+func (in *Ingress) streamBody(q *request, conn *peer.Conn) {
+	defer func() {
+		if value := recover(); value != nil {
+			in.recordPanic(q, value)
+			_ = conn.Close()
+		}
+	}()
 	body := io.MultiReader(bytes.NewReader(q.bodyPrefix), q.bodyRest)
 	buf := make([]byte, wire.MaxChunkBytes)
 	for {
@@ -172,7 +203,7 @@
 
 // resolveFailure returns the verdict of a failed exchange. When the connection broke, it queries the gate and returns
 // the response if the gate has retained it.
-func (in *Ingress) resolveFailure(ctx context.Context, resp *response, query *wire.AttemptQuery, err error) (*response, error) {
+func (in *Ingress) resolveFailure(ctx context.Context, q *request, resp *response, query *wire.AttemptQuery, err error) (*response, error) {
 	var refusal *verdict.Error
 	if errors.As(err, &refusal) {
 		return nil, refusal
@@ -191,6 +222,9 @@
 	in.Logger.Info("attempt resolved", "event", "attempt_resolved", "endpoint", resp.endpoint.ID,
 		"verdict", verdict.FromWire(outcome.Verdict), "has_answer", outcome.HasAnswer, "cause", err)
 	if outcome.HasAnswer {
+		if err := checkResponse(q, resp, outcome.GetResponse()); err != nil {
+			return nil, err
+		}
 		return &response{endpoint: resp.endpoint, head: outcome.Response, retained: outcome}, nil
 	}
 	return nil, verdict.New(verdict.FromWire(outcome.Verdict), verdict.PeerBroken, "the connection to the gate broke")
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
+	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/httpconn"
 	"dandelionspoke/internal/metrics"
 	"dandelionspoke/internal/peer"
@@ -69,6 +70,9 @@
 	// BundleConfirmed reports whether it was confirmed recently that the bundle in force is the latest. While it returns
 	// false, requests with a key are refused. If nil, the bundle that the node has applies.
 	BundleConfirmed func() bool
+	// FleetRank returns the rank of this node among the members of the fleet, from 0, and false while it knows no other
+	// member. Nodes with successive ranks start split routes at successive positions. If nil, the rank is unknown.
+	FleetRank func() (rank int, ok bool)
 }
 
 // Counters are totals since the start. They are safe for concurrent use.
@@ -79,6 +83,8 @@
 	Hedges, HedgesWon, HedgesNoRoom, HedgesNoBudget atomic.Int64
 	// UnknownKeys counts the requests refused for a missing key or one of no account.
 	UnknownKeys atomic.Int64
+	// Panics counts the panics that ended a request.
+	Panics atomic.Int64
 }
 
 // Ingress is an http.Handler. It is safe for concurrent use.
@@ -128,6 +134,7 @@
 		query, ep := proto.CloneOf(key.(*wire.AttemptQuery)), value.(*table.Endpoint)
 		query.Withdraw = true
 		notified.Go(func() {
+			defer in.recoverBackground(nil)
 			conn, err := in.Opener.Open(ctx, ep, peer.SessionControl)
 			if err == nil {
 				_, err = exchangeQuery(ctx, conn, query)
@@ -157,8 +164,16 @@
 	}
 }
 
-func (in *Ingress) serve(w http.ResponseWriter, r *http.Request) error {
-	q, err := in.parse(r, in.awaitBundle(r.Context()))
+func (in *Ingress) serve(w http.ResponseWriter, r *http.Request) (err error) {
+	var q *request
+	defer func() {
+		if value := recover(); value != nil {
+			if err = in.handlerPanic(q, value); q != nil {
+				in.logRequestEnd(r.Context(), q, err)
+			}
+		}
+	}()
+	q, err = in.parse(r, in.awaitBundle(r.Context()))
 	if err != nil {
 		e := verdict.As(err)
 		in.Logger.Info("request refused", "event", "request_refused", "method", r.Method, "host", r.Host, "path", r.URL.Path,
@@ -323,14 +338,21 @@
 		in.Counters.HedgesWon.Add(1)
 	}
 	in.closeIfDraining(w, q.httpRequest)
+	q.responseStarted = true
 	writeHead(w, resp.head)
 	if resp.retained != nil {
 		_, _ = w.Write(resp.retained.Body)
-		writeTrailers(w, resp.retained.Trailers)
+		if err := writeTrailers(w, resp.retained.Trailers); err != nil {
+			return http.ErrAbortHandler
+		}
 		in.Counters.Answered.Add(1)
 		return nil
 	}
+	defer resp.observation.end(balance.Failed, nil) // only if the rest panics
 	err := copyBody(w, resp)
+	if err == nil {
+		err = writeTrailers(w, resp.body.End().Trailers)
+	}
 	outcome := outcomeOf(q.httpRequest.Context(), resp.head.Status, err)
 	resp.observation.end(outcome, resp.body.End().GetLoad())
 	if outcome == balance.Success {
@@ -342,7 +364,6 @@
 	if err != nil {
 		return http.ErrAbortHandler
 	}
-	writeTrailers(w, resp.body.End().Trailers)
 	in.Counters.Answered.Add(1)
 	if in.OnSuccess != nil {
 		in.OnSuccess(q.fingerprint, q.callerFingerprint)
@@ -365,10 +386,16 @@
 	}
 }
 
-func writeTrailers(w http.ResponseWriter, trailers []*wire.Header) {
+// writeTrailers sets the trailers of a response. It sets none and returns an error if one is malformed.
+func writeTrailers(w http.ResponseWriter, trailers []*wire.Header) error {
+	trailers, err := gate.CheckTrailers(trailers)
+	if err != nil {
+		return err
+	}
 	for _, t := range trailers {
 		w.Header()[http.TrailerPrefix+t.Name] = t.All()
 	}
+	return nil
 }
 
 func copyBody(w http.ResponseWriter, resp *response) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,6 +176,7 @@
 		IsQuarantined: n.isQuarantined, OnRequest: n.onIngressRequest, OnSuccess: n.onRequestSuccess,
 		ClaimsFor:       func(service string) claim.KeyClaimer { return n.claimRouter.For(service) },
 		BundleConfirmed: n.bundleConfirmed(),
+		FleetRank:       n.fleetRank,
 	})
 }
 
@@ -301,15 +302,15 @@
 
 func (n *Node) startIngress(ctx context.Context) error {
 	in := n.settings.Ingress
-	l, err := listen(ctx, "ingress", in.Listen)
+	l, err := httpconn.ListenConfig().Listen(ctx, "tcp", in.Listen)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "ingress.listen")
 	}
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return errors.Newf("ingress.listen: %T is not a TCP listener", l)
 	}
-	n.ingressListener = httpconn.NewListener(tcp)
+	n.ingressListener = httpconn.NewListener(tcp, n.logger)
 	n.addresses.Ingress = l.Addr().String()
 	n.serveOn(n.ingressListener, "ingress", &http.Server{
 		Handler: n.ingress, ReadHeaderTimeout: in.HeaderTimeout, IdleTimeout: in.IdleTimeout, MaxHeaderBytes: in.MaxHeaderBytes,
