Share the slots of a gate between accounts by weight

Change: start-time fair queueing within a priority, with a credit of 4 requests; requests without an account first, returning callers first within an account. Early refusals count what is ahead in the fair order, a full list drops from the account that holds most in relation to its weight. Without accounts the queue decides as before (rapid test against the former functions).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -2,7 +2,7 @@
 // refused.
 //
 // A Queue counts the requests in flight exactly and keeps two wait lists, one for short and one for long requests.
-// Each is ordered by priority, then deadline. Long requests never occupy more than Limits.LongSlots slots, so the
+// Each is ordered by priority, then deadline; the accounts of a priority share the starts by weight. Long requests never occupy more than Limits.LongSlots slots, so the
 // remaining slots always serve short requests. The package is deterministic: the caller passes the current time, and
 // the package starts no goroutines and does no I/O.
 package admission
@@ -67,6 +67,13 @@
 	Slowness float64
 	// Objective is the time by which the caller should have the response; the zero value means none.
 	Objective time.Time
+	// Account is the client account that the request belongs to; empty for none. Requests without an account start first
+	// within their priority.
+	Account string
+	// AccountWeight is the account's weight when accounts share the slots. A value that is not positive means 1.
+	AccountWeight float64
+	// Returning means that the caller sends again what was refused before. It starts first within its account and priority.
+	Returning bool
 }
 
 // Ticket identifies a request that was admitted or queued. The zero value is never issued.
@@ -104,6 +111,8 @@
 	Reason verdict.Reason
 	// Long is true when the request is handled as long, either as declared or because of measured run times.
 	Long bool
+	// Wait is the time after which a refused request of an account would be accepted; 0 when it is not known.
+	Wait time.Duration
 	// Decisions lists the requests that were already waiting and that this offer admitted or refused, including the
 	// one, if any, that the new request evicted from a full wait list.
 	Decisions []Decision
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -106,6 +106,8 @@
 
 func (q *Queue) occupySlot(e *entry) {
 	e.running = true
+	l, _ := q.waitListOf(e)
+	l.charge(e)
 	q.inUse++
 	if e.long {
 		q.inUseLong++
--- a/internal/admission/objective.go
+++ b/internal/admission/objective.go
@@ -55,7 +55,7 @@
 		return verdict.Busy
 	case wait+run > remaining:
 		return verdict.Overloaded
-	case q.missesObjective(e, now.Add(wait)) && q.countLate(l, now) >= slots:
+	case q.missesObjective(e, now.Add(wait)) && q.countLateBefore(l, e, now) >= slots:
 		return verdict.Overloaded
 	}
 	return ""
@@ -109,30 +109,36 @@
 }
 
 // nextWaiter returns the position of the entry to start next, or -1 for none. Among the entries with the highest
-// priority, it is the first that is not late, or else the first. Entries that wait for the end of a slow period are
-// skipped.
+// priority, it is the first that is not late, or else the first; with accounts, the first in the fair order. Entries that
+// wait for the end of a slow period are skipped.
 func (q *Queue) nextWaiter(l *waitList, now time.Time) int {
-	first := -1
+	best, bestLate, shared := -1, false, l.isShared(nil)
 	for i, e := range l.entries {
 		if q.defersStart(now, e) {
 			continue
 		}
-		if first >= 0 && e.request.Priority != l.entries[first].request.Priority {
+		if best >= 0 && e.request.Priority != l.entries[best].request.Priority {
 			break
 		}
-		if !q.missesObjective(e, now) {
+		late := q.missesObjective(e, now)
+		if !late && !shared {
 			return i
 		}
-		if first < 0 {
-			first = i
+		if best < 0 || !l.startsBefore(l.entries[best], bestLate, e, late) {
+			best, bestLate = i, late
 		}
 	}
-	return first
+	return best
 }
 
 // countInTimeAhead counts the entries that start before e if e is not late: those of higher priority, and those of
 // its own priority ahead of it that are not late.
 func (q *Queue) countInTimeAhead(l *waitList, e *entry, now time.Time) int {
+	if l.isShared(e) {
+		return l.countFairlyAhead(e, func(other *entry) bool {
+			return other.request.Priority < e.request.Priority || !q.missesObjective(other, now)
+		})
+	}
 	count := 0
 	for _, other := range l.entries[:l.countAhead(e)] {
 		if other.request.Priority < e.request.Priority || !q.missesObjective(other, now) {
@@ -142,6 +148,15 @@
 	return count
 }
 
+// countLateBefore counts the late entries of a wait list; with accounts, those that start before e in the fair order, so
+// that the late requests of one account don't keep out another one.
+func (q *Queue) countLateBefore(l *waitList, e *entry, now time.Time) int {
+	if l.isShared(e) {
+		return l.countFairlyAhead(e, func(other *entry) bool { return q.missesObjective(other, now) })
+	}
+	return q.countLate(l, now)
+}
+
 // countLate counts the entries of a wait list that are late.
 func (q *Queue) countLate(l *waitList, now time.Time) int {
 	count := 0
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -94,8 +94,11 @@
 	decisions := q.dispatch(now)
 	e := &entry{request: r, offered: now, long: q.classifier.Long(r.Route, r.Long)}
 	outcome := Outcome{Long: e.long, Decisions: decisions}
+	l, _ := q.waitListOf(e)
+	e.flow = l.flowOf(r)
 	outcome.Reason = q.immediateRefusal(now, e)
 	if outcome.Reason != "" {
+		outcome.Wait = q.roomAfter(now, e, outcome.Reason)
 		return 0, outcome
 	}
 	q.lastTicket++
@@ -110,6 +113,7 @@
 	outcome.Reason, evicted = q.enqueue(now, e)
 	outcome.Decisions = append(outcome.Decisions, evicted...)
 	if outcome.Reason != "" {
+		outcome.Wait = q.roomAfter(now, e, outcome.Reason)
 		return 0, outcome
 	}
 	outcome.State = Queued
@@ -163,7 +167,7 @@
 	}
 	var evicted []Decision
 	if l.len() >= limit {
-		evictee := l.evictionCandidate(e.request.Priority)
+		evictee := l.evictionCandidate(e)
 		if evictee == nil || limit == 0 {
 			return verdict.QueueFull, nil
 		}
@@ -186,14 +190,11 @@
 // lengthen a standing queue, or "" if it may wait. DeadlineTooShort means that the deadline can't be met even without
 // a queue, so other endpoints would refuse the request too; after Overloaded, another endpoint may accept it.
 func (q *Queue) earlyRefusal(now time.Time, e *entry, l *waitList) verdict.Reason {
-	average, slots := q.shortServiceTime, q.limits.Slots-q.inUseLong
-	if e.long {
-		average, slots = q.longServiceTime, q.limits.LongSlots
-	}
+	average, slots := q.serviceOf(e)
 	if !e.request.Objective.IsZero() {
 		return q.objectiveRefusal(now, e, l, average, slots)
 	}
-	wait := average.wait(l.countAhead(e), slots)
+	wait := average.wait(l.countBefore(e), slots)
 	remaining := e.request.Deadline.Sub(now)
 	if average.duration() > remaining {
 		return verdict.DeadlineTooShort
@@ -210,6 +211,14 @@
 	return ""
 }
 
+// serviceOf returns the service time of the entry's class and the number of slots that serve it.
+func (q *Queue) serviceOf(e *entry) (serviceTime, int) {
+	if e.long {
+		return q.longServiceTime, q.limits.LongSlots
+	}
+	return q.shortServiceTime, q.limits.Slots - q.inUseLong
+}
+
 func (q *Queue) hasStandingQueue(now time.Time) bool {
 	interval := max(minStandingInterval, standingIntervalServiceTimes*q.shortServiceTime.duration())
 	return q.short.len() > 0 && now.Sub(q.short.nonEmptySince) >= interval
--- a/internal/admission/wait_list.go
+++ b/internal/admission/wait_list.go
@@ -13,11 +13,15 @@
 	long    bool
 	offered time.Time
 	running bool
+	flow    *flow // of the request's account in its wait list; nil without an account
 }
 
-// waitList is an ordered list of waiting entries; the first is served first.
+// waitList is a list of waiting entries, ordered by priority, deadline and arrival. Without accounts, the first is served
+// first.
 type waitList struct {
-	entries []*entry
+	flowTable
+	entries               []*entry
+	ofAccounts, returning int // number of entries with an account, and of returning callers
 	// nonEmptySince is the time at which the list last became non-empty.
 	nonEmptySince time.Time
 }
@@ -31,7 +35,7 @@
 	return l.entries[0]
 }
 
-// countAhead returns the number of entries that would be served before e.
+// countAhead returns the number of entries ahead of e in the list.
 func (l *waitList) countAhead(e *entry) int {
 	position, _ := slices.BinarySearchFunc(l.entries, e, compareEntries)
 	return position
@@ -51,16 +55,17 @@
 		l.nonEmptySince = now
 	}
 	l.entries = slices.Insert(l.entries, l.countAhead(e), e)
+	l.track(e, 1)
 }
 
 func (l *waitList) remove(e *entry) {
-	position := slices.Index(l.entries, e)
-	l.entries = slices.Delete(l.entries, position, position+1)
+	l.removeAt(slices.Index(l.entries, e))
 }
 
 // removeAt removes and returns the entry at the given position.
 func (l *waitList) removeAt(position int) *entry {
 	e := l.entries[position]
+	l.track(e, -1)
 	l.entries = slices.Delete(l.entries, position, position+1)
 	return e
 }
@@ -77,18 +82,31 @@
 		if !match(e) {
 			return false
 		}
+		l.track(e, -1)
 		removed = append(removed, e)
 		return true
 	})
 	return removed
 }
 
-// evictionCandidate returns the newest of the entries with the lowest priority, or nil when no entry has a lower
-// priority than the given one.
-func (l *waitList) evictionCandidate(priority int) *entry {
+// countBefore returns the number of entries that are expected to start before e.
+func (l *waitList) countBefore(e *entry) int {
+	if l.isShared(e) {
+		return l.countFairlyAhead(e, func(*entry) bool { return true })
+	}
+	return l.countAhead(e)
+}
+
+// evictionCandidate returns the entry to drop from the full list so that e can wait: without accounts, the newest of the
+// entries with the lowest priority. It returns nil when no entry has a lower priority than e.
+func (l *waitList) evictionCandidate(e *entry) *entry {
 	if len(l.entries) == 0 {
 		return nil
 	}
+	if l.isShared(e) {
+		return l.fairEvictionCandidate(e)
+	}
+	priority := e.request.Priority
 	lowest := l.entries[len(l.entries)-1].request.Priority
 	if lowest <= priority {
 		return nil
