Share retry budgets between accounts, let refused callers return first

Cause: an account whose requests fail took the retries of all others (large account: 90 of 660 retries in 66 s), Retry-After was the time in which a gate empties whoever asked, the same for all callers, and who came back queued behind newcomers. Change: budgets give each account its share by weight once others want attempts; an account alone spends half at once and the rest evenly over the window. The gate states when the account's request would have room (Refusal.wait_ms), the ingress spreads it and marks requests that are sent again as returning. Counts by account in metrics and dump. All of it only with accounts in the bundle.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -55,6 +55,7 @@
 	Counters Counters
 
 	attempts *attemptHistory
+	accounts accountCounts
 	// connections is replaced when the connection limit changes.
 	connections atomic.Pointer[connectionPool]
 	// OnCrash is called with the backend server and the fingerprints of a request during which the server stopped
@@ -91,8 +92,8 @@
 func New(instance uint64, logger *slog.Logger) *Gate {
 	g := &Gate{
 		instance: instance, logger: logger, protocol: nativeProtocol{}, slowness: newSlownessTracker(),
-		attempts: newAttemptHistory(time.Now(), time.Minute),
-		waiters:  make(map[admission.Ticket]chan admission.Decision),
+		attempts: newAttemptHistory(time.Now(), time.Minute), accounts: newAccountCounts(),
+		waiters: make(map[admission.Ticket]chan admission.Decision),
 	}
 	g.connections.Store(newConnectionPool(0, defaultMaxResponseHeaderBytes))
 	return g
@@ -247,7 +248,7 @@
 	g.deliverDecisions(outcome.Decisions)
 	if outcome.State != admission.Queued {
 		g.mu.Unlock()
-		return g.admissionResult(ticket, backend, outcome.State == admission.Admitted, outcome.Reason)
+		return g.admissionResult(ticket, backend, outcome.State == admission.Admitted, outcome.Reason, outcome.Wait)
 	}
 	decided := make(chan admission.Decision, 1)
 	g.waiters[ticket] = decided
@@ -275,14 +276,15 @@
 	return nil
 }
 
-// admissionResult counts an admission decision and converts it to the results of admit.
-func (g *Gate) admissionResult(t admission.Ticket, b *Backend, admitted bool, reason verdict.Reason) (admission.Ticket, *Backend, error) {
+// admissionResult counts an admission decision and converts it to the results of admit. wait is the time after which a refused
+// request would be accepted; 0 if it is not known.
+func (g *Gate) admissionResult(t admission.Ticket, b *Backend, admitted bool, reason verdict.Reason, wait time.Duration) (admission.Ticket, *Backend, error) {
 	if admitted {
 		g.Counters.Admitted.Add(1)
 		return t, b, nil
 	}
 	g.Counters.Refused.Add(1)
-	return 0, nil, verdict.New(verdict.NotRun, reason, "refused by the gate")
+	return 0, nil, &verdict.Error{Verdict: verdict.NotRun, Reason: reason, Detail: "refused by the gate", Wait: wait}
 }
 
 // awaitDecision waits for the decision on a queued request.
@@ -292,9 +294,9 @@
 	case decision := <-decided:
 		if decision.Admitted && !g.mayStartWaiting(b) {
 			g.releaseSlot(t, 0)
-			return g.admissionResult(t, b, false, verdict.Draining)
+			return g.admissionResult(t, b, false, verdict.Draining, 0)
 		}
-		return g.admissionResult(t, b, decision.Admitted, decision.Reason)
+		return g.admissionResult(t, b, decision.Admitted, decision.Reason, 0)
 	case <-done:
 	case <-withdrawn:
 		waitErr = verdict.New(verdict.NotRun, verdict.Draining, "withdrawn by the ingress while waiting for a slot")
--- a/internal/gate/log.go
+++ b/internal/gate/log.go
@@ -29,11 +29,15 @@
 }
 
 func (c *call) logAttrs(event string, load *wire.Load) []slog.Attr {
-	return []slog.Attr{
+	attrs := []slog.Attr{
 		slog.String("event", event), slog.String("id", c.gate.protocol.RequestID(c.head.Headers)),
 		slog.String("route", c.head.Route), slog.Int("in_flight", int(load.InFlight)),
 		slog.Int("queued", int(load.QueuedShort+load.QueuedLong)), slog.Int("slots", int(load.Slots)),
 		slog.Duration("service_time", time.Duration(load.ServiceTimeUs)*time.Microsecond),
 		slog.Int("deadline_ms", int(c.head.DeadlineMs)), slog.Bool("long", c.head.Long),
 	}
+	if c.head.Account != "" {
+		attrs = append(attrs, slog.String("account", c.head.Account), slog.Bool("returning", c.head.Returning))
+	}
+	return attrs
 }
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -90,8 +90,9 @@
 	ticket, backend, err := c.gate.admit(ctx.Done(), withdrawn, admission.Request{
 		Route: c.head.Service + " " + c.head.Route, Long: c.head.Long, Priority: int(c.head.Priority), Deadline: deadline,
 		MaxWait: time.Duration(c.head.MaxWaitUs) * time.Microsecond, Slowness: c.slowness,
-		Objective: objective,
+		Objective: objective, Account: c.head.Account, AccountWeight: c.head.AccountWeight, Returning: c.head.Returning,
 	})
+	c.gate.accounts.count(c.head.Account, err)
 	if err != nil {
 		c.finishRefused(err)
 		return
@@ -200,7 +201,7 @@
 	e := verdict.As(err)
 	load := c.gate.Load()
 	c.logRefused(e, load)
-	refusal := &wire.Refusal{Verdict: e.Verdict.Wire(), Reason: string(e.Reason), Detail: e.Detail, Load: load}
+	refusal := &wire.Refusal{Verdict: e.Verdict.Wire(), Reason: string(e.Reason), Detail: e.Detail, Load: load, WaitMs: waitMillis(e.Wait)}
 	_ = c.conn.Write(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: refusal}})
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -74,6 +74,8 @@
 	// Hedges counts the hedges sent, HedgesWon those that responded first, and the others the hedges that were not sent
 	// because no endpoint had room or the budget did not permit them.
 	Hedges, HedgesWon, HedgesNoRoom, HedgesNoBudget atomic.Int64
+	// Returning counts the requests that their callers sent again after a refusal; only with accounts.
+	Returning atomic.Int64
 }
 
 // Ingress is an http.Handler. It is safe for concurrent use.
@@ -93,6 +95,7 @@
 	closing atomic.Bool
 	// latestDeadline is the latest deadline of new requests while the node is about to end; nil at other times.
 	latestDeadline atomic.Pointer[time.Time]
+	refused        *refusedRequests
 }
 
 // New returns an ingress.
@@ -100,7 +103,7 @@
 	if cfg.Protocol == nil {
 		cfg.Protocol = nativeProtocol{}
 	}
-	return &Ingress{Config: cfg, startedAt: time.Now()}
+	return &Ingress{Config: cfg, startedAt: time.Now(), refused: newRefusedRequests()}
 }
 
 // SetDraining controls draining. While it is true, responses close their connections, so that callers connect to
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -56,6 +56,11 @@
 	callerFingerprint []byte
 	caller            string
 	headers           []*wire.Header
+	// account is the client account with the name accountName; nil without one.
+	account     *bundle.Account
+	accountName string
+	returning   bool          // the caller sends again what was refused before
+	roomWait    time.Duration // until a gate that refused the request expects room; 0 if none has stated it
 }
 
 // parse matches the route and reads the caller's parameters.
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -19,11 +19,12 @@
 		in.OnRequest(q.serviceName)
 	}
 	in.recordFirstAttempt(q)
+	in.recognizeReturning(q)
 	resp, err := in.runAttempts(ctx, q)
 	if err != nil {
 		stop()
 		cancel()
-		return nil, err
+		return nil, in.rememberRefusal(ctx, q, err)
 	}
 	resp.cancelAll = func() { stop(); cancel() }
 	return resp, nil
@@ -301,6 +302,9 @@
 }
 
 func (in *Ingress) budget(q *request) retry.HedgeSpender {
+	if usesAccounts(q) {
+		return in.accountBudget(q)
+	}
 	if w := in.windowBudget(q); w != nil {
 		return w
 	}
@@ -326,6 +330,7 @@
 // prepareRetry decides whether another attempt follows err and waits for the backoff before it.
 func (in *Ingress) prepareRetry(ctx context.Context, q *request, state *attemptState, err error) bool {
 	e := verdict.As(err)
+	q.noteRoom(e)
 	if retry.ShowsOverload(e) {
 		in.overloads.Store(q.serviceName, time.Now())
 	}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -7,6 +7,7 @@
 	"dandelionspoke/internal/admin"
 	"dandelionspoke/internal/announce"
 	"dandelionspoke/internal/engine"
+	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/wire"
 )
@@ -57,6 +58,7 @@
 	StoreReader   bool                   `json:"store_reader"`
 	Backend       *announce.Announcement `json:"backend"`
 	GateLoad      *wire.Load             `json:"gate_load"`
+	GateAccounts  gate.AccountCounts     `json:"gate_accounts"`
 	Bundle        admin.BundleStatus     `json:"bundle"`
 	Metrics       map[string]int64       `json:"metrics"`
 	Engine        engine.State           `json:"engine"`
@@ -67,7 +69,7 @@
 	backend, _ := n.registry.Current()
 	return Dump{
 		NodeID: n.settings.NodeID, UptimeSeconds: n.uptime().Seconds(), Addresses: n.addresses,
-		Draining: n.draining.Load(), StoreReader: n.isStoreReader.Load(), Backend: backend, GateLoad: n.gate.Load(),
+		Draining: n.draining.Load(), StoreReader: n.isStoreReader.Load(), Backend: backend, GateLoad: n.gate.Load(), GateAccounts: n.gate.AccountCounts(),
 		Bundle: n.BundleStatus(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
 	}
 }
@@ -109,6 +111,7 @@
 		m["probe_messages"], m["probe_bytes"] = int64(p.Messages), int64(p.Bytes)
 		m["probe_link_messages"], m["probe_link_bytes"] = int64(p.LinkMessages), int64(p.LinkBytes)
 	}
+	n.addSharingMetrics(m)
 	for name, value := range n.engine.Counters().Map() {
 		m["engine_"+name] = int64(value)
 	}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -26,7 +26,8 @@
 	share, minRate             float64
 	refilledAt                 time.Time
 	first, spent, denied       uint64
-	granted                    float64 // all tokens added so far, for the assertion in Spend
+	granted                    float64       // all tokens added so far, for the assertion in Spend
+	shares                     accountShares // used only by ForAccount
 }
 
 // BudgetCounts are totals since the start.
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -23,6 +23,7 @@
 	spent        [windowBuckets + 1]int
 	newestBucket int64 // number of the newest bucket on the steady clock
 	counts       BudgetCounts
+	shares       accountShares // used only by ForAccount
 }
 
 // NewWindowBudget returns a budget for windows of the given length.
@@ -55,8 +56,14 @@
 func (w *WindowBudget) spend(now time.Time, part float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	limit, spent := w.use(now, part)
+	return w.take(now, limit, spent)
+}
+
+// use returns the number of additional attempts that the given part of the budget permits in the window, and the number spent.
+func (w *WindowBudget) use(now time.Time, part float64) (limit float64, spent int) {
 	current := w.advance(now)
-	first, spent := 0, 0
+	first := 0
 	for i := range w.spent {
 		spent += w.spent[i]
 		// The oldest bucket may lie outside the window, so its first attempts do not count.
@@ -64,11 +71,16 @@
 			first += w.first[i]
 		}
 	}
-	if float64(spent+1) > part*(w.share*float64(first)+w.floor) {
+	return part * (w.share*float64(first) + w.floor), spent
+}
+
+// take takes one additional attempt if it stays within the limit.
+func (w *WindowBudget) take(now time.Time, limit float64, spent int) bool {
+	if float64(spent+1) > limit {
 		w.counts.Denied++
 		return false
 	}
-	w.spent[current]++
+	w.spent[w.advance(now)]++
 	w.counts.Spent++
 	return true
 }
