--- a/internal/admission/fairness.go
+++ b/internal/admission/fairness.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"dandelionspoke/internal/bundle"
 )
@@ -36,7 +37,9 @@
 	weight  float64
 	finish  float64 // virtual time at which the most recently started request ends
 	waiting int
-	counted int // used by countFairlyAhead only
+	counted int // scratch of countFairlyAhead and shareOf
+	// lastReturn is the latest time at which a refused caller was told to return.
+	lastReturn time.Time
 }
 
 // held returns the number of waiting requests, with additional ones, in relation to the weight.
--- a/internal/admission/room.go
+++ b/internal/admission/room.go
@@ -6,9 +6,18 @@
 	"dandelionspoke/internal/verdict"
 )
 
+// maxReturnDelay bounds the delay after which refused callers are told to return. The load that far ahead cannot be predicted,
+// and most callers do not wait longer.
+const maxReturnDelay = 2 * time.Second
+
+// returnShare is the part of an account's share of the starts that is promised to refused callers. The rest is left to
+// newcomers, who would otherwise be refused because of those who return, and so on without end.
+const returnShare = 0.25
+
 // roomAfter returns the time after which a request like e, refused for the given reason, is expected to be accepted if its
-// caller sends it again with as much time left. It returns 0 when accounts are not in use, when nothing has been measured, and
-// for reasons that do not depend on the load.
+// caller sends it again with as much time left. Callers of one account that are refused in succession get successive times,
+// at the rate at which the account's share lets them start. It returns 0 when accounts are not in use, when nothing has been
+// measured, and for reasons that do not depend on the load.
 func (q *Queue) roomAfter(now time.Time, e *entry, reason verdict.Reason) time.Duration {
 	if e.flow == nil {
 		return 0
@@ -16,13 +25,24 @@
 	l, _ := q.waitListOf(e)
 	average, slots := q.serviceOf(e)
 	slotWait := average.wait(0, slots) // until the next slot is free
+	if slotWait <= 0 {
+		return 0
+	}
 	switch reason {
-	case verdict.QueueFull:
-		return slotWait
 	case verdict.Busy:
-		return average.wait(l.countBefore(e), slots)
-	case verdict.Overloaded:
-		return max(average.wait(l.countBefore(e), slots)-q.tolerableWait(now, e), slotWait)
+		return min(average.wait(l.countBefore(e), slots), maxReturnDelay)
+	case verdict.QueueFull, verdict.Overloaded:
+		room := max(average.wait(l.countBefore(e), slots)-q.tolerableWait(now, e), slotWait)
+		interval := time.Duration(float64(slotWait) / l.shareOf(e) / returnShare)
+		at := now.Add(room)
+		if next := e.flow.lastReturn.Add(interval); next.After(at) {
+			at = next
+		}
+		if limit := now.Add(maxReturnDelay); at.After(limit) {
+			return maxReturnDelay
+		}
+		e.flow.lastReturn = at
+		return at.Sub(now)
 	}
 	return 0
 }
@@ -35,3 +55,21 @@
 	}
 	return max(end.Sub(now)-q.expectedRunTime(e), 0)
 }
+
+// shareOf returns the share of e's account, above 0 and at most 1, among the accounts with waiting requests of its priority.
+func (l *waitList) shareOf(e *entry) float64 {
+	for _, other := range l.entries {
+		if other.flow != nil {
+			other.flow.counted = 0
+		}
+	}
+	e.flow.counted = 1
+	weights := e.flow.weight
+	for _, other := range l.entries {
+		if f := other.flow; f != nil && f.counted == 0 && other.request.Priority == e.request.Priority {
+			f.counted = 1
+			weights += f.weight
+		}
+	}
+	return e.flow.weight / weights
+}
--- a/internal/ingress/fairness.go
+++ b/internal/ingress/fairness.go
@@ -75,7 +75,9 @@
 	}
 }
 
-// rememberRefusal remembers a refused request whose caller is told to return, and returns the refusal with a spread delay.
+// rememberRefusal remembers a refused request whose caller is told to return, and returns the refusal with a spread delay. If
+// no gate has room within maxRetryAfter, the request is not remembered: while the overload lasts, callers who return first
+// would otherwise use all capacity, so that every newcomer is refused once.
 func (in *Ingress) rememberRefusal(ctx context.Context, q *request, err error) error {
 	e := *verdict.As(err)
 	if !usesAccounts(q) || retryAfter(&e) == 0 {
@@ -84,18 +86,24 @@
 	if q.roomWait > 0 {
 		e.Wait = q.roomWait
 	}
+	if e.Wait < maxRetryAfter {
+		in.refused.add(returnKey(q), time.Now(), q.deadline)
+	}
 	e.Wait = spreadRetryAfter(retryAfter(&e), rand.Float64())
-	in.refused.add(returnKey(q), time.Now(), q.deadline)
 	in.Logger.LogAttrs(ctx, slog.LevelInfo, "caller told to return", slog.String("event", "refused_with_delay"),
 		slog.String("id", q.id), slog.String("service", q.serviceName), slog.String("account", q.accountName),
 		slog.Bool("returning", q.returning), slog.Duration("room_in", q.roomWait), slog.Duration("retry_after", e.Wait))
 	return &e
 }
 
-// spreadRetryAfter returns a delay that is at least the given one. random is uniform in [0, 1).
+// spreadRetryAfter returns a delay that is at least the given one, or near maxRetryAfter if that is less. random is uniform in
+// [0, 1).
 func spreadRetryAfter(delay time.Duration, random float64) time.Duration {
-	spread := max(time.Duration(retryAfterSpread*float64(delay)), minRetryAfterSpread)
-	return min(delay+time.Duration(random*float64(spread)), maxRetryAfter)
+	spread := time.Duration(random * float64(max(time.Duration(retryAfterSpread*float64(delay)), minRetryAfterSpread)))
+	if delay+spread > maxRetryAfter {
+		return maxRetryAfter - spread
+	}
+	return delay + spread
 }
 
 // returnKey returns the digest by which a request that is sent again is recognized: that of the account, or of the caller
