Promise refused callers a time also when they have waited, unite the load tests

Cause: a request refused after it had waited, or dropped from a full list, got the time from the load report, which did not count as promised. At 1.1 times the capacity returning callers then took most slots. Change: Decision.Wait, computed like Outcome.Wait. The spread moves to admission, so that one simulation plays all loads; the random tests use the existing model, which now also draws objectives and accounts.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -126,6 +126,8 @@
 	Admitted bool
 	// Reason is set when the request was refused. A refused request has not run.
 	Reason verdict.Reason
+	// Wait is that of Outcome, for a request that was refused.
+	Wait time.Duration
 	// Waited is the time between the offer and this decision.
 	Waited time.Duration
 }
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -99,7 +99,7 @@
 
 func (q *Queue) refuse(now time.Time, e *entry, reason verdict.Reason) Decision {
 	delete(q.entries, e.ticket)
-	return Decision{Ticket: e.ticket, ID: e.request.ID, Reason: reason, Waited: now.Sub(e.offered)}
+	return Decision{Ticket: e.ticket, ID: e.request.ID, Reason: reason, Wait: q.roomAfter(now, e, reason), Waited: now.Sub(e.offered)}
 }
 
 func (q *Queue) freeSlots() int { return q.limits.Slots - q.inUse }
--- a/internal/admission/rapid_test.go
+++ b/internal/admission/rapid_test.go
@@ -27,6 +27,9 @@
 	running map[Ticket]bool // value: whether the request is long
 	decided map[Ticket]bool
 	long    map[Ticket]bool
+	// accounts makes the model draw objectives, accounts and returning callers; beforeOffer is called with each new request.
+	objectives, accounts bool
+	beforeOffer          func(e *entry)
 }
 
 func newModel(t *rapid.T) *model {
@@ -77,6 +80,17 @@
 		Priority: rapid.IntRange(0, 7).Draw(m.t, "priority"),
 		Deadline: m.now.Add(time.Duration(rapid.IntRange(-1, 300).Draw(m.t, "deadline")) * time.Millisecond),
 	}
+	if m.objectives && rapid.Bool().Draw(m.t, "objective") {
+		request.Objective = m.now.Add(time.Duration(rapid.IntRange(1, 200).Draw(m.t, "objectiveMS")) * time.Millisecond)
+	}
+	if m.accounts {
+		request.Account = rapid.SampledFrom([]string{"", "small", "large", "huge"}).Draw(m.t, "account")
+		request.AccountWeight = map[string]float64{"small": 1, "large": 10, "huge": 300}[request.Account]
+		request.Returning = rapid.IntRange(0, 4).Draw(m.t, "returning") == 0
+	}
+	if m.beforeOffer != nil {
+		m.beforeOffer(&entry{request: request, offered: m.now, ticket: m.queue.lastTicket + 1})
+	}
 	ticket, outcome := m.queue.Offer(m.now, request)
 	m.applyDecisions(outcome.Decisions)
 	if request.Long && !outcome.Long {
@@ -183,22 +197,24 @@
 // Guards against lost requests, requests decided twice, more running requests than the limits permit and free slots
 // while short requests wait, over random sequences of operations.
 func TestQueueInvariants(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t)
-		steps := []func(){m.offer, m.offer, m.offer, m.release, m.release, m.cancel, m.advance, m.reportSlowness}
-		for range rapid.IntRange(1, 120).Draw(t, "steps") {
-			steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")]()
-			m.checkInvariants()
-		}
-		m.now = m.now.Add(time.Hour)
-		m.applyDecisions(m.queue.Expire(m.now))
-		for _, ticket := range sortedTickets(m.running, m.queue.lastTicket) {
-			m.applyDecisions(m.queue.Release(m.now, ticket, time.Millisecond))
-		}
-		if len(m.waiting) != 0 || !m.queue.Idle() {
-			t.Fatalf("%d waiting requests left undecided", len(m.waiting))
-		}
-	})
+	rapid.Check(t, func(t *rapid.T) { newModel(t).play() })
+}
+
+// play plays random operations, checks the invariants after each, and ends all requests.
+func (m *model) play() {
+	steps := []func(){m.offer, m.offer, m.offer, m.release, m.release, m.cancel, m.advance, m.reportSlowness}
+	for range rapid.IntRange(1, 120).Draw(m.t, "steps") {
+		steps[rapid.IntRange(0, len(steps)-1).Draw(m.t, "step")]()
+		m.checkInvariants()
+	}
+	m.now = m.now.Add(time.Hour)
+	m.applyDecisions(m.queue.Expire(m.now))
+	for _, ticket := range sortedTickets(m.running, m.queue.lastTicket) {
+		m.applyDecisions(m.queue.Release(m.now, ticket, time.Millisecond))
+	}
+	if len(m.waiting) != 0 || !m.queue.Idle() {
+		m.t.Fatalf("%d waiting requests left undecided", len(m.waiting))
+	}
 }
 
 // Guards against long requests that delay short requests without bound: the slots beyond LongSlots serve only short
--- a/internal/admission/room.go
+++ b/internal/admission/room.go
@@ -6,9 +6,26 @@
 	"dandelionspoke/internal/verdict"
 )
 
-// maxReturnDelay bounds the delay after which refused callers are told to return. The load that far ahead cannot be predicted,
+// MaxReturnDelay bounds the delay after which refused callers are told to return. The load that far ahead cannot be predicted,
 // and most callers do not wait longer.
-const maxReturnDelay = 2 * time.Second
+const MaxReturnDelay = 2 * time.Second
+
+// returnSpread is the range, as a ratio of the delay, over which the return of refused callers is spread, and minReturnSpread its
+// lower limit. Callers refused at the same moment by several gates would otherwise return at the same moment.
+const (
+	returnSpread    = 0.5
+	minReturnSpread = 100 * time.Millisecond
+)
+
+// SpreadReturn returns the delay after which a refused caller is told to return: at least the given one, or near MaxReturnDelay if
+// that is less. random is uniform in [0, 1).
+func SpreadReturn(delay time.Duration, random float64) time.Duration {
+	spread := time.Duration(random * float64(max(time.Duration(returnSpread*float64(delay)), minReturnSpread)))
+	if delay+spread > MaxReturnDelay {
+		return MaxReturnDelay - spread
+	}
+	return delay + spread
+}
 
 // returnShare is the part of an account's share of the starts that is promised to refused callers. The rest is left to
 // newcomers, who would otherwise be refused because of those who return, and so on without end.
@@ -30,7 +47,7 @@
 	}
 	switch reason {
 	case verdict.Busy:
-		return min(average.wait(l.countBefore(e), slots), maxReturnDelay)
+		return min(average.wait(l.countBefore(e), slots), MaxReturnDelay)
 	case verdict.QueueFull, verdict.Overloaded:
 		room := max(average.wait(l.countBefore(e), slots)-q.tolerableWait(now, e), slotWait)
 		interval := time.Duration(float64(slotWait) / l.shareOf(e) / returnShare)
@@ -38,8 +55,8 @@
 		if next := e.flow.lastReturn.Add(interval); next.After(at) {
 			at = next
 		}
-		if limit := now.Add(maxReturnDelay); at.After(limit) {
-			return maxReturnDelay
+		if limit := now.Add(MaxReturnDelay); at.After(limit) {
+			return MaxReturnDelay
 		}
 		e.flow.lastReturn = at
 		return at.Sub(now)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -296,7 +296,7 @@
 			g.releaseSlot(t, 0)
 			return g.admissionResult(t, b, false, verdict.Draining, 0)
 		}
-		return g.admissionResult(t, b, decision.Admitted, decision.Reason, 0)
+		return g.admissionResult(t, b, decision.Admitted, decision.Reason, decision.Wait)
 	case <-done:
 	case <-withdrawn:
 		waitErr = verdict.New(verdict.NotRun, verdict.Draining, "withdrawn by the ingress while waiting for a slot")
--- a/internal/ingress/fairness.go
+++ b/internal/ingress/fairness.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"dandelionspoke/internal/admission"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
@@ -14,14 +15,8 @@
 
 // Sharing between accounts. All of it is off while the bundle in force has no accounts.
 
-const (
-	// maxRefusedRequests bounds the refused requests that are remembered, at about 100 bytes each.
-	maxRefusedRequests = 4096
-	// retryAfterSpread is the range, as a ratio of the delay, over which the return of refused callers is spread, and
-	// minRetryAfterSpread its lower limit. Callers refused at the same moment would otherwise return at the same moment.
-	retryAfterSpread    = 0.5
-	minRetryAfterSpread = 100 * time.Millisecond
-)
+// maxRefusedRequests bounds the refused requests that are remembered, at about 100 bytes each.
+const maxRefusedRequests = 4096
 
 // usesAccounts reports whether the bundle that applies to the request has accounts.
 func usesAccounts(q *request) bool { return len(q.snapshot.Bundle.Accounts) > 0 }
@@ -76,7 +71,7 @@
 }
 
 // rememberRefusal remembers a refused request whose caller is told to return, and returns the refusal with a spread delay. If
-// no gate has room within maxRetryAfter, the request is not remembered: while the overload lasts, callers who return first
+// no gate has room within admission.MaxReturnDelay, the request is not remembered: while the overload lasts, callers who return first
 // would otherwise use all capacity, so that every newcomer is refused once.
 func (in *Ingress) rememberRefusal(ctx context.Context, q *request, err error) error {
 	e := *verdict.As(err)
@@ -86,26 +81,16 @@
 	if q.roomWait > 0 {
 		e.Wait = q.roomWait
 	}
-	if e.Wait < maxRetryAfter {
+	if e.Wait < admission.MaxReturnDelay {
 		in.refused.add(returnKey(q), time.Now(), q.deadline)
 	}
-	e.Wait = spreadRetryAfter(retryAfter(&e), rand.Float64())
+	e.Wait = admission.SpreadReturn(retryAfter(&e), rand.Float64())
 	in.Logger.LogAttrs(ctx, slog.LevelInfo, "caller told to return", slog.String("event", "refused_with_delay"),
 		slog.String("id", q.id), slog.String("service", q.serviceName), slog.String("account", q.accountName),
 		slog.Bool("returning", q.returning), slog.Duration("room_in", q.roomWait), slog.Duration("retry_after", e.Wait))
 	return &e
 }
 
-// spreadRetryAfter returns a delay that is at least the given one, or near maxRetryAfter if that is less. random is uniform in
-// [0, 1).
-func spreadRetryAfter(delay time.Duration, random float64) time.Duration {
-	spread := time.Duration(random * float64(max(time.Duration(retryAfterSpread*float64(delay)), minRetryAfterSpread)))
-	if delay+spread > maxRetryAfter {
-		return maxRetryAfter - spread
-	}
-	return delay + spread
-}
-
 // returnKey returns the digest by which a request that is sent again is recognized: that of the account, or of the caller
 // without one, the route and the content.
 func returnKey(q *request) retry.Fingerprint {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -262,7 +262,7 @@
 // likely refuse again; for a longer one, load that changes within milliseconds cannot be predicted.
 const (
 	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
+	maxRetryAfter = admission.MaxReturnDelay
 )
 
 // retryAfter returns the delay after which a refused request may be accepted, or 0 when the refusal does not depend on
