--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -85,6 +85,8 @@
 	UnknownKeys atomic.Int64
 	// Panics counts the panics that ended a request.
 	Panics atomic.Int64
+	// Returning counts the requests that their callers sent again after a refusal; only with accounts.
+	Returning atomic.Int64
 }
 
 // Ingress is an http.Handler. It is safe for concurrent use.
@@ -105,6 +107,7 @@
 	closing atomic.Bool
 	// latestDeadline is the latest deadline of new requests while the node is about to end; nil at other times.
 	latestDeadline atomic.Pointer[time.Time]
+	refused        *refusedRequests
 }
 
 // New returns an ingress.
@@ -112,7 +115,7 @@
 	if cfg.Protocol == nil {
 		cfg.Protocol = nativeProtocol{}
 	}
-	return &Ingress{Config: cfg, startedAt: time.Now()}
+	return &Ingress{Config: cfg, startedAt: time.Now(), refused: newRefusedRequests()}
 }
 
 // SetDraining controls draining. While it is true, responses close their connections, so that callers connect to
@@ -287,7 +290,7 @@
 // likely refuse again; for a longer one, load that changes within milliseconds cannot be predicted.
 const (
 	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
+	maxRetryAfter = admission.MaxReturnDelay
 )
 
 // retryAfter returns the delay after which a refused request may be accepted, or 0 when the refusal does not depend on
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -64,6 +64,8 @@
 	accountName string
 	// callerSetsPriority is set if the caller overrides the priority of the route and the account.
 	callerSetsPriority bool
+	returning          bool          // the caller sends again what was refused before
+	roomWait           time.Duration // until a gate that refused the request expects room; 0 if none has stated it
 }
 
 // parse matches the route and reads the caller's parameters.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -34,6 +34,7 @@
 	refillRemainder          uint64 // part of a unit that the minimum rate has added, in billionths of a unit
 	refilledAt               time.Time
 	first, spent, denied     uint64
+	shares                   accountShares // used only by ForAccount
 }
 
 // BudgetCounts are totals since the start.
