Add the state machines of the accounts' rate limits

Cause: an account's rate limit holds over all nodes together, also while they can't reach each other, and refuses little below the limit.

Change: internal/ratelimit holds the node's part (Limiter: tokens, exchanges with pool nodes), the pools with their transfers between regions, the capacity formula and the choice of pool nodes. Tokens are created by time at each node and otherwise only moved.

--- /dev/null
+++ b/internal/ratelimit/exchange.go
@@ -0,0 +1,204 @@
+package ratelimit
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionspoke/internal/wire"
+)
+
+// milli is the number of wire units in a token.
+const milli = 1000
+
+// shard is a node's exchange with the pool node of one shard. The Limiter's mutex guards the fields without a comment of
+// their own.
+type shard struct {
+	index, count int
+	// fallbackSince is the time since which no pool node can be reached; 0 while one can. fleetSize is Fleet.Size.
+	fallbackSince, fleetSize atomic.Int64
+
+	activeMu sync.Mutex // guards active; held only for single operations
+	active   []*account // accounts with demand or tokens
+
+	candidates  []string
+	avoidUntil  map[string]int64
+	pending     *pendingRequest
+	lastSent    int64
+	lastDeposit int64 // end of the time that has been deposited; 0 without entitlement
+	// allowance is the number of requests that waiting callers may cause, computed at allowanceAt.
+	allowance   float64
+	allowanceAt int64
+}
+
+// pendingRequest is the request that waits for a reply.
+type pendingRequest struct {
+	seq      uint64
+	to       string
+	sentAt   int64
+	accounts []*account
+}
+
+func newShard(index, count int) *shard {
+	return &shard{index: index, count: count, avoidUntil: map[string]int64{}, allowance: exchangeBurst}
+}
+
+// activate adds the account to the active ones of its shard.
+func (s *shard) activate(a *account) {
+	a.mu.Lock()
+	added := !a.active
+	a.active = true
+	a.mu.Unlock()
+	if added {
+		s.activeMu.Lock()
+		s.active = append(s.active, a)
+		s.activeMu.Unlock()
+	}
+}
+
+func (s *shard) takeActive() []*account {
+	s.activeMu.Lock()
+	defer s.activeMu.Unlock()
+	accounts := s.active
+	s.active = nil
+	return accounts
+}
+
+func (s *shard) keepActive(accounts []*account) {
+	s.activeMu.Lock()
+	defer s.activeMu.Unlock()
+	s.active = append(accounts, s.active...)
+}
+
+// expire ends the wait for a reply that is too late.
+func (s *shard) expire(now int64) {
+	if s.pending == nil || now-s.pending.sentAt < int64(replyTimeout) {
+		return
+	}
+	s.avoidUntil[s.pending.to] = now + int64(avoidFor)
+	s.pending = nil
+}
+
+// target returns the best candidate that is not avoided, or "".
+func (s *shard) target(now int64) string {
+	for _, id := range s.candidates {
+		if s.avoidUntil[id] <= now {
+			delete(s.avoidUntil, id)
+			return id
+		}
+	}
+	return ""
+}
+
+// due reports whether a request is to be sent now, and whether it is one that waiting callers cause.
+func (s *shard) due(now int64, demand, waiting bool) bool {
+	if s.pending != nil {
+		return false
+	}
+	if s.lastDeposit != 0 && now-s.lastDeposit >= int64(depositPeriod(int(s.fleetSize.Load()))) {
+		return true
+	}
+	if demand && now-s.lastSent >= int64(exchangeInterval) {
+		return true
+	}
+	if !waiting || now-s.lastSent < int64(exchangeGap) {
+		return false
+	}
+	s.allowance = min(exchangeBurst, s.allowance+exchangesPerSecond*time.Duration(now-s.allowanceAt).Seconds())
+	s.allowanceAt = now
+	if s.allowance < 1 {
+		return false
+	}
+	s.allowance--
+	return true
+}
+
+// demand reports whether an active account wants tokens or has some to return, and whether requests wait for tokens.
+func (s *shard) demand(now int64) (any, waiting bool) {
+	s.activeMu.Lock()
+	defer s.activeMu.Unlock()
+	for _, a := range s.active {
+		if a.wants(now) {
+			any = true
+			a.mu.Lock()
+			waiting = waiting || a.waiting > 0 && now >= a.refuseTo
+			a.mu.Unlock()
+		}
+	}
+	return any, waiting
+}
+
+// deposit returns the milliseconds to deposit now. In a fleet with a long deposit period, deposits have times of their own:
+// if requests carried them too, a sudden demand at all nodes would bring in the time of the whole period at once.
+func (s *shard) deposit(now int64) uint32 {
+	period := depositPeriod(int(s.fleetSize.Load()))
+	elapsed := time.Duration(now - s.lastDeposit)
+	if s.lastDeposit == 0 || elapsed < time.Millisecond || period > depositInterval && elapsed < period {
+		return 0
+	}
+	s.lastDeposit += int64(elapsed.Truncate(time.Millisecond))
+	return uint32(min(elapsed, maxDeposit(period)).Milliseconds())
+}
+
+// maxDeposit is the longest time that a deposit may hold. More can only come from a node that was delayed.
+func maxDeposit(period time.Duration) time.Duration { return 2 * period }
+
+// request builds the next request to a pool node. Accounts that don't fit are served first by the next one.
+func (s *shard) request(now int64, seq, instance uint64, to string) *wire.TokenRequest {
+	r := &wire.TokenRequest{
+		Seq: seq, Instance: instance, FleetSize: uint32(s.fleetSize.Load()), Shard: uint32(s.index), Shards: uint32(s.count),
+	}
+	if s.fallbackSince.Load() == 0 {
+		r.DepositMs = s.deposit(now)
+	}
+	s.pending = &pendingRequest{seq: seq, to: to, sentAt: now}
+	s.lastSent = now
+	active := s.takeActive()
+	var kept, later []*account
+	size := 0
+	for _, a := range active {
+		if len(r.Amounts) >= maxAmounts || size > maxAmountBytes {
+			later = append(later, a)
+			continue
+		}
+		need, returned, idle := a.measure(now)
+		if !idle {
+			kept = append(kept, a)
+		}
+		if need == 0 && returned == 0 {
+			continue
+		}
+		r.Amounts = append(r.Amounts, &wire.TokenAmount{Account: a.name, RequestedMilli: uint32(need * milli), ReturnedMilli: uint32(returned * milli)})
+		s.pending.accounts = append(s.pending.accounts, a)
+		size += len(a.name) + amountOverhead
+	}
+	s.keepActive(append(later, kept...))
+	return r
+}
+
+// amountOverhead is the encoded size of a wire.TokenAmount without the account's name.
+const amountOverhead = 16
+
+// receive handles a reply. It reports whether the reply belongs to the pending request and is in time.
+func (s *shard) receive(now int64, from string, g *wire.TokenGrant) bool {
+	p := s.pending
+	if p == nil || p.seq != g.GetSeq() || p.to != from || now-p.sentAt >= int64(replyTimeout) {
+		return false
+	}
+	s.pending = nil
+	if s.fallbackSince.Load() != 0 {
+		s.fallbackSince.Store(0)
+		if s.lastDeposit != 0 {
+			s.lastDeposit = now
+		}
+	}
+	for _, amount := range g.GetAmounts() {
+		for _, a := range p.accounts {
+			if a.name == amount.GetAccount() {
+				a.receive(now, p.sentAt, int(amount.GetGrantedMilli()/milli), time.Duration(amount.GetWaitMs())*time.Millisecond)
+				break
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/ratelimit/failures_test.go
@@ -0,0 +1,156 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+)
+
+var large = map[string]Limit{"large": {285, 285}, "small": {2, 2}}
+
+// overload asks for 7 times each limit.
+var overload = []demand{{account: "large", rate: 7 * 285}, {account: "small", rate: 7 * 2}}
+
+func (f *fleet) inRegion(region int) (nodes []int) {
+	for _, n := range f.nodes {
+		if n.region == region {
+			nodes = append(nodes, n.index)
+		}
+	}
+	return nodes
+}
+
+// poolNode returns the node that holds the large account's pool in the region.
+func (f *fleet) poolNode(region int) *node {
+	for _, n := range f.nodes {
+		for key, p := range n.pools {
+			if n.region == region && hashOf("large")%uint64(key.shards) == uint64(key.shard) && p.share(f.now) > 0.2 {
+				return n
+			}
+		}
+	}
+	f.t.Fatal("no pool node")
+	return nil
+}
+
+// wantUsed checks the part of the large account's limit that was used in the last d.
+func (f *fleet) wantUsed(least float64, d time.Duration) {
+	f.t.Helper()
+	_, used := f.served("large", d)
+	f.t.Logf("used %.3f of the limit in the last %v, highest use of the bound %.3f", used, d, f.checkBound())
+	if used < least {
+		f.t.Errorf("used %.3f of the limit in the last %v, want at least %.2f", used, d, least)
+	}
+}
+
+// Guards against each way in which a failure could create tokens, or keep an account from using its limit: an account that
+// asks 7 times its limit meets one failure after it has been idle, and another phase without one.
+func TestOverloadWithAFailure(t *testing.T) {
+	for name, c := range map[string]struct {
+		fail func(*fleet)
+		// used is the least part of the limit that is used from 2 s after the failure.
+		used float64
+	}{
+		"none":             {func(*fleet) {}, 0.9},
+		"a third is lost":  {func(f *fleet) { f.loss = 0.05 }, 0.85},
+		"pool node killed": {func(f *fleet) { f.poolNode(0).stopped = true }, 0.9},
+		"pool node frozen for 0.9 s": {func(f *fleet) {
+			f.poolNode(0).frozenUntil = f.now + int64(900*time.Millisecond)
+		}, 0.9},
+		"pool node frozen for 4 s": {func(f *fleet) {
+			f.poolNode(0).frozenUntil = f.now + int64(4*time.Second)
+		}, 0.9},
+		"partition of the regions": {func(f *fleet) {
+			for _, n := range f.nodes {
+				n.group = n.region
+			}
+		}, 0.9},
+		"partition in two": {func(f *fleet) {
+			for _, n := range f.nodes {
+				n.group = n.index / 50
+			}
+		}, 0.9},
+		"all nodes restarted": {func(f *fleet) {
+			for _, n := range f.nodes {
+				f.start(n)
+			}
+			f.updateViews()
+		}, 0.7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 100, large)
+			f.run(time.Second, overload)
+			c.fail(f)
+			f.run(3*time.Second, overload)
+			f.updateViews() // membership has noticed
+			f.run(6*time.Second, overload)
+			f.wantUsed(c.used, 7*time.Second)
+		})
+	}
+}
+
+// Guards against tokens that exist twice when a full pool is cut off before the account wakes up: the old pool, its grants
+// and the pool that replaces it.
+func TestIdleAccountWakesAfterItsPoolMoved(t *testing.T) {
+	f := newFleet(t, 100, large)
+	old := f.poolNode(0)
+	old.frozenUntil = f.now + int64(900*time.Millisecond)
+	f.run(5*time.Second, nil)
+	f.run(8*time.Second, overload)
+	f.wantUsed(0.9, 6*time.Second)
+}
+
+// Guards against demand that stays refused when it moves to another node or region, where the pool has less than it needs.
+func TestDemandMoves(t *testing.T) {
+	limits, _ := mixedLimits()
+	f := newFleet(t, 100, limits)
+	for _, nodes := range [][]int{f.inRegion(0), f.inRegion(1), {3}, {4}, {3, 4}} {
+		demands := []demand{{"large", 285 / 1.6, nodes}, {"medium", 60 / 1.6, nodes}, {"small00", 2 / 1.6, nodes}}
+		f.run(time.Second, demands)
+		clear(f.asked)
+		f.run(4*time.Second, demands)
+		for _, d := range demands {
+			share, _ := f.served(d.account, 4*time.Second)
+			t.Logf("%v at %d nodes: %.3f served", d.account, len(nodes), share)
+			if share < 0.97 && f.limits[d.account].Rate > 2 {
+				t.Errorf("%v at %d nodes: %.3f served", d.account, len(nodes), share)
+			}
+		}
+	}
+	f.checkBound()
+}
+
+// Guards against an entitlement that adds up to more than the limit while nodes join: a newcomer counts itself before
+// the others do.
+func TestNodesJoin(t *testing.T) {
+	f := newFleet(t, 100, large)
+	for _, n := range f.nodes[70:] {
+		n.stopped = true
+	}
+	f.nodes = f.nodes[:70]
+	f.updateViews()
+	f.run(4*time.Second, overload)
+	for i := range 30 {
+		n := &node{index: 70 + i, region: i % 2}
+		f.nodes = append(f.nodes, n)
+		f.start(n)
+		f.run(2*time.Second/30, overload)
+		if i%5 == 4 {
+			f.updateViews()
+		}
+	}
+	f.run(6*time.Second, overload)
+	f.wantUsed(0.9, 5*time.Second)
+}
+
+// Guards against stocks and grants from before a limit was lowered that are still spent one window later.
+func TestLoweredLimit(t *testing.T) {
+	f := newFleet(t, 100, large)
+	f.run(2*time.Second, overload)
+	f.limits = map[string]Limit{"large": {20, 20}}
+	for _, n := range f.nodes {
+		n.SetLimits(testBounds, f.limits)
+	}
+	clear(f.spent)
+	f.run(8*time.Second, overload[:1])
+	f.wantUsed(0.9, 5*time.Second)
+}
