Apply the rate limits of accounts at the ingress, and connect the nodes

Cause: the limiter's state machines were not connected to requests, the fleet and the network.

Messages pass as UDP datagrams with a byte budget apart from the membership's. The node passes the members (N counts ALIVE, SUSPECT, DEAD while the record is kept, and LEAVING for 10 s, at least the nodes that the store lists), the limits of the bundle in force, and pauses of the process. Dump and metrics show pools, tokens and totals of the largest accounts.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -91,6 +91,8 @@
 	// PlanProbes returns the endpoints to probe on this tick. services holds the distinct services passed to
 	// RequestProbes since the last tick.
 	PlanProbes func(now time.Time, snapshot *table.Snapshot, services []string) []*table.Endpoint
+	// OnTokens receives a TokenRequest or TokenGrant of a member.
+	OnTokens func(from string, d *wire.Datagram)
 }
 
 // Engine is the control loop of one node. Its methods are safe for concurrent use. Request goroutines
@@ -117,6 +119,7 @@
 	bundleChanged    bool   // the snapshot does not contain the bundle in force yet
 	nextPublish      time.Time
 	probes           probeTable
+	tokenBudgets     tokenBudgets
 	changeLogLimiter *rate.Limiter
 	suppressedLogs   int
 	stopped          bool
@@ -141,6 +144,7 @@
 		inputs:           make(chan input, inputQueueSize),
 		syncSlots:        make(chan struct{}, maxConcurrentSyncs),
 		probes:           newProbeTable(),
+		tokenBudgets:     newTokenBudgets(),
 		changeLogLimiter: rate.NewLimiter(changeLogsPerSecond, changeLogBurst),
 	}
 }
@@ -301,5 +305,6 @@
 			return // counted by the node
 		}
 		e.handleProbeMessage(now, d)
+		e.handleTokenMessage(d)
 	})
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -60,6 +60,8 @@
 	// OnCrash is called with the backend server and the fingerprints of a request during which the server stopped
 	// listening. Set it before the first request; nil disables the report.
 	OnCrash func(backend Backend, fingerprints [][]byte)
+	// OnPause is called after a pause of the process. It must not block. Set it before the first request; may be nil.
+	OnPause func()
 	// WriteLimiter returns the write limiter for responses to a node in the given region, or nil for no limit. long tells
 	// whether the request is long. Set it before the first request; nil disables the limit.
 	WriteLimiter func(region string, long bool) func(bytes int) error
@@ -218,6 +220,9 @@
 func (g *Gate) Tick(now time.Time) {
 	if pause := g.pauses.tick(now); pause > 0 {
 		g.Counters.Pauses.Add(1)
+		if g.OnPause != nil {
+			g.OnPause()
+		}
 		g.logger.Warn("process was paused", "event", "paused", "for", pause)
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"dandelionspoke/internal/httpconn"
 	"dandelionspoke/internal/metrics"
 	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/ratelimit"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
@@ -69,6 +70,8 @@
 	// BundleConfirmed reports whether it was confirmed recently that the bundle in force is the latest. While it returns
 	// false, requests with a key are refused. If nil, the bundle that the node has applies.
 	BundleConfirmed func() bool
+	// Limits holds the rate limits of the accounts. If nil, there are none.
+	Limits *ratelimit.Limiter
 }
 
 // Counters are totals since the start. They are safe for concurrent use.
@@ -166,6 +169,7 @@
 		return err
 	}
 	err = in.serveParsed(w, r, q)
+	in.returnTokenAfter(q, err)
 	in.accountRefusals.record(q, err)
 	in.logRequestEnd(r.Context(), q, err)
 	return err
@@ -175,6 +179,9 @@
 	if err := in.selectAccount(q); err != nil {
 		return err
 	}
+	if err := in.takeToken(r.Context(), q); err != nil {
+		return err
+	}
 	in.awaitEndpoints(r.Context(), q)
 	if q.service == nil {
 		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "service %s has no endpoint", q.serviceName)
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -35,12 +35,14 @@
 	}
 	switch result.Kind {
 	case claim.Replay:
+		in.returnToken(q)
 		in.replay(w, result.Outcome)
 		return nil
 	case claim.Run:
 		q.claimPermit = &result.Permit
 		return in.runClaimed(ctx, w, q, claims)
 	default:
+		in.returnToken(q) // the request that holds the claim has taken its own
 		return verdict.New(result.Verdict, verdict.ClaimHeld, "another request with this key holds the claim")
 	}
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -12,6 +12,7 @@
 
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
+	"dandelionspoke/internal/ratelimit"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
@@ -61,6 +62,8 @@
 	// account and accountName are those of the client account; zero without one.
 	account     *bundle.Account
 	accountName string
+	// token is what the request took from the account's rate limit.
+	token ratelimit.Token
 	// callerSetsPriority is set if the caller overrides the priority of the route and the account.
 	callerSetsPriority bool
 }
--- a/internal/membership/counters.go
+++ b/internal/membership/counters.go
@@ -18,11 +18,13 @@
 	KindProbe
 	KindProbeReply
 	KindBundleNotice
+	KindTokenRequest
+	KindTokenGrant
 	KindOther
 	kindCount
 )
 
-var kindNames = [kindCount]string{"gossip", "ping", "ack", "ping_request", "probe", "probe_reply", "bundle_notice", "other"}
+var kindNames = [kindCount]string{"gossip", "ping", "ack", "ping_request", "probe", "probe_reply", "bundle_notice", "token_request", "token_grant", "other"}
 
 // String returns the name used in the counters.
 func (k Kind) String() string { return kindNames[min(k, KindOther)] }
@@ -44,6 +46,10 @@
 		return KindProbeReply
 	case *wire.Datagram_BundleNotice:
 		return KindBundleNotice
+	case *wire.Datagram_TokenRequest:
+		return KindTokenRequest
+	case *wire.Datagram_TokenGrant:
+		return KindTokenGrant
 	default:
 		return KindOther
 	}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -8,6 +8,7 @@
 	"dandelionspoke/internal/announce"
 	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/objectstore"
+	"dandelionspoke/internal/ratelimit"
 	"dandelionspoke/internal/wire"
 )
 
@@ -58,6 +59,7 @@
 	Backend       *announce.Announcement `json:"backend"`
 	GateLoad      *wire.Load             `json:"gate_load"`
 	Bundle        admin.BundleStatus     `json:"bundle"`
+	RateLimits    *ratelimit.State       `json:"rate_limits,omitempty"`
 	Metrics       map[string]int64       `json:"metrics"`
 	Engine        engine.State           `json:"engine"`
 }
@@ -68,7 +70,7 @@
 	return Dump{
 		NodeID: n.settings.NodeID, UptimeSeconds: n.uptime().Seconds(), Addresses: n.addresses,
 		Draining: n.draining.Load(), StoreReader: n.isStoreReader.Load(), Backend: backend, GateLoad: n.gate.Load(),
-		Bundle: n.BundleStatus(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
+		Bundle: n.BundleStatus(), RateLimits: n.rateLimitState(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
 	}
 }
 
@@ -109,6 +111,7 @@
 		m["probe_messages"], m["probe_bytes"] = int64(p.Messages), int64(p.Bytes)
 		m["probe_link_messages"], m["probe_link_bytes"] = int64(p.LinkMessages), int64(p.LinkBytes)
 	}
+	n.addRateLimitMetrics(m)
 	for name, value := range n.engine.Counters().Map() {
 		m["engine_"+name] = int64(value)
 	}
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -55,6 +55,7 @@
 	n.quarantine.SetPolicy(b.Policy.QuarantineDeaths, b.Policy.QuarantineFor.D())
 	n.linkBudget.SetPolicy(b.Policy)
 	n.bundles.inForce.Store(b)
+	n.applyRateLimits(b)
 	n.applyGateLimits()
 	n.engine.SetBundle(b)
 	n.logger.Info("bundle in force", "event", "bundle_in_force", "version", b.Version, "source", source)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -50,6 +50,7 @@
 		Subset:          subsetEndpoints,
 		OnTick:          n.onTick,
 		PlanProbes:      n.planProbes,
+		OnTokens:        n.onTokens,
 	}
 }
 
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -178,6 +178,7 @@
 			domains = append(domains, d)
 		}
 	}
+	n.fleetList.record(time.Now(), domains)
 	n.restoreFromStore(domains)
 	return domains
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"dandelionspoke/internal/metrics"
 	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/ratelimit"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/rollout"
 	"dandelionspoke/internal/settings"
@@ -84,6 +85,8 @@
 	isStoreReader  atomic.Bool // this node reads the store for its failure domain
 	joinAttempted  atomic.Bool // the first attempt to join other nodes has ended
 	departures     departureState
+	limits         *ratelimit.Limiter // rate limits of accounts; nil if the settings have no window for them
+	fleetList      fleetList
 	// probePolicyVersion and probeRand are used only by the engine loop.
 	probePolicyVersion uint64
 	probeRand          *rand.Rand
@@ -165,6 +168,10 @@
 	n.gate.IsQuarantined = n.isQuarantined
 	n.gate.OnCrash = n.onBackendCrash
 	n.gate.WriteLimiter = n.writeLimiter
+	if n.settings.RateLimit.Window > 0 {
+		n.limits = ratelimit.New(n.instance)
+		n.gate.OnPause = n.onPause
+	}
 	n.registry.OnChange = n.onBackendChange
 	n.registry.OnDeparture = n.onDeparture
 	n.registry.StartRestore()
@@ -172,6 +179,7 @@
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget, ServiceBudgets: n.serviceBudgets,
 		Logger: n.logger, Protocol: n.adapter.CallerProtocol, Latency: n.metrics.Histogram("ingress_request_seconds"), Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
 		IsQuarantined: n.isQuarantined, OnRequest: n.onIngressRequest, OnSuccess: n.onRequestSuccess,
+		Limits:    n.limits,
 		ClaimsFor: func(service string) claim.KeyClaimer { return n.claimRouter.For(service) },
 	})
 }
@@ -219,6 +227,9 @@
 	n.background(n.runMaintenance)
 	n.background(n.join)
 	n.background(n.awaitDepartures)
+	if n.limits != nil {
+		n.background(n.runRateLimits)
+	}
 	if n.settings.Backend.PortCheck > 0 {
 		n.background(n.checkHealth)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -49,6 +49,9 @@
 	nodes    []*node.Node
 	backends []*backendtest.Server
 	log      *backendtest.RunLog
+	// configure changes the settings of new nodes, and extraBundle is appended to the bundle.
+	configure   func(*settings.Settings)
+	extraBundle string
 }
 
 func newSigningKey(t *testing.T, name string) bundle.SigningKey {
@@ -62,7 +65,13 @@
 
 func newFleet(t *testing.T, size int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: objectstoretest.New(), author: newSigningKey(t, "author"), approver: newSigningKey(t, "approver"), log: backendtest.NewRunLog()}
+	return startFleet(t, size, &fleet{})
+}
+
+// startFleet starts the nodes of a fleet whose optional fields may be set.
+func startFleet(t *testing.T, size int, f *fleet) *fleet {
+	t.Helper()
+	f.t, f.store, f.author, f.approver, f.log = t, objectstoretest.New(), newSigningKey(t, "author"), newSigningKey(t, "approver"), backendtest.NewRunLog()
 	for i := range size {
 		f.addNode(i)
 	}
@@ -82,6 +91,9 @@
 	if len(f.nodes) > 0 {
 		s.Seeds = []string{f.nodes[0].Addrs().Peer}
 	}
+	if f.configure != nil {
+		f.configure(&s)
+	}
 	n, err := node.New(node.Options{Settings: s, Store: store})
 	if err != nil {
 		f.t.Fatal(err)
@@ -112,7 +124,7 @@
 
 func (f *fleet) rollout(version uint64) {
 	f.t.Helper()
-	b, configErrors := bundle.Parse("test.toml", fmt.Appendf(nil, testBundle, version))
+	b, configErrors := bundle.Parse("test.toml", append(fmt.Appendf(nil, testBundle, version), f.extraBundle...))
 	if len(configErrors) > 0 {
 		f.t.Fatal(configErrors)
 	}
--- /dev/null
+++ b/internal/node/ratelimit.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/ratelimit"
+	"dandelionspoke/internal/steady"
+	"dandelionspoke/internal/wire"
+)
+
+const (
+	// limitInterval is the time between two calls of Limiter.Advance, and waitingInterval the one while requests wait.
+	limitInterval   = 50 * time.Millisecond
+	waitingInterval = 10 * time.Millisecond
+	// fleetInterval is the time between two checks for changed members. It is well below ratelimit.ParticipationDelay, in
+	// which this node has to count a newcomer.
+	fleetInterval = 500 * time.Millisecond
+	// leavingSpends is the time for which a LEAVING node counts: it serves callers that are still connected.
+	leavingSpends = 10 * time.Second
+	// fleetListValid is the time for which the number of nodes listed in the store is a lower bound of the size of the fleet.
+	// After a restart of all nodes, those that have joined each other in groups learn of the other groups in this time.
+	fleetListValid = 30 * time.Second
+	// maxLimitedAccounts is the number of accounts that the metrics and the dump list.
+	maxLimitedAccounts = 8
+)
+
+// fleetList is the number of nodes that the store listed at the last read. It is safe for concurrent use.
+type fleetList struct {
+	mu   sync.Mutex
+	at   time.Time // zero before the first read
+	size int
+}
+
+func (f *fleetList) record(now time.Time, domains []domainMembers) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at, f.size = now, 0
+	for _, d := range domains {
+		f.size += len(d.PeerAddresses)
+	}
+}
+
+// floor returns the number of nodes while the list is recent, and whether it has ever been read.
+func (f *fleetList) floor(now time.Time) (size int, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.at) < fleetListValid {
+		size = f.size
+	}
+	return size, !f.at.IsZero()
+}
+
+// applyRateLimits puts the limits of a bundle in force.
+func (n *Node) applyRateLimits(b *bundle.Bundle) {
+	if n.limits == nil {
+		return
+	}
+	limits := map[string]ratelimit.Limit{}
+	for name, a := range b.Accounts {
+		if a.RatePerSecond > 0 {
+			// With a burst below one request, none would ever be granted.
+			limits[name] = ratelimit.Limit{Rate: a.RatePerSecond, Burst: max(a.Burst, 1)}
+		}
+	}
+	s := n.settings.RateLimit
+	n.limits.SetLimits(ratelimit.Bounds{Window: s.Window, Tolerance: s.Tolerance, Slack: s.Slack}, limits)
+}
+
+// runRateLimits advances the limiter and keeps its view of the fleet up to date until the node is closed.
+func (n *Node) runRateLimits() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	view := fleetView{leaving: map[string]time.Time{}}
+	var waitingUntil time.Time
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-n.limits.Wake():
+			waitingUntil = time.Now().Add(ratelimit.MaxWait)
+		case <-timer.C:
+		}
+		now := time.Now()
+		if view.due(now) {
+			n.updateFleetView(now, &view)
+			n.logFallback(&view)
+		}
+		n.sendTokens(n.limits.Advance(steady.Nanos(now)))
+		if now.Before(waitingUntil) {
+			timer.Reset(waitingInterval)
+		} else {
+			timer.Reset(limitInterval)
+		}
+	}
+}
+
+// fleetView is what runRateLimits has last passed to the limiter.
+type fleetView struct {
+	next     time.Time
+	version  uint64
+	floor    int
+	entitled bool
+	fallback bool                 // no pool node could be reached
+	leaving  map[string]time.Time // since when nodes are LEAVING, for leavingSpends
+}
+
+func (v *fleetView) due(now time.Time) bool {
+	if now.Before(v.next) {
+		return false
+	}
+	v.next = now.Add(fleetInterval)
+	return true
+}
+
+// updateFleetView passes the members to the limiter if they have changed.
+func (n *Node) updateFleetView(now time.Time, v *fleetView) {
+	version := n.engine.MembersVersion()
+	floor, listed := n.fleetList.floor(now)
+	if version == v.version && floor == v.floor && v.entitled && len(v.leaving) == 0 {
+		return
+	}
+	records := n.engine.Records()
+	members := make([]ratelimit.Member, len(records))
+	selfSpends := true
+	for i, m := range records {
+		members[i] = ratelimit.Member{
+			ID: m.NodeId, Region: m.Region, Alive: m.State == wire.MemberState_ALIVE, Spending: v.spends(now, m),
+		}
+		if m.NodeId == n.settings.NodeID {
+			selfSpends = members[i].Spending
+		}
+	}
+	alone := n.store == nil && !slices.ContainsFunc(n.settings.Seeds, func(seed string) bool { return seed != n.settings.Peer.Advertise })
+	known := len(records) > 1 || listed || alone
+	v.version, v.floor, v.entitled = version, floor, known && selfSpends
+	n.limits.SetFleet(steady.Nanos(now), ratelimit.NewFleet(n.settings.NodeID, n.settings.Region, members, floor, v.entitled))
+}
+
+// spends reports whether a node may send requests to backend servers. A DEAD one may only be unreachable.
+func (v *fleetView) spends(now time.Time, m *wire.Member) bool {
+	if m.State != wire.MemberState_LEAVING {
+		delete(v.leaving, m.NodeId)
+		return true
+	}
+	since, seen := v.leaving[m.NodeId]
+	if !seen {
+		since = now
+		v.leaving[m.NodeId] = now
+	}
+	return now.Sub(since) < leavingSpends
+}
+
+// logFallback logs when this node starts or ends to spend from its own part of the rates.
+func (n *Node) logFallback(v *fleetView) {
+	if fallback := n.limits.Fallback(); fallback != v.fallback {
+		v.fallback = fallback
+		n.logger.Warn("pool nodes of the rate limits", "event", "rate_limit_fallback", "reachable", !fallback)
+	}
+}
+
+func (n *Node) sendTokens(messages []ratelimit.Message) {
+	for _, m := range messages {
+		d := &wire.Datagram{Kind: &wire.Datagram_TokenRequest{TokenRequest: m.Request}}
+		if m.Grant != nil {
+			d.Kind = &wire.Datagram_TokenGrant{TokenGrant: m.Grant}
+		}
+		n.engine.SendTokens(m.To, d)
+	}
+}
+
+// onTokens handles a message of the rate limits from a member.
+func (n *Node) onTokens(from string, d *wire.Datagram) {
+	if n.limits == nil {
+		return
+	}
+	m := ratelimit.Message{Request: d.GetTokenRequest(), Grant: d.GetTokenGrant()}
+	n.sendTokens(n.limits.Receive(steady.Now(), from, m))
+}
+
+// onPause drops all tokens after a pause of the process. The steady clock doesn't show the suspension of a VM.
+func (n *Node) onPause() { n.limits.Paused(steady.Now()) }
+
+// rateLimitState returns the part of a Dump on rate limits; nil without any.
+func (n *Node) rateLimitState() *ratelimit.State {
+	if n.limits == nil {
+		return nil
+	}
+	state := n.limits.Dump(steady.Now(), maxLimitedAccounts)
+	return &state
+}
+
+// addRateLimitMetrics adds the metrics of the rate limits, if the settings have a window for them.
+func (n *Node) addRateLimitMetrics(m map[string]int64) {
+	if n.limits == nil {
+		return
+	}
+	c := &n.limits.Counters
+	m["rate_limit_exchanges"], m["rate_limit_timeouts"], m["rate_limit_served"] = c.Exchanges.Load(), c.Timeouts.Load(), c.Served.Load()
+	m["rate_limit_transfers"], m["rate_limit_transferred_tokens"] = c.Transfers.Load(), c.TransferredTokens.Load()
+	m["rate_limit_returned"], m["rate_limit_pauses"] = c.Returned.Load(), c.Pauses.Load()
+	m["rate_limit_pools"] = int64(n.limits.PoolCount())
+	granted, refused := n.limits.Totals(maxLimitedAccounts)
+	for name, count := range granted {
+		m[fmt.Sprintf("rate_limit_granted{account=%q}", name)] = count
+	}
+	for name, count := range refused {
+		m[fmt.Sprintf("rate_limit_refused{account=%q}", name)] = count
+	}
+}
--- a/internal/ratelimit/fleet.go
+++ b/internal/ratelimit/fleet.go
@@ -25,6 +25,7 @@
 
 // Fleet is what a node knows about the others, in the form that the Limiter needs. It is never modified.
 type Fleet struct {
+	Self string // ID of this node
 	// Size is the number of nodes among which the rates are divided.
 	Size    int
 	Regions int
@@ -40,8 +41,8 @@
 
 // NewFleet selects the pool nodes by rendezvous hashing among the alive members of each region. floor is the least size of
 // the fleet, such as the number of nodes listed in the store; it also counts members that this node does not know yet.
-func NewFleet(region string, members []Member, floor int, entitled bool) Fleet {
-	f := Fleet{Entitled: entitled}
+func NewFleet(self, region string, members []Member, floor int, entitled bool) Fleet {
+	f := Fleet{Self: self, Entitled: entitled}
 	regions := map[string][]string{}
 	for _, m := range members {
 		if m.Spending {
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -82,7 +82,7 @@
 
 // start replaces the process of a node.
 func (f *fleet) start(n *node) {
-	n.Limiter = New(fmt.Sprint(n.index), f.rng.Uint64())
+	n.Limiter = New(f.rng.Uint64())
 	n.SetLimits(testBounds, f.limits)
 	n.waiting, n.backlog, n.awake = nil, nil, f.now
 }
@@ -98,7 +98,7 @@
 			})
 		}
 		if !n.stopped {
-			n.SetFleet(f.now, NewFleet(fmt.Sprint(n.region), members, 0, true))
+			n.SetFleet(f.now, NewFleet(fmt.Sprint(n.index), fmt.Sprint(n.region), members, 0, true))
 		}
 	}
 }
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -32,7 +32,6 @@
 // and of the setters exclude each other. Times are in nanoseconds on the steady clock. It is safe for concurrent use.
 type Limiter struct {
 	Counters Counters
-	self     string
 	instance uint64
 	wake     chan struct{}
 	accounts atomic.Pointer[map[string]*account]
@@ -48,9 +47,9 @@
 	lastPrune  int64
 }
 
-// New returns a limiter of the node self without accounts. instance is a random ID of the process.
-func New(self string, instance uint64) *Limiter {
-	l := &Limiter{self: self, instance: instance, wake: make(chan struct{}, 1), pools: map[poolKey]*pool{}}
+// New returns a limiter without accounts. instance is a random ID of the process.
+func New(instance uint64) *Limiter {
+	l := &Limiter{instance: instance, wake: make(chan struct{}, 1), pools: map[poolKey]*pool{}}
 	l.accounts.Store(&map[string]*account{})
 	return l
 }
@@ -205,7 +204,7 @@
 	l.sequence++
 	r := s.request(now, l.sequence, l.instance, to)
 	l.Counters.Exchanges.Add(1)
-	if to != l.self {
+	if to != l.fleet.Self {
 		return append(out, Message{To: to, Request: r})
 	}
 	s.receive(now, to, l.serve(now, to, r))
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -45,3 +45,41 @@
 		t.Errorf("%.0f B/s between regions", perSecond(f.bytes[1]))
 	}
 }
+
+// Guards against a slow check of the limit: it is on the path of every request.
+func BenchmarkTake(b *testing.B) {
+	l := New(1)
+	limits := map[string]Limit{}
+	names := make([]string, 10_000)
+	for i := range names {
+		names[i] = fmt.Sprintf("account-%05d", i)
+		limits[names[i]] = Limit{100, 100}
+	}
+	l.SetLimits(testBounds, limits)
+	l.SetFleet(1, NewFleet("a", "r", []Member{{"a", "r", true, true}}, 0, true))
+	for _, name := range names {
+		(*l.accounts.Load())[name].receive(1, 1, 1_000_000, 0)
+		l.Take(name, 2, false)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		l.Take(names[i*7919%len(names)], 2, false)
+	}
+}
+
+// Guards against an exchange that costs a pool node too much time: it answers a few hundred per second.
+func BenchmarkExchange(b *testing.B) {
+	limits, demands := mixedLimits()
+	l := New(1)
+	l.SetLimits(testBounds, limits)
+	l.SetFleet(1, NewFleet("a", "r", []Member{{"a", "r", true, true}}, 0, true))
+	now := int64(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, d := range demands[:10] {
+			l.Take(d.account, now, false)
+		}
+		now += int64(exchangeInterval)
+		l.Advance(now)
+	}
+}
