Pass over slow pool nodes, and count the least stock of each pool in the bound

The least stock that each pool may hold was counted only once per region.

Change: after three late replies in a row, a node prefers other candidates for 15 s.

--- a/internal/ratelimit/dump.go
+++ b/internal/ratelimit/dump.go
@@ -54,14 +54,7 @@
 	defer l.mu.Unlock()
 	state := State{FleetSize: l.fleet.Size, Entitled: l.entitledAt != 0 && now >= l.entitledAt}
 	for _, s := range l.shards {
-		row := ShardState{Fallback: s.fallbackSince.Load() != 0}
-		for _, id := range s.candidates {
-			if s.avoidUntil[id] <= now {
-				row.PoolNode = id
-				break
-			}
-		}
-		state.Shards = append(state.Shards, row)
+		state.Shards = append(state.Shards, ShardState{PoolNode: s.target(now), Fallback: s.fallbackSince.Load() != 0})
 	}
 	for _, p := range l.pools {
 		state.Pools = append(state.Pools, p.dump(now, maxAccounts))
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -1,6 +1,8 @@
 package ratelimit
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,11 +23,14 @@
 	activeMu sync.Mutex // guards active; held only for single operations
 	active   []*account // accounts with demand or tokens
 
-	candidates  []string
-	avoidUntil  map[string]int64
-	pending     *pendingRequest
-	lastSent    int64
-	lastDeposit int64 // end of the time that has been deposited; 0 without entitlement
+	candidates []string
+	avoidUntil map[string]int64
+	// slow counts successive late replies, and demotedUntil holds the nodes that have sent too many.
+	slow         map[string]int
+	demotedUntil map[string]int64
+	pending      *pendingRequest
+	lastSent     int64
+	lastDeposit  int64 // end of the time that has been deposited; 0 without entitlement
 	// allowance is the number of requests that waiting callers may cause, computed at allowanceAt.
 	allowance   float64
 	allowanceAt int64
@@ -40,7 +45,10 @@
 }
 
 func newShard(index, count int) *shard {
-	return &shard{index: index, count: count, avoidUntil: map[string]int64{}, allowance: exchangeBurst}
+	return &shard{
+		index: index, count: count, avoidUntil: map[string]int64{}, slow: map[string]int{}, demotedUntil: map[string]int64{},
+		allowance: exchangeBurst,
+	}
 }
 
 // activate adds the account to the active ones of its shard.
@@ -79,15 +87,39 @@
 	s.pending = nil
 }
 
-// target returns the best candidate that is not avoided, or "".
+// target returns the best candidate that is not avoided, or "". Demoted ones come last.
 func (s *shard) target(now int64) string {
+	demoted := ""
 	for _, id := range s.candidates {
-		if s.avoidUntil[id] <= now {
-			delete(s.avoidUntil, id)
+		switch {
+		case s.avoidUntil[id] > now:
+		case s.demotedUntil[id] <= now:
 			return id
+		case demoted == "":
+			demoted = id
 		}
 	}
-	return ""
+	return demoted
+}
+
+// forget drops what is noted of nodes that are no candidates.
+func (s *shard) forget() {
+	other := func(id string) bool { return !slices.Contains(s.candidates, id) }
+	maps.DeleteFunc(s.avoidUntil, func(id string, _ int64) bool { return other(id) })
+	maps.DeleteFunc(s.demotedUntil, func(id string, _ int64) bool { return other(id) })
+	maps.DeleteFunc(s.slow, func(id string, _ int) bool { return other(id) })
+}
+
+// noteReply notes how long a reply took.
+func (s *shard) noteReply(now int64, p *pendingRequest) {
+	if now-p.sentAt < int64(slowReply) {
+		delete(s.slow, p.to)
+		return
+	}
+	if s.slow[p.to]++; s.slow[p.to] >= slowReplies {
+		delete(s.slow, p.to)
+		s.demotedUntil[p.to] = now + int64(demoteFor)
+	}
 }
 
 // due reports whether a request is to be sent now, and whether it is one that waiting callers cause.
@@ -186,6 +218,7 @@
 		return false
 	}
 	s.pending = nil
+	s.noteReply(now, p)
 	if s.fallbackSince.Load() != 0 {
 		s.fallbackSince.Store(0)
 		if s.lastDeposit != 0 {
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -102,6 +102,7 @@
 	}
 	for i, s := range l.shards {
 		s.candidates = f.Local[i]
+		s.forget()
 		s.fleetSize.Store(int64(f.Size))
 		if l.entitledAt == 0 {
 			s.lastDeposit = 0
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -36,6 +36,11 @@
 	// replyTimeout is the time after which a pool node counts as unreachable; avoidFor is how long another one is then used.
 	replyTimeout = GrantValidity
 	avoidFor     = 2 * time.Second
+	// A pool node whose replies take slowReply or longer slowReplies times in a row is used only if no other can be, for
+	// demoteFor: requests wait for its replies, and VMs with little processor time reply late when they are busy.
+	slowReply   = 50 * time.Millisecond
+	slowReplies = 3
+	demoteFor   = 15 * time.Second
 	// MaxWait is how long a request may wait for tokens.
 	MaxWait = 100 * time.Millisecond
 	// transferInterval is the minimum time between two requests of a pool to the pool of another region. An account that
@@ -47,8 +52,10 @@
 	maxAmounts     = 40
 	maxAmountBytes = 900
 	// minPoolTokens is what a pool may hold of an account however small its share of the capacity is. Otherwise regions with
-	// few nodes could never hold a token of a small account.
-	minPoolTokens = 2
+	// few nodes could never hold a token of a small account. extraPools is the number of pools in addition to one for each
+	// region that the bound allows for, while nodes disagree on the pool node.
+	minPoolTokens = 1
+	extraPools    = poolCandidates - 1
 	// minCapacity is the time for which a pool may store the rate of an account if the bound leaves less room. It is the
 	// least with which tokens can be passed on between two exchanges.
 	minCapacity = 100 * time.Millisecond
@@ -79,7 +86,7 @@
 // The tokens spent in a window are at most those created in it, rate*Window, plus those that exist at its start: time that
 // nodes have not deposited yet (depositInterval), tokens that have left a pool and may still be spent or come back
 // (returnWithin), and the stocks of pools. These are at most the capacity times the time that nodes can have deposited in a
-// depositWindow, relative to that window, and minPoolTokens in each region.
+// depositWindow, relative to that window, and minPoolTokens in each pool.
 //
 // If the bound leaves room for less than the lowest useful capacity, that one applies, and Rate makes room for it.
 func (b Bounds) Capacity(l Limit, regions int) float64 {
@@ -104,12 +111,12 @@
 
 // spare returns what the bound leaves for the stocks of pools when tokens are created at the given rate.
 func (b Bounds) spare(l Limit, rate float64, regions int) float64 {
-	return b.Permitted(l) - rate*(b.Window+outsidePools).Seconds() - minPoolTokens*float64(max(regions, 1)-1)
+	return b.Permitted(l) - rate*(b.Window+outsidePools).Seconds() -
+		minPoolTokens*float64(max(regions, 1)-1+extraPools)
 }
 
-func lowestCapacity(l Limit) float64 {
-	return min(l.Burst, max(minPoolTokens, l.Rate*minCapacity.Seconds()))
-}
+// lowestCapacity is the least useful capacity: two tokens, so that two requests may arrive together, or minCapacity.
+func lowestCapacity(l Limit) float64 { return min(l.Burst, max(2, l.Rate*minCapacity.Seconds())) }
 
 // depositPeriod returns the longest time between two deposits in a fleet of size nodes.
 func depositPeriod(size int) time.Duration {
