--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -60,6 +60,7 @@
 	GateLoad      *wire.Load             `json:"gate_load"`
 	Bundle        admin.BundleStatus     `json:"bundle"`
 	RateLimits    *ratelimit.State       `json:"rate_limits,omitempty"`
+	Accounts      accountState           `json:"accounts"`
 	Metrics       map[string]int64       `json:"metrics"`
 	Engine        engine.State           `json:"engine"`
 }
@@ -70,7 +71,7 @@
 	return Dump{
 		NodeID: n.settings.NodeID, UptimeSeconds: n.uptime().Seconds(), Addresses: n.addresses,
 		Draining: n.draining.Load(), StoreReader: n.isStoreReader.Load(), Backend: backend, GateLoad: n.gate.Load(),
-		Bundle: n.BundleStatus(), RateLimits: n.rateLimitState(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
+		Bundle: n.BundleStatus(), RateLimits: n.rateLimitState(), Accounts: n.accountState(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
 	}
 }
 
@@ -112,6 +113,7 @@
 		m["probe_link_messages"], m["probe_link_bytes"] = int64(p.LinkMessages), int64(p.LinkBytes)
 	}
 	n.addRateLimitMetrics(m)
+	n.addAccountMetrics(m)
 	for name, value := range n.engine.Counters().Map() {
 		m["engine_"+name] = int64(value)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionspoke/internal/account"
 	"dandelionspoke/internal/adapter"
 	"dandelionspoke/internal/announce"
 	"dandelionspoke/internal/balance"
@@ -87,6 +88,7 @@
 	departures     departureState
 	limits         *ratelimit.Limiter // rate limits of accounts; nil if the settings have no window for them
 	fleetList      fleetList
+	confirmation   account.Confirmation // of the bundle in force
 	// probePolicyVersion and probeRand are used only by the engine loop.
 	probePolicyVersion uint64
 	probeRand          *rand.Rand
@@ -179,8 +181,9 @@
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget, ServiceBudgets: n.serviceBudgets,
 		Logger: n.logger, Protocol: n.adapter.CallerProtocol, Latency: n.metrics.Histogram("ingress_request_seconds"), Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
 		IsQuarantined: n.isQuarantined, OnRequest: n.onIngressRequest, OnSuccess: n.onRequestSuccess,
-		Limits:    n.limits,
-		ClaimsFor: func(service string) claim.KeyClaimer { return n.claimRouter.For(service) },
+		Limits:          n.limits,
+		ClaimsFor:       func(service string) claim.KeyClaimer { return n.claimRouter.For(service) },
+		BundleConfirmed: n.bundleConfirmed(),
 	})
 }
 
@@ -233,6 +236,9 @@
 	if n.settings.Backend.PortCheck > 0 {
 		n.background(n.checkHealth)
 	}
+	if n.settings.Accounts.FailClosed {
+		n.background(n.confirmBundle)
+	}
 	if n.store != nil {
 		n.background(n.readFirstBundle)
 		n.background(n.followStore)
