Find pool nodes sooner after joining, and ask refused callers to wait at least 100 ms

Cause: a node looked for changed members only twice a second, also while it knew none, so that requests in the first half second after joining got 429. A large account's rate allows the next request after a few ms, but nodes ask their pool again only after 50 to 250 ms, so that a caller that returns at once is refused again.

Change: a node that does not know the fleet looks every 50 ms; Retry-After is at least 100 ms.

Result: go test -count=1 ./internal/ratelimit ./internal/node passes.

--- a/internal/node/ratelimit.go
+++ b/internal/node/ratelimit.go
@@ -19,6 +19,8 @@
 	// fleetInterval is the time between two checks for changed members. It is well below ratelimit.ParticipationDelay, in
 	// which this node has to count a newcomer.
 	fleetInterval = 500 * time.Millisecond
+	// joiningInterval is this time while the node does not know the fleet yet, so that its first requests find pool nodes.
+	joiningInterval = 50 * time.Millisecond
 	// leavingSpends is the time for which a LEAVING node counts: it serves callers that are still connected.
 	leavingSpends = 10 * time.Second
 	// fleetListValid is the time for which the number of nodes listed in the store is a lower bound of the size of the fleet.
@@ -115,6 +117,9 @@
 		return false
 	}
 	v.next = now.Add(fleetInterval)
+	if !v.entitled {
+		v.next = now.Add(joiningInterval)
+	}
 	return true
 }
 
--- a/internal/ratelimit/account.go
+++ b/internal/ratelimit/account.go
@@ -17,6 +17,9 @@
 	// minRefusal and maxRefusal bound the time for which a node refuses requests of an account without asking the pool again.
 	minRefusal = 50 * time.Millisecond
 	maxRefusal = 250 * time.Millisecond
+	// minRetryAfter is the shortest time after which a refused caller should try again. Nodes that were refused tokens ask
+	// their pool node again only after about this time.
+	minRetryAfter = 100 * time.Millisecond
 )
 
 // lot is a number of tokens of one grant.
@@ -273,9 +276,10 @@
 	return a.capacity
 }
 
-// retryAfter returns the time until the account's own rate allows the next request, at least one interval of the rate.
+// retryAfter returns the time until the account's own rate allows the next request, at least one interval of the rate and
+// minRetryAfter.
 func (a *account) retryAfter(now int64) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return max(time.Duration(a.nextToken-now), time.Duration(float64(time.Second)/a.limit.Rate))
+	return max(time.Duration(a.nextToken-now), time.Duration(float64(time.Second)/a.limit.Rate), minRetryAfter)
 }
