--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"dandelionspoke/internal/httpconn"
 	"dandelionspoke/internal/metrics"
 	"dandelionspoke/internal/peer"
+	"dandelionspoke/internal/ratelimit"
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
@@ -73,6 +74,8 @@
 	// FleetRank returns the rank of this node among the members of the fleet, from 0, and false while it knows no other
 	// member. Nodes with successive ranks start split routes at successive positions. If nil, the rank is unknown.
 	FleetRank func() (rank int, ok bool)
+	// Limits holds the rate limits of the accounts. If nil, there are none.
+	Limits *ratelimit.Limiter
 }
 
 // Counters are totals since the start. They are safe for concurrent use.
@@ -184,6 +187,7 @@
 		return err
 	}
 	err = in.serveParsed(w, r, q)
+	in.returnTokenAfter(q, err)
 	in.accountRefusals.record(q, err)
 	in.logRequestEnd(r.Context(), q, err)
 	return err
@@ -193,6 +197,9 @@
 	if err := in.selectAccount(q); err != nil {
 		return err
 	}
+	if err := in.takeToken(r.Context(), q); err != nil {
+		return err
+	}
 	in.awaitEndpoints(r.Context(), q)
 	if q.service == nil {
 		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "service %s has no endpoint", q.serviceName)
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -9,6 +9,7 @@
 	"dandelionspoke/internal/engine"
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/objectstore"
+	"dandelionspoke/internal/ratelimit"
 	"dandelionspoke/internal/wire"
 )
 
@@ -60,6 +61,7 @@
 	GateLoad      *wire.Load             `json:"gate_load"`
 	GateAccounts  gate.AccountCounts     `json:"gate_accounts"`
 	Bundle        admin.BundleStatus     `json:"bundle"`
+	RateLimits    *ratelimit.State       `json:"rate_limits,omitempty"`
 	Accounts      accountState           `json:"accounts"`
 	Metrics       map[string]int64       `json:"metrics"`
 	Engine        engine.State           `json:"engine"`
@@ -71,7 +73,7 @@
 	return Dump{
 		NodeID: n.settings.NodeID, UptimeSeconds: n.uptime().Seconds(), Addresses: n.addresses,
 		Draining: n.draining.Load(), StoreReader: n.isStoreReader.Load(), Backend: backend, GateLoad: n.gate.Load(), GateAccounts: n.gate.AccountCounts(),
-		Bundle: n.BundleStatus(), Accounts: n.accountState(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
+		Bundle: n.BundleStatus(), RateLimits: n.rateLimitState(), Accounts: n.accountState(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
 	}
 }
 
@@ -112,6 +114,7 @@
 		m["probe_messages"], m["probe_bytes"] = int64(p.Messages), int64(p.Bytes)
 		m["probe_link_messages"], m["probe_link_bytes"] = int64(p.LinkMessages), int64(p.LinkBytes)
 	}
+	n.addRateLimitMetrics(m)
 	n.addAccountMetrics(m)
 	n.addSharingMetrics(m)
 	for name, value := range n.engine.Counters().Map() {
