Recognize a second copy of an answer over the native protocol

Cause: backend servers of the native protocol got no identifier of a request, so that a second copy of a response, sent when the next request is on the connection, counted as the response to that.

Change: each attempt carries Dandelionspoke-Attempt-Id. A response, also to a load probe, that names another attempt is none; the attempt fails as may-have-run and its connection ends. Servers may leave the header out, and are then served as before. The gate removes it from responses. The backend server of the tests and the demo repeats it. gate.RequestContext gains AttemptID.

--- a/internal/backendtest/handler.go
+++ b/internal/backendtest/handler.go
@@ -16,6 +16,7 @@
 // Headers that nodes and the server exchange.
 const (
 	deadlineHeader      = "Dandelionspoke-Deadline-Ms"
+	attemptIDHeader     = "Dandelionspoke-Attempt-Id" // repeated in the response
 	contextHeaderPrefix = "Dandelionspoke-"
 	// backendRefusalHeader marks a 503 response with which the server states that it did not run the request.
 	backendRefusalHeader = "Dandelionspoke-Backend-Refused"
@@ -35,6 +36,9 @@
 	case RunsPath:
 		s.opts.Log.ServeHTTP(w, r)
 	default:
+		if id := r.Header.Get(attemptIDHeader); id != "" {
+			w.Header().Set(attemptIDHeader, id)
+		}
 		s.serveWork(inst, w, r)
 	}
 }
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"io"
 	"net"
 	"net/http"
@@ -114,7 +115,7 @@
 	for _, h := range c.head.Headers {
 		req.Header[h.Name] = h.All()
 	}
-	requestContext := RequestContext{Endpoint: backend.ID, Depth: int(c.head.Depth) + 1, Priority: int(c.head.Priority)}
+	requestContext := RequestContext{Endpoint: backend.ID, Depth: int(c.head.Depth) + 1, Priority: int(c.head.Priority), AttemptID: hex.EncodeToString(c.id[:])}
 	if deadline, ok := ctx.Deadline(); ok {
 		requestContext.Remaining = max(time.Until(deadline), time.Millisecond)
 	}
--- a/internal/gate/load.go
+++ b/internal/gate/load.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math"
@@ -163,7 +164,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	if id := g.protocol.RequestID(HeadersToWire(resp.Header)); id != "" {
+	if id := cmp.Or(g.protocol.RequestID(HeadersToWire(resp.Header)), resp.Header.Get(attemptIDHeader)); id != "" {
 		g.logger.Info("backend load probe failed", "event", "load_probe_failed", "address", address, "error", "the answer is to request "+id)
 		return
 	}
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -31,6 +31,8 @@
 	Priority int
 	// Account is the name of the client account; empty for a request without one.
 	Account string
+	// AttemptID identifies the attempt; no other attempt has the same.
+	AttemptID string
 }
 
 // ResponseInfo is the information that the gate takes from the head of a response.
@@ -61,13 +63,26 @@
 	}
 	h.Set("Dandelionspoke-Depth", strconv.Itoa(r.Depth))
 	h.Set("Dandelionspoke-Priority", strconv.Itoa(r.Priority))
+	h.Set(attemptIDHeader, r.AttemptID)
 }
 
+// attemptIDHeader identifies an attempt. A backend server may repeat it in its response. A second copy of a response, sent on
+// a connection that is in use again, can be told from the response to the next request only by it.
+const attemptIDHeader = "Dandelionspoke-Attempt-Id"
+
 // backendRefusalHeader marks a 503 response in which the backend server itself states that it has not run the request.
 const backendRefusalHeader = "Dandelionspoke-Backend-Refused"
 
-// Read implements Protocol.
-func (nativeProtocol) Read(_ http.Header, resp *http.Response) ResponseInfo {
+// Read implements Protocol. It removes the identifier of the attempt from the response: a caller that is itself a backend
+// server might pass it on in its own response, in which it would be that of another attempt.
+func (nativeProtocol) Read(sent http.Header, resp *http.Response) ResponseInfo {
+	ids := resp.Header.Values(attemptIDHeader)
+	resp.Header.Del(attemptIDHeader)
+	for _, id := range ids {
+		if id != sent.Get(attemptIDHeader) {
+			return ResponseInfo{MismatchReason: "it names another attempt"}
+		}
+	}
 	return ResponseInfo{
 		NotRun: resp.StatusCode == http.StatusServiceUnavailable &&
 			verdict.Parse(resp.Header.Get(verdict.Header)) == verdict.NotRun && resp.Header.Get(backendRefusalHeader) != "",
