Evacuate failure domains on the operators' request

Cause: operators had no means to keep requests away from the backend servers of a whole failure domain.

Change: the existence of the store key evacuations/DOMAIN requests an evacuation. Store readers list the prefix at each change and every half of evacuation.within; the set with its position in the store spreads by gossip and full-state exchanges. A node that has just started keeps its gate closed until a peer or the store has stated the set. Evacuations that a restored store lacks are written again. Command line, administration API, dump, metrics and log lines show and change the state. Off without evacuation.within.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,13 +1,19 @@
-// Package admin implements a node's administration API: health, metrics, state dump, drain and bundle status, as JSON
+// Package admin implements a node's administration API: health, metrics, state dump, drain, evacuations and bundle status, as JSON
 // over HTTP.
 package admin
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"expvar"
 	"net/http"
 	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionspoke/internal/evacuation"
 )
 
 // Health is the response body of GET /v1/health, POST /v1/drain and POST /v1/undrain.
@@ -28,6 +34,36 @@
 	Nodes map[string]uint64 `json:"nodes"`
 }
 
+// Evacuations is the response body of GET /v1/evacuations, and of PUT and DELETE /v1/evacuations/DOMAIN.
+type Evacuations struct {
+	Enabled bool `json:"enabled"`
+	// Known is false while the node has not learned the set from the store or another node.
+	Known bool `json:"known"`
+	evacuation.Set
+	// Here is "evacuated" if the node's own failure domain is, "unknown" while the gate waits for the set, else "none".
+	Here string `json:"here"`
+}
+
+// evacuationTimeout limits the time for which a request waits for the store.
+const evacuationTimeout = 5 * time.Second
+
+// handleEvacuation returns the handler that requests or ends the evacuation of the domain in the path.
+func handleEvacuation(n Node, evacuated bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), evacuationTimeout)
+		defer cancel()
+		err := n.SetEvacuated(ctx, r.PathValue("domain"), evacuated)
+		switch {
+		case err == nil:
+			writeJSON(w, http.StatusOK, n.Evacuations())
+		case errors.Is(err, evacuation.ErrInvalid):
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		default:
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	}
+}
+
 // Node is the interface of the node that the administration API serves. Its methods must be safe for concurrent use.
 type Node interface {
 	Health() Health
@@ -39,6 +75,9 @@
 	// SetLeaving starts the drain of the node, which then refuses new work, or ends the drain. It does not end the
 	// process.
 	SetLeaving(leaving bool)
+	Evacuations() Evacuations
+	// SetEvacuated requests or ends the evacuation of a failure domain. It returns nil once the store has acknowledged it.
+	SetEvacuated(ctx context.Context, domain string, evacuated bool) error
 }
 
 // New returns the handler of the admin listener. If token is not empty, each request must carry it as a bearer token.
@@ -66,6 +105,11 @@
 		n.SetLeaving(false)
 		writeJSON(w, http.StatusOK, n.Health())
 	})
+	mux.HandleFunc("GET /v1/evacuations", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, n.Evacuations())
+	})
+	mux.HandleFunc("PUT /v1/evacuations/{domain}", handleEvacuation(n, true))
+	mux.HandleFunc("DELETE /v1/evacuations/{domain}", handleEvacuation(n, false))
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, r *http.Request) { serveVars(w, n) })
 	return authenticate(mux, token)
 }
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"dandelionspoke/internal/evacuation"
 	"dandelionspoke/internal/membership"
 	"dandelionspoke/internal/system"
 	"dandelionspoke/internal/table"
@@ -33,6 +34,7 @@
 func (discardOutput) NewerBundle(uint64, string)            {}
 func (discardOutput) Changed(_, _ *wire.Member)             {}
 func (discardOutput) OwnDepartures([]*wire.Departure, bool) {}
+func (discardOutput) EvacuationsChanged(evacuation.Set)     {}
 func (discardOutput) Quarantined([]*wire.QuarantineEntry)   {}
 func (discardOutput) Sync(string, *wire.SyncRequest)        {}
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 	Node       nodeCommand       `cmd:"" help:"Run a node on the VM of a backend server."`
 	Check      checkCommand      `cmd:"" help:"Check a settings or bundle file and print each error in it."`
 	Bundle     bundleCommand     `cmd:"" help:"Sign, approve and roll out bundles."`
+	Evacuate   evacuateCommand   `cmd:"" help:"Send no more requests to the backend servers of a failure domain, or end that."`
 	Dump       dumpCommand       `cmd:"" help:"Print the state of a node as JSON."`
 	Demo       demoCommand       `cmd:"" help:"Run nodes, backend servers and callers on loopback in one process and print the callers' results."`
 	Version    versionCommand    `cmd:"" help:"Print the version and build information."`
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -117,6 +117,40 @@
 	}
 }
 
+// Guards against an evacuation that is reported although the store or the node has not accepted it, or that does not end.
+func TestEvacuate(t *testing.T) {
+	store := objectstoretest.New()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/evacuations/oslo-a" || r.Method != http.MethodPut {
+			http.Error(w, "no access to the store", http.StatusServiceUnavailable)
+		}
+	}))
+	defer node.Close()
+	address := strings.TrimPrefix(node.URL, "http://")
+	for _, step := range []struct {
+		args  []string
+		code  int
+		count int
+	}{
+		{[]string{"evacuate", "oslo-a"}, ExitUsage, 0},
+		{[]string{"evacuate", "a/b", "--store", server.URL}, ExitFailed, 0},
+		{[]string{"evacuate", "oslo-a", "--store", server.URL}, ExitOK, 1},
+		{[]string{"evacuate", "oslo-a", "--store", server.URL}, ExitOK, 1},
+		{[]string{"evacuate", "oslo-a", "--end", "--store", server.URL}, ExitOK, 0},
+		{[]string{"evacuate", "oslo-a", "--end", "--store", server.URL}, ExitOK, 0},
+		{[]string{"evacuate", "oslo-a", "--admin", address}, ExitOK, 0},
+		{[]string{"evacuate", "oslo-a", "--end", "--admin", address}, ExitFailed, 0},
+	} {
+		code, out, errText := runCommand(t, step.args...)
+		objects, err := store.List(t.Context(), "evacuations/")
+		if code != step.code || err != nil || len(objects) != step.count {
+			t.Errorf("%v: exit code %d, want %d; %d objects, want %d, %v\n%s%s", step.args, code, step.code, len(objects), step.count, err, out, errText)
+		}
+	}
+}
+
 // Guards against a rollout that ignores the expected version, the approval, or a concurrent rollout that came first.
 func TestBundleCommands(t *testing.T) {
 	server := httptest.NewServer(objectstoretest.New())
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/evacuation"
 	"dandelionspoke/internal/membership"
 	"dandelionspoke/internal/wire"
 )
@@ -63,6 +64,22 @@
 	})
 }
 
+// SetEvacuations merges the set of evacuated failure domains that was read from the store, and sends it to other nodes if it
+// has changed.
+func (e *Engine) SetEvacuations(set evacuation.Set) {
+	e.update(func(now time.Time) {
+		e.node.SetEvacuations(now, set)
+		e.publish(now)
+	})
+}
+
+// Evacuations returns the newest set of evacuated failure domains that this node knows.
+func (e *Engine) Evacuations() evacuation.Set {
+	var set evacuation.Set
+	e.view(func(node *membership.Node) { set, _ = node.Evacuations() })
+	return set
+}
+
 // Merge merges member records from the store or from a peer into the member table.
 func (e *Engine) Merge(members []*wire.Member) {
 	e.update(func(now time.Time) { e.node.Merge(now, members) })
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/evacuation"
 	"dandelionspoke/internal/membership"
 	"dandelionspoke/internal/system"
 	"dandelionspoke/internal/table"
@@ -62,6 +63,7 @@
 	PingInterval          time.Duration // time between two pings
 	SyncInterval          time.Duration // time between two anti-entropy exchanges
 	BytesPerSecond        int           // budget for sent datagrams, including IP and UDP headers
+	Evacuations           bool          // keep and spread the set of evacuated failure domains
 	Logger                *slog.Logger  // nil discards log lines
 }
 
@@ -79,6 +81,8 @@
 	// OnOwnDepartures receives departures of backend servers on this node's VM that another node knows. known states that
 	// it knows all that earlier processes of this node have acknowledged.
 	OnOwnDepartures func(departures []*wire.Departure, known bool)
+	// OnEvacuations receives each changed set of evacuated failure domains, and the first one that is known.
+	OnEvacuations func(evacuation.Set)
 	// OnQuarantine receives new and changed quarantine entries.
 	OnQuarantine func([]*wire.QuarantineEntry)
 	// SyncWith exchanges full state with a peer and passes the reply to HandleSyncReply. It runs on its
@@ -113,8 +117,9 @@
 	pendingHooks     []func() // hooks to call after mu is released
 	bundle           *bundle.Bundle
 	snapshot         *table.Snapshot
-	publishedVersion uint64 // Node.Version at the build of the snapshot
-	bundleChanged    bool   // the snapshot does not contain the bundle in force yet
+	publishedVersion uint64         // Node.Version at the build of the snapshot
+	evacuated        evacuation.Set // at the build of the snapshot
+	bundleChanged    bool           // the snapshot does not contain the bundle in force yet
 	nextPublish      time.Time
 	probes           probeTable
 	changeLogLimiter *rate.Limiter
@@ -180,6 +185,7 @@
 		NodeID: e.cfg.NodeID, UDPAddr: advertised, PeerAddr: e.cfg.AdvertisePeer,
 		FailureDomain: e.cfg.FailureDomain, Region: e.cfg.Region, StoreAccess: e.cfg.StoreAccess,
 		Period: e.cfg.PingInterval, SyncInterval: e.cfg.SyncInterval, BytesPerSecond: e.cfg.BytesPerSecond,
+		Evacuations: e.cfg.Evacuations,
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	node, err := membership.NewNode(c, now, rng, (*output)(e), &e.counters)
@@ -280,7 +286,12 @@
 	if e.snapshot != nil {
 		version = e.snapshot.Version + 1
 	}
-	e.snapshot = system.BuildSnapshot(version, self, e.node.Records(), e.bundle, e.snapshot, now, e.hooks.Subset)
+	evacuated, _ := e.node.Evacuations()
+	prev := e.snapshot
+	e.snapshot = system.BuildSnapshot(version, self, system.OutsideOf(evacuated, e.node.Records()), e.bundle, prev, now, e.hooks.Subset)
+	system.Retire(prev, evacuated)
+	system.Readmit(e.snapshot, prev, e.evacuated, now)
+	e.evacuated = evacuated
 	e.publishedVersion = e.node.Version()
 	e.bundleChanged = false
 	e.publisher.Store(e.snapshot)
--- a/internal/engine/output.go
+++ b/internal/engine/output.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"dandelionspoke/internal/evacuation"
 	"dandelionspoke/internal/wire"
 )
 
@@ -35,6 +36,13 @@
 	}
 }
 
+// EvacuationsChanged implements membership.Output.
+func (o *output) EvacuationsChanged(set evacuation.Set) {
+	if hook := o.hooks.OnEvacuations; hook != nil {
+		o.pendingHooks = append(o.pendingHooks, func() { hook(set) })
+	}
+}
+
 // Sync implements membership.Output. It skips the exchange if maxConcurrentSyncs others are running; a later
 // periodic exchange transfers the same state.
 func (o *output) Sync(peerAddr string, request *wire.SyncRequest) {
--- a/internal/faulttest/store.go
+++ b/internal/faulttest/store.go
@@ -63,6 +63,14 @@
 	return a.Store.List(ctx, prefix)
 }
 
+// ListAt implements objectstore.PositionLister.
+func (a *storeAccess) ListAt(ctx context.Context, prefix string) ([]objectstore.Object, objectstore.Position, error) {
+	if _, err := a.check(); err != nil {
+		return nil, objectstore.Position{}, err
+	}
+	return a.Store.(objectstore.PositionLister).ListAt(ctx, prefix)
+}
+
 // Put implements objectstore.Store.
 func (a *storeAccess) Put(ctx context.Context, key string, value []byte, ifVersion int64) (objectstore.Object, error) {
 	if _, err := a.check(); err != nil {
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -47,6 +47,10 @@
 	}
 	reusable := false
 	defer func() { conn.release(reusable) }()
+	// The wait for a connection may have taken as long as its dial.
+	if err := c.gate.checkEvacuation(); err != nil {
+		return err
+	}
 	resp, err := conn.transport.RoundTrip(req)
 	if err != nil {
 		return c.roundTripError(ctx, backend, err, mayBeSent.Load())
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -45,6 +45,8 @@
 	Admitted, Queued, Refused, Ran, Broken, Canceled, Queries, Crashes, DuplicateAttempts, LoadProbes atomic.Int64
 	// Pauses counts the pauses of the process.
 	Pauses atomic.Int64
+	// RefusedEvacuated counts the refusals because of an evacuation.
+	RefusedEvacuated atomic.Int64
 }
 
 // Gate admits and forwards requests to one backend server. It is safe for concurrent use.
@@ -79,6 +81,7 @@
 	backendDraining      bool
 	drainCutoff          time.Time
 	backendDown          bool
+	evacuation           Evacuation
 	maxResponseKeepBytes int
 	slowness             *slownessTracker
 	pauses               pauseDetector
@@ -164,7 +167,7 @@
 			l.ServiceTimeUs = uint32(float64(l.ServiceTimeUs) * slowness)
 		}
 	}
-	l.Draining = l.Draining || g.draining || g.backendDraining || g.backendDown
+	l.Draining = l.Draining || g.draining || g.backendDraining || g.backendDown || g.evacuation != NotEvacuated
 	l.Generation = g.attempts.currentGeneration()
 	return l
 }
@@ -257,8 +260,11 @@
 	return g.awaitDecision(done, withdrawn, ticket, backend, decided)
 }
 
-// checkAccepting returns an error with verdict NotRun when the gate accepts no requests.
+// checkAccepting returns an error with verdict NotRun when the gate accepts no requests. It is called with mu held.
 func (g *Gate) checkAccepting(backend *Backend) error {
+	if err := g.evacuationError(); err != nil {
+		return err
+	}
 	switch {
 	case g.draining:
 		return verdict.New(verdict.NotRun, verdict.Draining, "the node is leaving")
@@ -294,6 +300,12 @@
 			g.releaseSlot(t, 0)
 			return g.admissionResult(t, b, false, verdict.Draining)
 		}
+		if !decision.Admitted {
+			if err := g.checkEvacuation(); err != nil {
+				g.Counters.Refused.Add(1)
+				return 0, nil, err
+			}
+		}
 		return g.admissionResult(t, b, decision.Admitted, decision.Reason)
 	case <-done:
 	case <-withdrawn:
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -71,7 +71,11 @@
 	// Reading in the background detects a caller that disconnects while the request waits for a slot.
 	go c.readRequest()
 
-	if err := c.checkRequest(); err != nil {
+	err := c.gate.checkEvacuation()
+	if err == nil {
+		err = c.checkRequest()
+	}
+	if err != nil {
 		c.finishRefused(err)
 		return
 	}
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
+	"dandelionspoke/internal/evacuation"
 	"dandelionspoke/internal/wire"
 )
 
@@ -61,6 +62,8 @@
 	SyncInterval              time.Duration
 	Retention                 time.Duration
 	BytesPerSecond            int
+	// Evacuations makes the node keep and spread the set of evacuated failure domains; otherwise it ignores the set.
+	Evacuations bool
 }
 
 func (c *Config) setDefaults() {
@@ -92,6 +95,8 @@
 	OwnDepartures(departures []*wire.Departure, known bool)
 	// Quarantined reports new or changed entries.
 	Quarantined([]*wire.QuarantineEntry)
+	// EvacuationsChanged reports a changed set of evacuated failure domains, and the first one that is known.
+	EvacuationsChanged(evacuation.Set)
 	// Sync requests a full-state exchange. The reply is passed to Node.HandleSyncReply.
 	Sync(peerAddr string, request *wire.SyncRequest)
 }
@@ -108,8 +113,12 @@
 	list       *memberList
 	gossip     *gossipQueue
 	quarantine *quarantine
-	detector   detector
-	budget     *rate.Limiter
+	// evacuations is the newest known set; evacuationsKnown is set once it has come from the store or another node.
+	evacuations      evacuation.Set
+	evacuationsKnown bool
+
+	detector detector
+	budget   *rate.Limiter
 
 	bundleVersion         uint64
 	bundleReportedAt      time.Time
@@ -324,6 +333,7 @@
 		d.Updates = append(d.Updates, e.record)
 		ownRecord = append(ownRecord, n.self)
 	}
+	n.attachEvacuations(d, proto.Size(&wire.Datagram{Updates: ownRecord}))
 	size := proto.Size(d) + proto.Size(&wire.Datagram{Updates: ownRecord})
 	if float64(size+ipUDPHeaderBytes) > tokens {
 		n.counters.OverBudget.Add(1)
@@ -398,6 +408,7 @@
 		n.apply(now, m, fromGossip)
 	}
 	n.addQuarantine(now, d.Quarantine)
+	n.mergeEvacuations(now, d.Evacuations)
 	n.reportNewerBundle(now, d, sender)
 	n.respond(now, d, sender)
 	return nil
--- a/internal/membership/node_test.go
+++ b/internal/membership/node_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"dandelionspoke/internal/evacuation"
 	"dandelionspoke/internal/wire"
 )
 
@@ -33,6 +34,7 @@
 func (r *recorder) NewerBundle(version uint64, _ string)     { r.bundles = append(r.bundles, version) }
 func (r *recorder) Changed(_, _ *wire.Member)                {}
 func (r *recorder) OwnDepartures([]*wire.Departure, bool)    {}
+func (r *recorder) EvacuationsChanged(evacuation.Set)        {}
 func (r *recorder) Quarantined([]*wire.QuarantineEntry)      {}
 func (r *recorder) Sync(_ string, request *wire.SyncRequest) { r.syncs = append(r.syncs, request) }
 
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -35,6 +35,7 @@
 		Quarantine:    n.quarantine.all(),
 		BundleVersion: n.bundleVersion,
 		Digests:       n.list.foldedDigests(digestCount(n.list.live)),
+		Evacuations:   n.evacuationsOnWire(),
 	}
 }
 
@@ -49,7 +50,8 @@
 		n.apply(now, m, source)
 	}
 	n.addQuarantine(now, request.GetQuarantine())
-	reply := &wire.SyncReply{Quarantine: n.quarantine.all(), BundleVersion: n.bundleVersion}
+	n.mergeEvacuations(now, request.GetEvacuations())
+	reply := &wire.SyncReply{Quarantine: n.quarantine.all(), BundleVersion: n.bundleVersion, Evacuations: n.evacuationsForReply()}
 	count := len(request.GetDigests())
 	if count == 0 || count > maxDigests || bits.OnesCount(uint(count)) != 1 {
 		return reply
@@ -92,6 +94,7 @@
 		n.apply(now, m, fromReply)
 	}
 	n.addQuarantine(now, reply.GetQuarantine())
+	n.mergeEvacuations(now, reply.GetEvacuations())
 	if newer := n.newerRecords(reply, remote); len(newer) > 0 {
 		n.out.Sync(peerAddr, &wire.SyncRequest{Members: newer, BundleVersion: n.bundleVersion})
 	}
--- a/internal/membershiptest/fleet.go
+++ b/internal/membershiptest/fleet.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"dandelionspoke/internal/evacuation"
 	"dandelionspoke/internal/membership"
 	"dandelionspoke/internal/wire"
 )
@@ -330,6 +331,9 @@
 // OwnDepartures implements membership.Output.
 func (h *Host) OwnDepartures([]*wire.Departure, bool) {}
 
+// EvacuationsChanged implements membership.Output.
+func (h *Host) EvacuationsChanged(evacuation.Set) {}
+
 // Quarantined implements membership.Output.
 func (h *Host) Quarantined(entries []*wire.QuarantineEntry) { h.QuarantineReports += len(entries) }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -58,6 +58,7 @@
 	Backend       *announce.Announcement `json:"backend"`
 	GateLoad      *wire.Load             `json:"gate_load"`
 	Bundle        admin.BundleStatus     `json:"bundle"`
+	Evacuations   admin.Evacuations      `json:"evacuations"`
 	Metrics       map[string]int64       `json:"metrics"`
 	Engine        engine.State           `json:"engine"`
 }
@@ -68,7 +69,7 @@
 	return Dump{
 		NodeID: n.settings.NodeID, UptimeSeconds: n.uptime().Seconds(), Addresses: n.addresses,
 		Draining: n.draining.Load(), StoreReader: n.isStoreReader.Load(), Backend: backend, GateLoad: n.gate.Load(),
-		Bundle: n.BundleStatus(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
+		Bundle: n.BundleStatus(), Evacuations: n.Evacuations(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
 	}
 }
 
@@ -96,6 +97,9 @@
 	}
 	serviceCounts := n.serviceBudgets.Counts()
 	m["retry_window_spent"], m["retry_window_denied"] = int64(serviceCounts.Spent), int64(serviceCounts.Denied)
+	if n.evacuationEnabled() {
+		n.addEvacuationMetrics(m)
+	}
 	if n.ingressListener != nil {
 		m["ingress_overlapping"] = n.ingressListener.PipelinedRequests.Load()
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -36,6 +36,7 @@
 	return engine.Config{
 		NodeID: s.NodeID, ListenUDP: listen, AdvertiseUDP: s.Gossip.Advertise, AdvertisePeer: s.Peer.Advertise,
 		FailureDomain: s.FailureDomain, Region: s.Region, StoreAccess: n.storeAccess(), Logger: n.logger,
+		Evacuations: n.evacuationEnabled(),
 	}
 }
 
@@ -46,6 +47,7 @@
 		OnNewerBundle:   func(version uint64, peerAddr string) { go n.fetchBundle(version, peerAddr) },
 		OnQuarantine:    func(entries []*wire.QuarantineEntry) { n.quarantine.Merge(entries, time.Now()) },
 		OnOwnDepartures: n.onOwnDepartures,
+		OnEvacuations:   n.onEvacuations,
 		SyncWith:        n.syncWith,
 		Subset:          subsetEndpoints,
 		OnTick:          n.onTick,
--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -179,13 +179,13 @@
 	return converted
 }
 
-// awaitDepartures ends the hold of heartbeats once the departures that earlier processes of this node acknowledged are known,
-// or after maxRestoreTime.
+// awaitDepartures ends the hold of heartbeats once the departures that earlier processes of this node acknowledged and the
+// evacuations are known, or after maxRestoreTime.
 func (n *Node) awaitDepartures() {
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
 	reading := n.store == nil
-	for !n.departuresKnown() && n.uptime() < maxRestoreTime {
+	for !(n.departuresKnown() && n.evacuationsKnown()) && n.uptime() < maxRestoreTime {
 		// A node that other nodes find before it joins reads no list.
 		if !reading && n.joinAttempted.Load() {
 			reading = true
@@ -195,6 +195,7 @@
 			return
 		}
 	}
+	n.endEvacuationWait()
 	known := n.departuresKnown()
 	n.logger.Info("heartbeats are applied", "event", "departures_restored", "after", n.uptime(), "known", known)
 	n.engine.AddDepartures(nil, true)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,6 +84,7 @@
 	isStoreReader  atomic.Bool // this node reads the store for its failure domain
 	joinAttempted  atomic.Bool // the first attempt to join other nodes has ended
 	departures     departureState
+	evacuation     evacuationState
 	// probePolicyVersion and probeRand are used only by the engine loop.
 	probePolicyVersion uint64
 	probeRand          *rand.Rand
@@ -168,6 +169,7 @@
 	n.registry.OnChange = n.onBackendChange
 	n.registry.OnDeparture = n.onDeparture
 	n.registry.StartRestore()
+	n.holdForEvacuations()
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget, ServiceBudgets: n.serviceBudgets,
 		Logger: n.logger, Protocol: n.adapter.CallerProtocol, Latency: n.metrics.Histogram("ingress_request_seconds"), Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
@@ -223,6 +225,9 @@
 		n.background(n.checkHealth)
 	}
 	if n.store != nil {
+		if n.evacuationEnabled() {
+			n.background(n.readEvacuations)
+		}
 		n.background(n.readFirstBundle)
 		n.background(n.followStore)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -49,6 +49,8 @@
 	nodes    []*node.Node
 	backends []*backendtest.Server
 	log      *backendtest.RunLog
+	// adjust changes the settings of each node before its start; nil changes nothing.
+	adjust func(*settings.Settings)
 }
 
 func newSigningKey(t *testing.T, name string) bundle.SigningKey {
@@ -82,6 +84,9 @@
 	if len(f.nodes) > 0 {
 		s.Seeds = []string{f.nodes[0].Addrs().Peer}
 	}
+	if f.adjust != nil {
+		f.adjust(&s)
+	}
 	n, err := node.New(node.Options{Settings: s, Store: store})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -69,6 +69,9 @@
 		n.background(func() { r.Run(ctx) })
 		n.background(func() { n.writeStatus(ctx) })
 		n.background(func() { n.maintainDomainMembers(ctx) })
+		if n.evacuationEnabled() {
+			n.background(func() { n.newEvacuationReader().Run(ctx) })
+		}
 	}
 }
 
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -127,6 +127,12 @@
 	return objects, err
 }
 
+// ListAt implements PositionLister.
+func (c *Client) ListAt(ctx context.Context, prefix string) ([]Object, Position, error) {
+	objects, revision, err := c.listAt(ctx, prefix)
+	return objects, Position{Revision: revision}, err
+}
+
 // listAt is like List, and also returns the value of the store's version counter at the time of the list.
 func (c *Client) listAt(ctx context.Context, prefix string) ([]Object, int64, error) {
 	target := c.base.JoinPath(ObjectsPath)
--- a/internal/objectstore/store.go
+++ b/internal/objectstore/store.go
@@ -77,6 +77,18 @@
 	SkippedEntries() int64
 }
 
+// Position is a point in the history of a store. Positions are ordered by Generation, then Revision.
+type Position struct {
+	Generation uint64 // as in Object
+	Revision   int64  // value of the store's version counter
+}
+
+// PositionLister is implemented by stores that state the position at which a list was taken.
+type PositionLister interface {
+	// ListAt is like Store.List and also returns the position of the list.
+	ListAt(ctx context.Context, prefix string) ([]Object, Position, error)
+}
+
 // StaleReader is implemented by stores that can also read from a replica, which costs the store less than Get.
 type StaleReader interface {
 	// GetStale returns the object, which may be several seconds out of date, or ErrNotFound.
--- a/internal/objectstoretest/store.go
+++ b/internal/objectstoretest/store.go
@@ -62,6 +62,12 @@
 	return objects, err
 }
 
+// ListAt implements objectstore.PositionLister.
+func (s *Store) ListAt(ctx context.Context, prefix string) ([]objectstore.Object, objectstore.Position, error) {
+	objects, revision, err := s.listAt(ctx, prefix)
+	return objects, objectstore.Position{Revision: revision}, err
+}
+
 func (s *Store) listAt(ctx context.Context, prefix string) ([]objectstore.Object, int64, error) {
 	if err := s.beginCall(ctx, &s.counts.List); err != nil {
 		return nil, 0, err
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -173,7 +173,7 @@
 // drains.
 func (a Attempt) endpointUnavailable() bool {
 	switch a.Reason {
-	case verdict.Draining, verdict.WrongGate, verdict.BackendDown, verdict.PeerUnreachable, verdict.AttemptRefused:
+	case verdict.Draining, verdict.WrongGate, verdict.BackendDown, verdict.PeerUnreachable, verdict.AttemptRefused, verdict.Evacuated:
 		return a.Verdict == verdict.NotRun
 	}
 	return false
@@ -208,7 +208,7 @@
 // sending it to another endpoint adds no load to the service.
 func (a Attempt) refusedAtGate() bool {
 	switch a.Reason {
-	case verdict.Draining, verdict.WrongGate, verdict.BackendDown, verdict.PeerUnreachable:
+	case verdict.Draining, verdict.WrongGate, verdict.BackendDown, verdict.PeerUnreachable, verdict.Evacuated:
 		return a.Verdict == verdict.NotRun
 	}
 	return a.gateFull()
