Limit the requests to cold backend servers by rate

Cause: a backend server tolerates few requests per second for some time after its start, or when it turns cold later, and crashes well above that. The slow start by time, which each ingress applies on its own, does not bound what all of them send together.

Change: the gate forwards to a cold backend server at the service's ramp_per_second, and never more than the settings permit in any second (internal/slowstart). Heartbeats and health responses state the remaining slow start; a new process, and any beside a node that has just started, is cold until it states 0. Load probes notice one that turns cold. Load reports carry the remaining time and the rate, by which the choice weighs cold endpoints. Refusals have the reason slow-start, state when there is room, and count as moves. Off without ramp_per_second or slow_start.tolerance.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -62,6 +62,22 @@
 	// Sequence orders the heartbeats of one incarnation.
 	Sequence uint64
 	Draining bool
+	// SlowStart is the remaining slow start at the time of receipt; 0 means that the backend server is warm, nil that the
+	// heartbeat does not state it.
+	SlowStart *time.Duration
+}
+
+// MaxSlowStart limits the slow start that a heartbeat may state.
+const MaxSlowStart = 10 * time.Minute
+
+// SlowStartOf returns the slow start of a heartbeat that states it in milliseconds, at most MaxSlowStart. It returns nil if ms
+// is nil or negative.
+func SlowStartOf(ms *int64) *time.Duration {
+	if ms == nil || *ms < 0 {
+		return nil
+	}
+	remaining := time.Duration(min(*ms, MaxSlowStart.Milliseconds())) * time.Millisecond
+	return &remaining
 }
 
 // Outcome is the result of a heartbeat.
@@ -114,6 +130,10 @@
 	// It may block for a short time. Set it before the first heartbeat; nil disables the call.
 	OnDeparture func(Departure)
 
+	// OnSlowStart is called for each applied heartbeat that states its slow start, after OnChange. received is the time of its
+	// receipt. Set it before the first heartbeat; nil disables the call.
+	OnSlowStart func(id string, incarnation int64, remaining time.Duration, received time.Time)
+
 	changeMu      sync.Mutex // held during a change and its OnChange call, so that OnChange sees the changes in order
 	lastHeartbeat time.Time  // guarded by changeMu
 
@@ -126,6 +146,7 @@
 	// restoring is set until the departures from before the start of the node are known. Guarded by changeMu.
 	restoring bool
 	held      *Heartbeat // newest heartbeat received while restoring; guarded by changeMu
+	heldAt    time.Time  // receipt of held; guarded by changeMu
 }
 
 // Departure identifies a process of a backend server that has announced that it leaves.
@@ -194,7 +215,7 @@
 	defer r.changeMu.Unlock()
 	r.restoring = false
 	if r.held != nil && known {
-		r.applyLocked(*r.held, now)
+		r.applyLocked(*r.held, now, r.heldAt)
 	}
 	r.held = nil
 }
@@ -231,10 +252,10 @@
 	r.changeMu.Lock()
 	if r.restoring && !heartbeat.Draining && heartbeat.Incarnation != 0 {
 		defer r.changeMu.Unlock()
-		return r.hold(heartbeat)
+		return r.hold(heartbeat, now)
 	}
 	wasDraining := r.state.draining && r.state.incarnation == heartbeat.Incarnation
-	outcome := r.applyLocked(heartbeat, now)
+	outcome := r.applyLocked(heartbeat, now, now)
 	r.changeMu.Unlock()
 	if outcome == Accepted && heartbeat.Draining && heartbeat.Incarnation != 0 && !wasDraining && r.OnDeparture != nil {
 		r.OnDeparture(Departure{ID: heartbeat.ID, Incarnation: heartbeat.Incarnation})
@@ -243,7 +264,7 @@
 }
 
 // hold keeps the newest heartbeat until EndRestore. changeMu must be held.
-func (r *Registry) hold(heartbeat Heartbeat) Outcome {
+func (r *Registry) hold(heartbeat Heartbeat, now time.Time) Outcome {
 	if r.hasDeparted(heartbeat) {
 		return Stale
 	}
@@ -251,12 +272,12 @@
 		heartbeat.Incarnation == h.Incarnation && heartbeat.Sequence < h.Sequence) {
 		return Stale
 	}
-	r.held = &heartbeat
+	r.held, r.heldAt = &heartbeat, now
 	return Held
 }
 
-// applyLocked applies a heartbeat to the state. changeMu must be held.
-func (r *Registry) applyLocked(heartbeat Heartbeat, now time.Time) Outcome {
+// applyLocked applies a heartbeat, received at the given time, to the state. changeMu must be held.
+func (r *Registry) applyLocked(heartbeat Heartbeat, now, received time.Time) Outcome {
 	if r.hasDeparted(heartbeat) {
 		return Stale
 	}
@@ -266,6 +287,9 @@
 	}
 	r.lastHeartbeat = now
 	r.setState(next, outcome == Accepted)
+	if heartbeat.SlowStart != nil && r.OnSlowStart != nil {
+		r.OnSlowStart(heartbeat.ID, heartbeat.Incarnation, *heartbeat.SlowStart, received)
+	}
 	return outcome
 }
 
@@ -349,10 +373,15 @@
 }
 
 func (r *Registry) handleAnnounce(w http.ResponseWriter, req *http.Request) {
-	a := &Announcement{}
+	var body struct {
+		Announcement
+		// SlowStartMs is the remaining slow start in milliseconds. It is needed for services with a ramp.
+		SlowStartMs *int64 `json:"slow_start_ms"`
+	}
+	a := &body.Announcement
 	decoder := json.NewDecoder(io.LimitReader(req.Body, maxBodyBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(a); err != nil {
+	if err := decoder.Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -360,6 +389,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	r.HandleHeartbeat(Heartbeat{Announcement: *a}, time.Now())
+	if body.SlowStartMs != nil && *body.SlowStartMs < 0 {
+		http.Error(w, "slow_start_ms: 0 or more is allowed", http.StatusBadRequest)
+		return
+	}
+	r.HandleHeartbeat(Heartbeat{Announcement: *a, SlowStart: SlowStartOf(body.SlowStartMs)}, time.Now())
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -47,6 +47,9 @@
 	failing        bool    // the last results were failures
 	refusing       bool    // its gate refuses many requests
 	trialDue       bool    // its ejection time has passed and no trial request is in flight
+	cold           bool    // its backend server is cold
+	coldCapacity   float64 // requests that a cold backend server can run at a time
+	coldSkip       bool    // passed over in this draw because its backend server is cold
 	slowStartSkip  bool    // in slow start and skipped in this draw
 }
 
--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -63,6 +63,8 @@
 	s.ReportedServiceTimeNanos.Store(int64(load.ServiceTimeUs) * int64(time.Microsecond))
 	s.RequestsSinceReport.Store(0)
 	s.Draining.Store(load.Draining)
+	s.RampMilli.Store(int64(load.RampMilli))
+	s.ColdUntil.Store(now + int64(load.SlowStartMs)*int64(time.Millisecond))
 	s.ReportedAt.Store(now)
 }
 
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -106,6 +106,7 @@
 		c := &s.candidates[k]
 		e := svc.Endpoints[c.index]
 		c.readStats(now, e, slots, long)
+		c.limitToRamp(now, rng, e.Stats)
 		c.slowStartSkip = skipForSlowStart(now, rng, svc, e.Stats)
 	}
 	prior := s.meanOthersInFlight()
@@ -113,7 +114,10 @@
 	for k := range s.n {
 		c := &s.candidates[k]
 		e := svc.Endpoints[c.index]
-		c.load = (c.ownInFlight + c.estimateOthersInFlight(e.Stats, prior) + 1) / c.slots
+		c.load = (c.ownInFlight + c.estimateOthersInFlight(e.Stats, c.othersPrior(prior)) + 1) / c.slots
+		if c.coldSkip {
+			c.load = max(c.load, coldLoad)
+		}
 		c.latency = estimateLatency(e.Stats, now, lowest)
 		if e.Stats.LatencyNanos.Load() == 0 {
 			c.latency += networkLatency
@@ -171,6 +175,9 @@
 func (s *sample) meanOthersInFlight() float64 {
 	sum, weight := 0.0, 0.0
 	for k := range s.n {
+		if s.candidates[k].cold {
+			continue
+		}
 		sum += s.candidates[k].othersInFlight * s.candidates[k].reportWeight
 		weight += s.candidates[k].reportWeight
 	}
--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -103,6 +103,7 @@
 	checkRange(v, parent, "queue_short", s.QueueShort, 1, maxCount)
 	checkRange(v, parent, "queue_long", s.QueueLong, 1, maxCount)
 	v.checkDuration(parent, "slow_start", s.SlowStart, time.Millisecond, maxDuration)
+	checkRange(v, parent, "ramp_per_second", s.RampPerSecond, 0, maxRate)
 	checkRange(v, parent, "far_bias", s.FarBias, 1, maxRate)
 	v.require(s.LoadPath == "" || s.LoadPath[0] == '/', parent, "load_path", `a path that starts with "/", or none`, "%q", s.LoadPath)
 }
--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -61,6 +61,8 @@
 	FailureRateMilli    int32  `json:"failure_rate_milli"`
 	EjectedUntilNano    int64  `json:"ejected_until_unix_ns"`
 	AdmittedAtNano      int64  `json:"admitted_at_unix_ns"`
+	ColdUntilNano       int64  `json:"cold_until_unix_ns"`
+	RampMilli           int64  `json:"ramp_milli"`
 	Draining            bool   `json:"draining"`
 	Suspect             bool   `json:"suspect"`
 }
@@ -143,6 +145,8 @@
 		FailureRateMilli:    s.FailureRateMilli.Load(),
 		EjectedUntilNano:    s.EjectedUntil.Load(),
 		AdmittedAtNano:      s.AdmittedAt.Load(),
+		ColdUntilNano:       s.ColdUntil.Load(),
+		RampMilli:           s.RampMilli.Load(),
 		Draining:            s.Draining.Load(),
 		Suspect:             s.Suspect.Load(),
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -51,8 +51,17 @@
 	if err := c.gate.checkEvacuation(); err != nil {
 		return err
 	}
+	sentAt, err := c.gate.recordSend()
+	if err != nil {
+		reusable = true // nothing has been sent
+		return err
+	}
+	c.sent = true
 	resp, err := conn.transport.RoundTrip(req)
 	if err != nil {
+		if !mayBeSent.Load() {
+			c.gate.cancelSend(sentAt)
+		}
 		return c.roundTripError(ctx, backend, err, mayBeSent.Load())
 	}
 	defer resp.Body.Close()
@@ -63,6 +72,7 @@
 	case info.MismatchReason != "":
 		return verdict.New(verdict.MayHaveRun, verdict.BackendBroken, "the answer is not to this request: %s", info.MismatchReason)
 	case info.OtherInstance:
+		c.gate.cancelSend(sentAt)
 		reusable = info.Identified && conn.recordRefusal(requestID) && drained(resp)
 		return verdict.New(verdict.NotRun, verdict.WrongGate, "another backend server has the address %s", backend.Address)
 	case info.NotRun:
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,6 +12,7 @@
 	"dandelionspoke/internal/admission"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/metrics"
+	"dandelionspoke/internal/slowstart"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
 )
@@ -47,6 +48,8 @@
 	Pauses atomic.Int64
 	// RefusedEvacuated counts the refusals because of an evacuation.
 	RefusedEvacuated atomic.Int64
+	// RefusedSlowStart counts the refusals because the backend server is cold, SlowStarts how often it was found cold.
+	RefusedSlowStart, SlowStarts atomic.Int64
 }
 
 // Gate admits and forwards requests to one backend server. It is safe for concurrent use.
@@ -82,6 +85,7 @@
 	drainCutoff          time.Time
 	backendDown          bool
 	evacuation           Evacuation
+	slowStart            slowStart
 	maxResponseKeepBytes int
 	slowness             *slownessTracker
 	pauses               pauseDetector
@@ -97,6 +101,7 @@
 		attempts: newAttemptHistory(time.Now(), time.Minute),
 		waiters:  make(map[admission.Ticket]chan admission.Decision),
 	}
+	g.slowStart.ramp = slowstart.New()
 	g.connections.Store(newConnectionPool(0, defaultMaxResponseHeaderBytes))
 	return g
 }
@@ -118,8 +123,10 @@
 	if !g.backend.isServer(b) {
 		g.withdrawWaiting(0)
 	}
+	previous := g.backend
 	g.backend = b
 	g.backendDown = false
+	g.restartSlowStartLocked(previous, b)
 }
 
 // isServer reports whether both are the same backend server, also after a restart under the same ID and address.
@@ -146,6 +153,7 @@
 		g.deliverDecisions(g.queue.SetLimits(time.Now(), limits))
 	}
 	g.slowness.configure(s.LoadPath, p.LoadProbesPerSecond)
+	g.configureSlowStartLocked(s)
 	g.maxResponseKeepBytes = p.MaxResponseKeepBytes
 	g.attempts.mu.Lock()
 	g.attempts.retention = p.AttemptMemory.D()
@@ -168,6 +176,7 @@
 		}
 	}
 	l.Draining = l.Draining || g.draining || g.backendDraining || g.backendDown || g.evacuation != NotEvacuated
+	g.addSlowStartLocked(l)
 	l.Generation = g.attempts.currentGeneration()
 	return l
 }
--- a/internal/gate/load.go
+++ b/internal/gate/load.go
@@ -173,4 +173,5 @@
 	info := g.protocol.Read(req.Header, resp)
 	reusable = !resp.Close && !info.NotRun
 	g.recordSlowness(info.Slowness)
+	g.recordSlowStart(address, info.SlowStart)
 }
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -46,6 +46,9 @@
 	MismatchReason string
 	// Slowness is the ratio of the backend server's current service time to its normal one; 0 if it reports none.
 	Slowness float64
+	// SlowStart is the remaining slow start that a response of the health path states; 0 means that the backend server is
+	// warm, nil that the response does not state it.
+	SlowStart *time.Duration
 }
 
 // nativeProtocol is the built-in protocol.
@@ -66,9 +69,27 @@
 // backendRefusalHeader marks a 503 response in which the backend server itself states that it has not run the request.
 const backendRefusalHeader = "Dandelionspoke-Backend-Refused"
 
+// slowStartHeader holds the remaining slow start of the backend server in milliseconds, in responses of the load path.
+const slowStartHeader = "Dandelionspoke-Slow-Start-Ms"
+
+// maxSlowStart limits the slow start that a backend server may state.
+const maxSlowStart = 10 * time.Minute
+
+// ParseSlowStart returns the remaining slow start that a header states in milliseconds, at most maxSlowStart, or nil if the
+// header is missing or malformed.
+func ParseSlowStart(text string) *time.Duration {
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 {
+		return nil
+	}
+	remaining := time.Duration(min(ms, maxSlowStart.Milliseconds())) * time.Millisecond
+	return &remaining
+}
+
 // Read implements Protocol.
 func (nativeProtocol) Read(_ http.Header, resp *http.Response) ResponseInfo {
 	return ResponseInfo{
+		SlowStart: ParseSlowStart(resp.Header.Get(slowStartHeader)),
 		NotRun: resp.StatusCode == http.StatusServiceUnavailable &&
 			verdict.Parse(resp.Header.Get(verdict.Header)) == verdict.NotRun && resp.Header.Get(backendRefusalHeader) != "",
 	}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -32,7 +32,8 @@
 	queueTime time.Duration // time spent waiting for a slot
 	// slowness of the backend server when the attempt was offered to the queue; 0 if unknown
 	slowness      float64
-	backendStatus int // status code of the backend server's response; 0 if there is none
+	backendStatus int  // status code of the backend server's response; 0 if there is none
+	sent          bool // the ramp of the backend server has recorded the request as sent
 }
 
 // Serve serves one attempt, whose head has already been read from conn, and writes the response or a refusal to conn.
@@ -83,6 +84,13 @@
 		c.finishRefused(verdict.New(verdict.NotRun, verdict.BackendDown, "the node was paused and the deadline may have passed"))
 		return
 	}
+	if b := c.gate.Backend(); b != nil {
+		c.gate.watchSlowStart(b)
+	}
+	if err := c.gate.reserveSend(); err != nil {
+		c.finishRefused(err)
+		return
+	}
 	offeredAt := time.Now()
 	if b := c.gate.Backend(); b != nil && (c.head.MaxWaitUs > 0 || c.head.HasObjective) {
 		c.slowness = c.gate.currentSlowness(ctx, b)
@@ -97,6 +105,7 @@
 		Objective: objective,
 	})
 	if err != nil {
+		c.gate.releaseSend()
 		c.finishRefused(err)
 		return
 	}
@@ -104,12 +113,16 @@
 	if !admittedAt.Before(deadline) {
 		// The process may have been paused while the request waited, and the timer of ctx is late.
 		c.gate.releaseSlot(ticket, 0)
+		c.gate.releaseSend()
 		c.finishRefused(verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline passed before the request was sent"))
 		return
 	}
 	c.queueTime = admittedAt.Sub(offeredAt)
 	c.gate.QueueTime.Record(c.queueTime)
 	err = c.forward(ctx, backend, c.body)
+	if !c.sent {
+		c.gate.releaseSend()
+	}
 	serviceTime := time.Since(admittedAt)
 	c.gate.ServiceTime.Record(serviceTime)
 	c.logForwarded(ctx, backend, serviceTime, err)
@@ -204,7 +217,7 @@
 	e := verdict.As(err)
 	load := c.gate.Load()
 	c.logRefused(e, load)
-	refusal := &wire.Refusal{Verdict: e.Verdict.Wire(), Reason: string(e.Reason), Detail: e.Detail, Load: load}
+	refusal := &wire.Refusal{Verdict: e.Verdict.Wire(), Reason: string(e.Reason), Detail: e.Detail, Load: load, WaitMs: waitMillis(e.Wait)}
 	_ = c.conn.Write(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: refusal}})
 }
 
--- /dev/null
+++ b/internal/gate/slowstart_test.go
@@ -0,0 +1,130 @@
+package gate
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dandelionspoke/internal/bundle"
+	"dandelionspoke/internal/settings"
+	"dandelionspoke/internal/verdict"
+	"dandelionspoke/internal/wire"
+)
+
+const testLoadPath = "/load"
+
+// rampServer is a backend server that states its slow start on testLoadPath.
+type rampServer struct {
+	runs, slowStartMs atomic.Int64
+}
+
+func (s *rampServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == testLoadPath {
+		w.Header().Set(slowStartHeader, strconv.FormatInt(s.slowStartMs.Load(), 10))
+		return
+	}
+	s.runs.Add(1)
+}
+
+// newRampGate returns a gate whose service tolerates 10 requests per second, 14 in any second, during a slow start.
+func newRampGate(t *testing.T, s *rampServer, loadPath string) *Gate {
+	t.Helper()
+	return newGateWithRamp(t, s, loadPath, settings.SlowStart{Tolerance: 1, Slack: 4})
+}
+
+func newGateWithRamp(t *testing.T, s *rampServer, loadPath string, slowStart settings.SlowStart) *Gate {
+	t.Helper()
+	g := newGate(t, s)
+	g.SetSlowStart(slowStart)
+	b := &bundle.Bundle{Services: map[string]bundle.Service{"katalog": {Slots: 8, RampPerSecond: 10, LoadPath: loadPath}}}
+	b.SetDefaults()
+	b.Policy.LoadProbesPerSecond = 30
+	g.SetLimits(b.Services["katalog"], b.Policy)
+	return g
+}
+
+// sendFor sends requests for the given time and returns how many ran and how many were refused for the slow start.
+func sendFor(t *testing.T, g *Gate, number *uint64, duration time.Duration) (ran, refused int64) {
+	t.Helper()
+	var answered, slow atomic.Int64
+	var wg sync.WaitGroup
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		*number++
+		conn := serveAttempt(t, g, requestHead(*number))
+		wg.Go(func() {
+			_ = conn.Write(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}})
+			for {
+				f, err := conn.Read()
+				switch r := f.GetRefusal(); {
+				case err != nil:
+					return
+				case r != nil:
+					if r.Reason == string(verdict.SlowStart) && r.Verdict == wire.Verdict_NOT_RUN && r.WaitMs > 0 && r.Load.SlowStartMs > 0 && r.Load.RampMilli > 0 {
+						slow.Add(1)
+					}
+					return
+				case f.GetEnd() != nil:
+					answered.Add(1)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return answered.Load(), slow.Load()
+}
+
+// Guards against a flood of a backend server that is cold when the node starts, that is warm when it starts and is limited
+// nonetheless, whose new process is taken for the warm one, or that turns cold in the middle of its life.
+func TestGateHoldsTheRamp(t *testing.T) {
+	const bound = 14
+	var number uint64
+	s := &rampServer{}
+	g := newRampGate(t, s, "")
+	if _, refused := sendFor(t, g, &number, 500*time.Millisecond); refused == 0 || s.runs.Load() > bound {
+		t.Errorf("unknown: %d runs, %d refused", s.runs.Load(), refused)
+	}
+	g.StateSlowStart("katalog-1", 0, 0, time.Now())
+	if ran, refused := sendFor(t, g, &number, 200*time.Millisecond); refused > 0 || ran < 50 {
+		t.Errorf("warm: %d runs, %d refused", ran, refused)
+	}
+	b := *g.Backend()
+	b.Incarnation = 7
+	g.SetBackend(&b)
+	g.StateSlowStart("katalog-1", 0, 0, time.Now())
+	if ran, refused := sendFor(t, g, &number, 500*time.Millisecond); refused == 0 || ran > bound {
+		t.Errorf("after a restart of the server: %d runs, %d refused", ran, refused)
+	}
+}
+
+// Guards against a backend server that turns cold without notice and gets requests at its usual rate until its next heartbeat.
+
+func TestGateNoticesAServerThatTurnsCold(t *testing.T) {
+	var number uint64
+	s := &rampServer{}
+	g := newRampGate(t, s, testLoadPath)
+	g.StateSlowStart("katalog-1", 0, 0, time.Now())
+	sendFor(t, g, &number, 200*time.Millisecond)
+	s.slowStartMs.Store(3000)
+	sendFor(t, g, &number, 2*slowStartProbeInterval)
+	before := s.runs.Load()
+	if _, refused := sendFor(t, g, &number, 800*time.Millisecond); refused == 0 || s.runs.Load()-before > 14 {
+		t.Errorf("%d runs after the change, %d refused", s.runs.Load()-before, refused)
+	}
+	if g.Counters.SlowStarts.Load() != 1 {
+		t.Errorf("%d slow starts counted, want 1", g.Counters.SlowStarts.Load())
+	}
+}
+
+// Guards against a ramp in deployments whose settings do not ask for one.
+func TestNoRampWithoutTheSetting(t *testing.T) {
+	var number uint64
+	s := &rampServer{}
+	g := newGateWithRamp(t, s, testLoadPath, settings.SlowStart{})
+	if ran, refused := sendFor(t, g, &number, 100*time.Millisecond); refused > 0 || ran < 20 || g.Load().RampMilli != 0 || g.Counters.LoadProbes.Load() > 0 {
+		t.Errorf("%d runs, %d refused", ran, refused)
+	}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -120,7 +120,15 @@
 		outcome = balance.Failed
 	}
 	resp.observation.end(outcome, r.Load)
-	return &verdict.Error{Verdict: v, Reason: verdict.Reason(r.Reason), Detail: r.Detail, Wait: expectedWait(r.Load)}
+	return &verdict.Error{Verdict: v, Reason: verdict.Reason(r.Reason), Detail: r.Detail, Wait: refusalWait(r)}
+}
+
+// refusalWait returns the time after which the gate expects room for the request, or 0 when it is not known.
+func refusalWait(r *wire.Refusal) time.Duration {
+	if r.WaitMs > 0 {
+		return time.Duration(r.WaitMs) * time.Millisecond
+	}
+	return expectedWait(r.Load)
 }
 
 // expectedWait returns the time that a gate with this load needs for its running and queued requests, or 0 when the
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -340,7 +340,7 @@
 	if in.policy(q).Move(failed, state.moves) {
 		state.moves++
 		state.countedAttempts--
-		state.acceptAnyWait = e.Reason != verdict.Busy || state.moves >= maxBusyMoves
+		state.acceptAnyWait = e.Reason != verdict.Busy && e.Reason != verdict.SlowStart || state.moves >= maxBusyMoves
 		if state.acceptAnyWait && e.Reason == verdict.Busy {
 			// All endpoints tried are busy. They become candidates again, since their refusals reported their load.
 			state.excluded = state.excludedBeforeMoves
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -97,6 +97,10 @@
 	}
 	serviceCounts := n.serviceBudgets.Counts()
 	m["retry_window_spent"], m["retry_window_denied"] = int64(serviceCounts.Spent), int64(serviceCounts.Denied)
+	if n.settings.SlowStart.Tolerance > 0 {
+		m["gate_refused_slow_start"], m["gate_slow_starts"] = g.RefusedSlowStart.Load(), g.SlowStarts.Load()
+		m["gate_slow_start_ms"] = int64(load.SlowStartMs)
+	}
 	if n.evacuationEnabled() {
 		n.addEvacuationMetrics(m)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,6 +168,8 @@
 	n.gate.WriteLimiter = n.writeLimiter
 	n.registry.OnChange = n.onBackendChange
 	n.registry.OnDeparture = n.onDeparture
+	n.registry.OnSlowStart = n.gate.StateSlowStart
+	n.gate.SetSlowStart(n.settings.SlowStart)
 	n.registry.StartRestore()
 	n.holdForEvacuations()
 	n.ingress = ingress.New(ingress.Config{
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -192,7 +192,7 @@
 // gateFull reports whether a gate refused the request for lack of capacity.
 func (a Attempt) gateFull() bool {
 	switch a.Reason {
-	case verdict.Busy, verdict.QueueFull, verdict.Overloaded:
+	case verdict.Busy, verdict.QueueFull, verdict.Overloaded, verdict.SlowStart:
 		return a.Verdict == verdict.NotRun
 	}
 	return false
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -387,3 +387,15 @@
 		}
 	}
 }
+
+// Guards against refusals by an evacuated gate, or one beside a cold backend server, that use up attempts or budget, and
+// against a slow start that keeps hedges from others.
+func TestSlowStartAndEvacuationAreMoves(t *testing.T) {
+	for _, reason := range []verdict.Reason{verdict.SlowStart, verdict.Evacuated} {
+		e := &verdict.Error{Verdict: verdict.NotRun, Reason: reason}
+		a := Attempt{Number: 1, Verdict: e.Verdict, Reason: reason, Remaining: time.Second}
+		if !(Policy{MaxAttempts: 1}).Move(a, 0) || !RefusedAtGate(e) || ShowsOverload(e) {
+			t.Errorf("%s: move %v, refused at the gate %v, overload %v", reason, (Policy{MaxAttempts: 1}).Move(a, 0), RefusedAtGate(e), ShowsOverload(e))
+		}
+	}
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -94,6 +94,10 @@
 	// SlowSince is when an ejection pass first found the endpoint much slower than the median; zero while it
 	// is not.
 	SlowSince atomic.Int64
+	// ColdUntil is when the slow start of the backend server ends, according to the newest report; RampMilli is the number of
+	// requests per 1,000 s that it tolerates until then.
+	ColdUntil atomic.Int64
+	RampMilli atomic.Int64
 	// ProbedAt is when this node last sent a probe to the endpoint.
 	ProbedAt atomic.Int64
 }
