Write lost evacuations again also to a store whose generations count from 0

Cause: a set of generation 0 counted as one of a store without generations, so that the first restore of a store that counts from 0 would have ended its evacuations.

Change: any set that was seen counts.

Result: a case of TestLost, which failed before, passes.

--- a/internal/evacuation/set.go
+++ b/internal/evacuation/set.go
@@ -144,7 +144,7 @@
 // Lost returns the domains that a listing lacks because the store was restored from a copy: those of the newest set that was
 // known before the store's generation rose. Their evacuation was acknowledged and must be written again.
 func Lost(before Set, l Listing) []string {
-	if before.Generation == 0 || before.Generation >= l.Generation {
+	if !before.Seen() || before.Generation >= l.Generation {
 		return nil
 	}
 	var lost []string
--- a/internal/evacuation/set_test.go
+++ b/internal/evacuation/set_test.go
@@ -99,10 +99,11 @@
 		listing Listing
 		want    []string
 	}{
-		"restored":         {before, Listing{2, 40, []string{"oslo-b"}}, []string{"oslo-a"}},
-		"same generation":  {before, Listing{1, 60, nil}, nil},
-		"older generation": {before, Listing{0, 60, nil}, nil},
-		"first listing":    {Set{}, Listing{2, 40, nil}, nil},
+		"restored":                 {before, Listing{2, 40, []string{"oslo-b"}}, []string{"oslo-a"}},
+		"restored, counted from 0": {Set{0, 50, []string{"oslo-a"}}, Listing{1, 40, nil}, []string{"oslo-a"}},
+		"same generation":          {before, Listing{1, 60, nil}, nil},
+		"older generation":         {before, Listing{0, 60, nil}, nil},
+		"first listing":            {Set{}, Listing{2, 40, nil}, nil},
 	} {
 		if diff := cmp.Diff(test.want, Lost(test.before, test.listing)); diff != "" {
 			t.Errorf("%s: %s", name, diff)
