--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -48,8 +48,21 @@
 	}
 	reusable := false
 	defer func() { conn.release(reusable) }()
+	// The wait for a connection may have taken as long as its dial.
+	if err := c.gate.checkEvacuation(); err != nil {
+		return err
+	}
+	sentAt, err := c.gate.recordSend()
+	if err != nil {
+		reusable = true // nothing has been sent
+		return err
+	}
+	c.sent = true
 	resp, err := conn.transport.RoundTrip(req)
 	if err != nil {
+		if !mayBeSent.Load() {
+			c.gate.cancelSend(sentAt)
+		}
 		return c.roundTripError(ctx, backend, err, mayBeSent.Load())
 	}
 	defer resp.Body.Close()
@@ -63,6 +76,7 @@
 	case info.MismatchReason != "":
 		return verdict.New(verdict.MayHaveRun, verdict.BackendBroken, "the answer is not to this request: %s", info.MismatchReason)
 	case info.OtherInstance:
+		c.gate.cancelSend(sentAt)
 		reusable = info.Identified && conn.recordRefusal(requestID) && drained(resp)
 		return verdict.New(verdict.NotRun, verdict.WrongGate, "another backend server has the address %s", backend.Address)
 	case info.NotRun:
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,6 +12,7 @@
 	"dandelionspoke/internal/admission"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/metrics"
+	"dandelionspoke/internal/slowstart"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
 )
@@ -47,6 +48,10 @@
 	Pauses atomic.Int64
 	// Panics counts the panics that ended an attempt.
 	Panics atomic.Int64
+	// RefusedEvacuated counts the refusals because of an evacuation.
+	RefusedEvacuated atomic.Int64
+	// RefusedSlowStart counts the refusals because the backend server is cold, SlowStarts how often it was found cold.
+	RefusedSlowStart, SlowStarts atomic.Int64
 }
 
 // Gate admits and forwards requests to one backend server. It is safe for concurrent use.
@@ -84,6 +89,8 @@
 	backendDraining      bool
 	drainCutoff          time.Time
 	backendDown          bool
+	evacuation           Evacuation
+	slowStart            slowStart
 	maxResponseKeepBytes int
 	slowness             *slownessTracker
 	pauses               pauseDetector
@@ -99,6 +106,7 @@
 		attempts: newAttemptHistory(time.Now(), time.Minute), accounts: newAccountCounts(),
 		waiters: make(map[admission.Ticket]chan admission.Decision),
 	}
+	g.slowStart.ramp = slowstart.New()
 	g.connections.Store(newConnectionPool(0, defaultMaxResponseHeaderBytes))
 	return g
 }
@@ -120,8 +128,10 @@
 	if !g.backend.isServer(b) {
 		g.withdrawWaiting(0)
 	}
+	previous := g.backend
 	g.backend = b
 	g.backendDown = false
+	g.restartSlowStartLocked(previous, b)
 }
 
 // isServer reports whether both are the same backend server, also after a restart under the same ID and address.
@@ -148,6 +158,7 @@
 		g.deliverDecisions(g.queue.SetLimits(time.Now(), limits))
 	}
 	g.slowness.configure(s.LoadPath, p.LoadProbesPerSecond)
+	g.configureSlowStartLocked(s)
 	g.maxResponseKeepBytes = p.MaxResponseKeepBytes
 	g.attempts.mu.Lock()
 	g.attempts.retention = p.AttemptMemory.D()
@@ -169,7 +180,8 @@
 			l.ServiceTimeUs = uint32(float64(l.ServiceTimeUs) * slowness)
 		}
 	}
-	l.Draining = l.Draining || g.draining || g.backendDraining || g.backendDown
+	l.Draining = l.Draining || g.draining || g.backendDraining || g.backendDown || g.evacuation != NotEvacuated
+	g.addSlowStartLocked(l)
 	l.Generation = g.attempts.currentGeneration()
 	return l
 }
@@ -274,8 +286,11 @@
 	return ticket, backend, outcome, decided, nil
 }
 
-// checkAccepting returns an error with verdict NotRun when the gate accepts no requests.
+// checkAccepting returns an error with verdict NotRun when the gate accepts no requests. It is called with mu held.
 func (g *Gate) checkAccepting(backend *Backend) error {
+	if err := g.evacuationError(); err != nil {
+		return err
+	}
 	switch {
 	case g.draining:
 		return verdict.New(verdict.NotRun, verdict.Draining, "the node is leaving")
@@ -312,6 +327,12 @@
 			g.releaseSlot(t, 0)
 			return g.admissionResult(t, b, false, verdict.Draining, 0)
 		}
+		if !decision.Admitted {
+			if err := g.checkEvacuation(); err != nil {
+				g.Counters.Refused.Add(1)
+				return 0, nil, err
+			}
+		}
 		return g.admissionResult(t, b, decision.Admitted, decision.Reason, decision.Wait)
 	case <-done:
 	case <-withdrawn:
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -48,6 +48,9 @@
 	MismatchReason string
 	// Slowness is the ratio of the backend server's current service time to its normal one; 0 if it reports none.
 	Slowness float64
+	// SlowStart is the remaining slow start that a response of the health path states; 0 means that the backend server is
+	// warm, nil that the response does not state it.
+	SlowStart *time.Duration
 }
 
 // AccountHeader is the header in which the built-in protocol tells the backend server the name of the client account.
@@ -79,6 +82,23 @@
 // backendRefusalHeader marks a 503 response in which the backend server itself states that it has not run the request.
 const backendRefusalHeader = "Dandelionspoke-Backend-Refused"
 
+// slowStartHeader holds the remaining slow start of the backend server in milliseconds, in responses of the load path.
+const slowStartHeader = "Dandelionspoke-Slow-Start-Ms"
+
+// maxSlowStart limits the slow start that a backend server may state.
+const maxSlowStart = 10 * time.Minute
+
+// ParseSlowStart returns the remaining slow start that a header states in milliseconds, at most maxSlowStart, or nil if the
+// header is missing or malformed.
+func ParseSlowStart(text string) *time.Duration {
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 {
+		return nil
+	}
+	remaining := time.Duration(min(ms, maxSlowStart.Milliseconds())) * time.Millisecond
+	return &remaining
+}
+
 // Read implements Protocol. It removes the identifier of the attempt from the response: a caller that is itself a backend
 // server might pass it on in its own response, in which it would be that of another attempt.
 func (nativeProtocol) Read(sent http.Header, resp *http.Response) ResponseInfo {
@@ -90,6 +110,7 @@
 		}
 	}
 	return ResponseInfo{
+		SlowStart: ParseSlowStart(resp.Header.Get(slowStartHeader)),
 		NotRun: resp.StatusCode == http.StatusServiceUnavailable &&
 			verdict.Parse(resp.Header.Get(verdict.Header)) == verdict.NotRun && resp.Header.Get(backendRefusalHeader) != "",
 	}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -38,6 +38,7 @@
 	ticket               admission.Ticket
 	holdsSlot, forwarded bool
 	registered           bool // the attempt history holds a record of the attempt that is still running
+	sent                 bool // the ramp of the backend server has recorded the request as sent
 }
 
 // Serve serves one attempt, whose head has already been read from conn, and writes the response or a refusal to conn.
@@ -78,7 +79,11 @@
 	// Reading in the background detects a caller that disconnects while the request waits for a slot.
 	go c.readRequest()
 
-	if err := c.checkRequest(); err != nil {
+	err := c.gate.checkEvacuation()
+	if err == nil {
+		err = c.checkRequest()
+	}
+	if err != nil {
 		c.finishRefused(err)
 		return
 	}
@@ -86,6 +91,13 @@
 		c.finishRefused(verdict.New(verdict.NotRun, verdict.BackendDown, "the node was paused and the deadline may have passed"))
 		return
 	}
+	if b := c.gate.Backend(); b != nil {
+		c.gate.watchSlowStart(b)
+	}
+	if err := c.gate.reserveSend(); err != nil {
+		c.finishRefused(err)
+		return
+	}
 	offeredAt := time.Now()
 	if b := c.gate.Backend(); b != nil && (c.head.MaxWaitUs > 0 || c.head.HasObjective) {
 		c.slowness = c.gate.currentSlowness(ctx, b)
@@ -101,6 +113,7 @@
 	})
 	c.gate.accounts.count(c.head.Account, err)
 	if err != nil {
+		c.gate.releaseSend()
 		c.finishRefused(err)
 		return
 	}
@@ -109,6 +122,7 @@
 	if !admittedAt.Before(deadline) {
 		// The process may have been paused while the request waited, and the timer of ctx is late.
 		c.releaseSlot(0)
+		c.gate.releaseSend()
 		c.finishRefused(verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline passed before the request was sent"))
 		return
 	}
@@ -116,6 +130,9 @@
 	c.gate.QueueTime.Record(c.queueTime)
 	c.forwarded = true
 	err = c.forward(ctx, backend, c.body)
+	if !c.sent {
+		c.gate.releaseSend()
+	}
 	serviceTime := time.Since(admittedAt)
 	c.gate.ServiceTime.Record(serviceTime)
 	c.logForwarded(ctx, backend, serviceTime, err)
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -63,6 +63,7 @@
 	Bundle        admin.BundleStatus     `json:"bundle"`
 	RateLimits    *ratelimit.State       `json:"rate_limits,omitempty"`
 	Accounts      accountState           `json:"accounts"`
+	Evacuations   admin.Evacuations      `json:"evacuations"`
 	Metrics       map[string]int64       `json:"metrics"`
 	Engine        engine.State           `json:"engine"`
 }
@@ -73,7 +74,8 @@
 	return Dump{
 		NodeID: n.settings.NodeID, UptimeSeconds: n.uptime().Seconds(), Addresses: n.addresses,
 		Draining: n.draining.Load(), StoreReader: n.isStoreReader.Load(), Backend: backend, GateLoad: n.gate.Load(), GateAccounts: n.gate.AccountCounts(),
-		Bundle: n.BundleStatus(), RateLimits: n.rateLimitState(), Accounts: n.accountState(), Metrics: n.Metrics(), Engine: n.engine.Dump(),
+		Bundle: n.BundleStatus(), RateLimits: n.rateLimitState(), Accounts: n.accountState(), Evacuations: n.Evacuations(),
+		Metrics: n.Metrics(), Engine: n.engine.Dump(),
 	}
 }
 
@@ -101,6 +103,13 @@
 	}
 	serviceCounts := n.serviceBudgets.Counts()
 	m["retry_window_spent"], m["retry_window_denied"] = int64(serviceCounts.Spent), int64(serviceCounts.Denied)
+	if n.settings.SlowStart.Tolerance > 0 {
+		m["gate_refused_slow_start"], m["gate_slow_starts"] = g.RefusedSlowStart.Load(), g.SlowStarts.Load()
+		m["gate_slow_start_ms"] = int64(load.SlowStartMs)
+	}
+	if n.evacuationEnabled() {
+		n.addEvacuationMetrics(m)
+	}
 	if n.ingressListener != nil {
 		m["ingress_overlapping"] = n.ingressListener.PipelinedRequests.Load()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,7 @@
 	limits         *ratelimit.Limiter // rate limits of accounts; nil if the settings have no window for them
 	fleetList      fleetList
 	confirmation   account.Confirmation // of the bundle in force
+	evacuation     evacuationState
 	// probePolicyVersion and probeRand are used only by the engine loop.
 	probePolicyVersion uint64
 	probeRand          *rand.Rand
@@ -176,7 +177,10 @@
 	}
 	n.registry.OnChange = n.onBackendChange
 	n.registry.OnDeparture = n.onDeparture
+	n.registry.OnSlowStart = n.gate.StateSlowStart
+	n.gate.SetSlowStart(n.settings.SlowStart)
 	n.registry.StartRestore()
+	n.holdForEvacuations()
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget, ServiceBudgets: n.serviceBudgets,
 		Logger: n.logger, Protocol: n.adapter.CallerProtocol, Latency: n.metrics.Histogram("ingress_request_seconds"), Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
@@ -241,6 +245,9 @@
 		n.background(n.confirmBundle)
 	}
 	if n.store != nil {
+		if n.evacuationEnabled() {
+			n.background(n.readEvacuations)
+		}
 		n.background(n.readFirstBundle)
 		n.background(n.followStore)
 	}
