Give the link between regions to the more urgent requests first

Cause: writes to another region waited for the node's share of the link in the order of their arrival, so that a burst of less urgent bodies held back an urgent request.

The bulk share for long work stays. A write ends with its attempt, and a request of which nothing was sent gets the verdict not-run.

Result: TestUrgentRequestsGoFirstOnANarrowLink: behind 40 chunks of priority 2, a request of priority 0 waits at most two chunks. With one priority the order is that of arrival (TestOnePriorityIsServedInOrderOfArrival), and the existing test of the budget passes unchanged but for the new argument.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -60,9 +60,9 @@
 	// OnCrash is called with the backend server and the fingerprints of a request during which the server stopped
 	// listening. Set it before the first request; nil disables the report.
 	OnCrash func(backend Backend, fingerprints [][]byte)
-	// WriteLimiter returns the write limiter for responses to a node in the given region, or nil for no limit. long tells
-	// whether the request is long. Set it before the first request; nil disables the limit.
-	WriteLimiter func(region string, long bool) func(bytes int) error
+	// WriteLimiter returns the write limiter for responses to a node in the given region, or nil for no limit. long and
+	// priority are those of the request. Set it before the first request; nil disables the limit.
+	WriteLimiter func(region string, long bool, priority int) func(bytes int) error
 	// ServiceTime and QueueTime record the time at the backend server and the time in the queue. Set them before
 	// the first request; a nil histogram records nothing.
 	ServiceTime, QueueTime *metrics.Histogram
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -41,7 +41,7 @@
 	defer g.inFlight.Done()
 	c := &call{gate: g, conn: conn, head: head, body: newRequestBody()}
 	if g.WriteLimiter != nil {
-		conn.SetWriteLimiter(g.WriteLimiter(head.Region, head.Long))
+		conn.SetWriteLimiter(g.WriteLimiter(head.Region, head.Long, int(head.Priority)))
 	}
 	if len(head.AttemptId) != len(c.id) {
 		c.refuse(verdict.New(verdict.NotRun, verdict.BadRequest, "attempt identifier of %d bytes", len(head.AttemptId)))
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -9,6 +9,7 @@
 
 	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/gate"
+	"dandelionspoke/internal/link"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
@@ -26,7 +27,7 @@
 func (in *Ingress) sendAttempt(ctx context.Context, q *request, ep *table.Endpoint, maxWait time.Duration) (*response, error) {
 	in.Counters.Attempts.Add(1)
 	obs := startObservation(ep, q.long)
-	conn, err := in.Opener.Open(ctx, ep, sessionClass(q.long))
+	conn, err := in.Opener.Open(in.openContext(ctx, q, ep), ep, sessionClass(q.long))
 	if err != nil {
 		obs.end(openOutcome(ctx), nil)
 		return nil, verdict.New(verdict.NotRun, verdict.PeerUnreachable, "%v", err)
@@ -47,6 +48,14 @@
 	return resp, nil
 }
 
+// openContext returns a context with the priority of the request if its stream uses a link between regions.
+func (in *Ingress) openContext(ctx context.Context, q *request, ep *table.Endpoint) context.Context {
+	if ep.Region == in.Region {
+		return ctx
+	}
+	return link.WithPriority(ctx, q.priority)
+}
+
 func openOutcome(ctx context.Context) balance.Outcome {
 	if ctx.Err() != nil {
 		return balance.Canceled
@@ -81,6 +90,10 @@
 // exchange sends the request and reads the head of the response.
 func (in *Ingress) exchange(ctx context.Context, q *request, resp *response, head *wire.RequestHead) error {
 	if err := sendRequest(q, resp.conn, head); err != nil {
+		if errors.Is(err, peer.ErrNotSent) {
+			resp.observation.end(balance.Canceled, nil)
+			return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "waited for the link between regions: %v", err)
+		}
 		return err
 	}
 	f, err := resp.conn.Read()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -23,8 +23,7 @@
 
 // Budget limits the rate at which a node sends to other regions. It is safe for concurrent use.
 type Budget struct {
-	total *rate.Limiter
-	bulk  *rate.Limiter
+	total, bulk queue
 	// ShortBytes and LongBytes count the bytes permitted for short and long requests, WaitNanos the nanoseconds that
 	// calls of Wait took.
 	ShortBytes, LongBytes, WaitNanos atomic.Int64
@@ -32,7 +31,9 @@
 
 // NewBudget returns a Budget with the limits of the policy.
 func NewBudget(p bundle.Policy) *Budget {
-	b := &Budget{total: rate.NewLimiter(0, burstBytes), bulk: rate.NewLimiter(0, bulkBurstBytes)}
+	b := &Budget{
+		total: queue{limiter: rate.NewLimiter(0, burstBytes)}, bulk: queue{limiter: rate.NewLimiter(0, bulkBurstBytes)},
+	}
 	b.SetPolicy(p)
 	return b
 }
@@ -40,38 +41,27 @@
 // SetPolicy applies the limits of the policy, as after a change of bundle.
 func (b *Budget) SetPolicy(p bundle.Policy) {
 	bytesPerSecond := p.LinkBitsPerSecond / bitsPerByte
-	b.total.SetLimit(rate.Limit(bytesPerSecond))
-	b.bulk.SetLimit(rate.Limit(bytesPerSecond * p.LinkBulkShare))
+	b.total.setLimit(rate.Limit(bytesPerSecond))
+	b.bulk.setLimit(rate.Limit(bytesPerSecond * p.LinkBulkShare))
 }
 
-// Wait blocks until n bytes may be sent. It returns an error if ctx ends or its deadline is too early. The bytes of
-// long requests are first charged to the bulk share, so that short requests never wait behind more than one chunk of
-// them.
-func (b *Budget) Wait(ctx context.Context, n int, long bool) error {
+// Wait blocks until n bytes may be sent, or returns an error when ctx ends. The bytes of long requests are first charged
+// to the bulk share, so that short requests never wait behind more than one chunk of them. Among waiting writes, those of
+// more urgent requests go first: priority is that of the request, from 0 (highest).
+func (b *Budget) Wait(ctx context.Context, n int, long bool, priority int) error {
+	priority = min(max(priority, 0), bundle.MaxPriority)
 	started := time.Now()
 	defer func() { b.WaitNanos.Add(int64(time.Since(started))) }()
 	count := &b.ShortBytes
 	if long {
 		count = &b.LongBytes
-		if err := waitInBursts(ctx, b.bulk, n); err != nil {
+		if err := b.bulk.wait(ctx, n, priority); err != nil {
 			return err
 		}
 	}
-	if err := waitInBursts(ctx, b.total, n); err != nil {
+	if err := b.total.wait(ctx, n, priority); err != nil {
 		return err
 	}
 	count.Add(int64(n))
 	return nil
 }
-
-// waitInBursts waits for n bytes, which may exceed the burst size of the limiter.
-func waitInBursts(ctx context.Context, l *rate.Limiter, n int) error {
-	for n > 0 {
-		size := min(n, l.Burst())
-		if err := l.WaitN(ctx, size); err != nil {
-			return err
-		}
-		n -= size
-	}
-	return nil
-}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -1,6 +1,8 @@
 package link_test
 
 import (
+	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,7 +24,7 @@
 		for range 8 {
 			wg.Go(func() {
 				for time.Now().Before(end) {
-					if err := b.Wait(t.Context(), chunk, true); err != nil {
+					if err := b.Wait(t.Context(), chunk, true, 0); err != nil {
 						t.Error(err)
 						return
 					}
@@ -33,7 +35,7 @@
 		for time.Now().Before(end) {
 			time.Sleep(50 * time.Millisecond)
 			started := time.Now()
-			if err := b.Wait(t.Context(), 4<<10, false); err != nil {
+			if err := b.Wait(t.Context(), 4<<10, false, 0); err != nil {
 				t.Fatal(err)
 			}
 			worst = max(worst, time.Since(started))
@@ -50,3 +52,85 @@
 		}
 	})
 }
+
+// Guards against an urgent request that waits behind a burst of less urgent bodies on a narrow link, and against less urgent
+// ones that urgent requests hold back forever.
+func TestUrgentRequestsGoFirstOnANarrowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const chunk = 32 << 10
+		policy := bundle.Policy{LinkBitsPerSecond: 4e6, LinkBulkShare: 0.5}
+		b := link.NewBudget(policy)
+		oneChunk := time.Duration(chunk / (policy.LinkBitsPerSecond / 8) * float64(time.Second))
+		var wg sync.WaitGroup
+		var lastBody time.Duration
+		for range 40 {
+			wg.Go(func() {
+				started := time.Now()
+				if err := b.Wait(t.Context(), chunk, false, 2); err != nil {
+					t.Error(err)
+				}
+				lastBody = max(lastBody, time.Since(started))
+			})
+		}
+		synctest.Wait()
+		started := time.Now()
+		if err := b.Wait(t.Context(), chunk, false, 0); err != nil {
+			t.Fatal(err)
+		}
+		if waited := time.Since(started); waited > 2*oneChunk {
+			t.Errorf("the urgent request waited %v, a chunk takes %v", waited, oneChunk)
+		}
+		// Urgent requests take the whole link from now on.
+		for range 4 {
+			wg.Go(func() {
+				for time.Since(started) < 20*time.Second {
+					_ = b.Wait(t.Context(), chunk, false, 0)
+				}
+			})
+		}
+		wg.Wait()
+		if lastBody > 8*time.Second {
+			t.Errorf("a less urgent body waited %v", lastBody)
+		}
+	})
+}
+
+// Guards against a change of the order of writes whose requests have one priority, and against a canceled write that
+// holds back the others or takes their bytes.
+func TestOnePriorityIsServedInOrderOfArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const writes, size = 50, 4 << 10
+		b := link.NewBudget(bundle.Policy{LinkBitsPerSecond: 8e5, LinkBulkShare: 0.5})
+		if err := b.Wait(t.Context(), 96<<10, false, 1); err != nil {
+			t.Fatal(err)
+		}
+		canceled, cancel := context.WithCancel(t.Context())
+		var mu sync.Mutex
+		var order []int
+		var wg sync.WaitGroup
+		started := time.Now()
+		for i := range writes {
+			ctx := t.Context()
+			if i%5 == 0 {
+				ctx = canceled
+			}
+			wg.Go(func() {
+				if b.Wait(ctx, size, false, 1) == nil {
+					mu.Lock()
+					order = append(order, i)
+					mu.Unlock()
+				}
+			})
+			synctest.Wait()
+		}
+		cancel()
+		wg.Wait()
+		if len(order) != writes*4/5 || !slices.IsSorted(order) {
+			t.Errorf("order %v", order)
+		}
+		want := time.Duration(float64(len(order)*size) / 1e5 * float64(time.Second))
+		if took := time.Since(started); took < want-time.Millisecond || took > want+50*time.Millisecond {
+			t.Errorf("took %v, want %v", took, want)
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -340,7 +340,7 @@
 	if ep.NodeID != n.settings.NodeID {
 		conn, err := n.peerPool.Open(ctx, ep.PeerAddr, class)
 		if err == nil && class != peer.SessionControl {
-			conn.SetWriteLimiter(n.writeLimiter(ep.Region, class == peer.SessionLong))
+			conn.SetWriteLimiter(n.limitWrites(ctx, ep.Region, class == peer.SessionLong, link.Priority(ctx)))
 		}
 		return conn, err
 	}
@@ -351,13 +351,19 @@
 	return client, nil
 }
 
-// writeLimiter returns a function that delays writes to another region to stay within this node's share of the billed
-// inter-region bandwidth, or nil for the local region.
-func (n *Node) writeLimiter(region string, long bool) func(bytes int) error {
+// writeLimiter implements gate.Gate.WriteLimiter. Its writes end with the node, so that responses that are ready are
+// delivered after the deadline too.
+func (n *Node) writeLimiter(region string, long bool, priority int) func(bytes int) error {
+	return n.limitWrites(n.ctx, region, long, priority)
+}
+
+// limitWrites returns a function that delays writes to another region to stay within this node's share of the billed
+// inter-region bandwidth, or nil for the local region. The function fails when ctx ends.
+func (n *Node) limitWrites(ctx context.Context, region string, long bool, priority int) func(bytes int) error {
 	if region == n.settings.Region {
 		return nil
 	}
-	return func(bytes int) error { return n.linkBudget.Wait(n.ctx, bytes, long) }
+	return func(bytes int) error { return n.linkBudget.Wait(ctx, bytes, long, priority) }
 }
 
 func (n *Node) serveLocal(conn *peer.Conn) {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -37,6 +37,9 @@
 	sessionAcceptBacklog = 1024
 )
 
+// ErrNotSent reports a write of which nothing was sent, because the write limiter returned an error.
+var ErrNotSent = errors.New("peer: nothing was sent")
+
 // Conn reads and writes frames on one stream. One goroutine may read while another writes.
 type Conn struct {
 	stream        net.Conn
@@ -106,7 +109,7 @@
 	}
 	if c.limitWrite != nil {
 		if err := c.limitWrite(len(*buf)); err != nil {
-			return err
+			return errors.Mark(err, ErrNotSent)
 		}
 	}
 	_, err := c.stream.Write(*buf)
