Keep the stored response to a restricted request in its regions

Cause: the outcome of a keyed request goes to the owner of the key's shard and to the store, which may lie outside the regions that the request is restricted to.

Change: an outcome may state its allowed regions. Header and body are stored only if store.region and the owner's region are among them; otherwise verdict and status.

--- a/internal/claim/outcome.go
+++ b/internal/claim/outcome.go
@@ -50,6 +50,9 @@
 	// Partial reports that header and body are missing: they exceeded MaxOutcomeBytes, were dropped to
 	// make room for other claims, or the caller of Complete did not have them.
 	Partial bool `json:"p,omitempty"`
+	// AllowedRegions are the regions that header and body may enter, besides that of the node that ran the request; nil
+	// allows all. It is not stored.
+	AllowedRegions []string `json:"-"`
 }
 
 // bounded returns the outcome, without header and body if they exceed MaxOutcomeBytes.
--- a/internal/claim/owners.go
+++ b/internal/claim/owners.go
@@ -22,6 +22,7 @@
 	NodeID        string
 	PeerAddr      string
 	FailureDomain string
+	Region        string
 	// InStoreRegion reports whether the node is in the store's region.
 	InStoreRegion bool
 }
--- a/internal/claim/routed.go
+++ b/internal/claim/routed.go
@@ -138,7 +138,7 @@
 	if !found {
 		return errors.Wrapf(ErrFenced, "no claim of the key is held here")
 	}
-	o = o.bounded()
+	o = o.bounded().permittedIn(c.router.config.StoreRegion)
 	ctx, cancel := c.router.contextUntilClosed(ctx)
 	defer cancel()
 	for attempt := 0; ; attempt++ {
@@ -154,7 +154,7 @@
 		return c.router.config.Local.For(c.service).complete(ctx, id, o)
 	}
 	request := newRequest(wire.ClaimOp_COMPLETE, c.service, id)
-	request.Outcome = encodeOutcome(o)
+	request.Outcome = encodeOutcome(o.permittedIn(target.Region))
 	reply, err := c.call(ctx, target, request)
 	if err != nil {
 		return err
--- a/internal/claim/router.go
+++ b/internal/claim/router.go
@@ -33,6 +33,9 @@
 	Self string // node ID
 	// Local holds the claimers of this node; nil if the node has no direct access to the store.
 	Local *ClaimerSet
+	// StoreRegion is the region of the store, or empty if it is unknown. Outcomes that must not enter it are stored without
+	// header and body.
+	StoreRegion string
 	// Nodes returns the live nodes that have direct access to the store and are not draining. Self may be
 	// one of them.
 	Nodes func() []Node
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -29,7 +29,7 @@
 		})
 	}
 	return claim.NewRouter(claim.RouterConfig{
-		Self: n.settings.NodeID, Local: n.claimers, Nodes: n.claimNodes, Call: n.callClaims,
+		Self: n.settings.NodeID, Local: n.claimers, StoreRegion: n.settings.Store.Region, Nodes: n.claimNodes, Call: n.callClaims,
 		Draining: n.draining.Load, Log: n.logger,
 	})
 }
@@ -63,7 +63,7 @@
 			continue
 		}
 		nodes = append(nodes, claim.Node{
-			NodeID: m.NodeId, PeerAddr: m.PeerAddr, FailureDomain: m.FailureDomain,
+			NodeID: m.NodeId, PeerAddr: m.PeerAddr, FailureDomain: m.FailureDomain, Region: m.Region,
 			InStoreRegion: m.StoreAccess == wire.StoreAccess_NEAR,
 		})
 	}
