Restrict requests to the regions that their route and account allow

Cause: a route or an account may name the regions whose backend servers may run its requests; the choice of an endpoint knew no regions.

Change: bundle.RegionSets holds the sets that the lists of a bundle combine to (at most 64). Without an endpoint in an allowed region the request gets 503 no-allowed-region at once. Ejections, probes, reports and the dump include the views.

Result: rapid over random bundles and members: views hold exactly the allowed endpoints up to the subset size, statistics are shared, a lookup allocates nothing. TestAttemptsStayInAllowedRegions and TestNoAllowedRegionIsRefusedAtOnce pass.

--- a/internal/bundle/index.go
+++ b/internal/bundle/index.go
@@ -9,11 +9,13 @@
 // immutable and safe for concurrent use.
 type Index struct {
 	byHost map[string][]*Route // each in order of compareRoutes; the key "" holds the routes for any host
+	// Regions holds the sets of allowed regions of the bundle.
+	Regions *RegionSets
 }
 
 // NewIndex returns the index of b, which must not be modified afterwards. The index of a nil bundle is empty.
 func NewIndex(b *Bundle) *Index {
-	x := &Index{byHost: map[string][]*Route{}}
+	x := &Index{byHost: map[string][]*Route{}, Regions: NewRegionSets(b)}
 	if b == nil {
 		return x
 	}
--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -42,6 +42,7 @@
 		v.checkService(name, b.Services[name])
 	}
 	v.checkRoutes(b)
+	v.checkRegionSets(b)
 	return v.errs
 }
 
@@ -168,6 +169,7 @@
 	checkRange(v, parent, "max_body_bytes", r.MaxBodyBytes, 1, 1<<40)
 	checkRange(v, parent, "objective", r.Objective, 0, Duration(maxDuration))
 	checkRange(v, parent, "max_attempts", r.MaxAttempts, 0, 10)
+	v.checkAllowedRegions(parent, r.AllowedRegions)
 	hedgeable := r.Idempotent == nil || *r.Idempotent
 	v.require(!r.Hedge || hedgeable, parent, "hedge", hedgeAllowed, "true on a route that is not idempotent")
 }
--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -42,8 +42,10 @@
 
 // ServiceState is one service of the published snapshot.
 type ServiceState struct {
-	Name      string          `json:"name"`
-	Endpoints []EndpointState `json:"endpoints"`
+	Name string `json:"name"`
+	// AllowedRegions is set for a restriction of the service to these regions, which has a row of its own.
+	AllowedRegions []string        `json:"allowed_regions,omitempty"`
+	Endpoints      []EndpointState `json:"endpoints"`
 }
 
 // EndpointState is one row of the endpoint table. A time is 0 if its event has not happened.
@@ -120,13 +122,15 @@
 func serviceStates(snapshot *table.Snapshot) []ServiceState {
 	out := make([]ServiceState, 0, len(snapshot.Services))
 	for name, service := range snapshot.Services {
-		row := ServiceState{Name: name}
-		for _, e := range service.Endpoints {
-			row.Endpoints = append(row.Endpoints, endpointState(e))
+		for view := range service.WithViews() {
+			row := ServiceState{Name: name, AllowedRegions: view.AllowedRegions}
+			for _, e := range view.Endpoints {
+				row.Endpoints = append(row.Endpoints, endpointState(e))
+			}
+			out = append(out, row)
 		}
-		out = append(out, row)
 	}
-	slices.SortFunc(out, func(a, b ServiceState) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(out, func(a, b ServiceState) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -74,6 +74,9 @@
 	// Hedges counts the hedges sent, HedgesWon those that responded first, and the others the hedges that were not sent
 	// because no endpoint had room or the budget did not permit them.
 	Hedges, HedgesWon, HedgesNoRoom, HedgesNoBudget atomic.Int64
+	// NoAllowedRegion counts the requests that were refused because no endpoint is known in a region that their route and
+	// account allow.
+	NoAllowedRegion atomic.Int64
 }
 
 // Ingress is an http.Handler. It is safe for concurrent use.
@@ -165,9 +168,12 @@
 }
 
 func (in *Ingress) serveParsed(w http.ResponseWriter, r *http.Request, q *request) error {
+	if err := in.restrictRegions(q); err != nil {
+		return err
+	}
 	in.awaitEndpoints(r.Context(), q)
-	if q.service == nil {
-		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "service %s has no endpoint", q.serviceName)
+	if err := in.checkEndpointKnown(q); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
@@ -211,9 +217,9 @@
 		return
 	}
 	q.snapshot = in.awaitSnapshot(ctx, in.startedAt.Add(startupEndpointWait), func(s *table.Snapshot) bool {
-		return known(s.Service(q.serviceName))
+		return known(q.view(s))
 	})
-	q.service = q.snapshot.Service(q.serviceName)
+	q.service = q.view(q.snapshot)
 }
 
 // awaitSnapshot waits until ok accepts the newest snapshot, the deadline has passed or ctx has ended, and returns the
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -84,7 +84,7 @@
 	}
 	recorder := &bodyRecorder{ResponseWriter: w}
 	err = in.relay(recorder, q, resp)
-	o := claim.Outcome{Verdict: verdict.Ran, Status: int(resp.head.Status), Partial: true}
+	o := claim.Outcome{Verdict: verdict.Ran, Status: int(resp.head.Status), Partial: true, AllowedRegions: q.regions}
 	if err == nil && !recorder.overflow && !hasTrailers(resp) {
 		o.Partial, o.Body, o.Header = false, recorder.body, httpHeader(resp.head.Headers)
 	}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -40,13 +40,16 @@
 	route               *bundle.Route
 	service             *table.Service
 	snapshot            *table.Snapshot
-	idempotent          bool
-	long                bool // the route's class, corrected by measured service times
-	idempotencyKey      string
-	claimPermit         *claim.Permit // nil for a request without a claim
-	depth               int
-	priority            int
-	deadline            time.Time
+	account             *bundle.Account // nil for a request without an account
+	// regions are the regions that may run the request; nil allows all. service then holds only endpoints there.
+	regions        []string
+	idempotent     bool
+	long           bool // the route's class, corrected by measured service times
+	idempotencyKey string
+	claimPermit    *claim.Permit // nil for a request without a claim
+	depth          int
+	priority       int
+	deadline       time.Time
 	// bodyPrefix holds the start of the body and bodyRest the remainder, or nil when bodyPrefix is the complete body.
 	bodyPrefix   []byte
 	bodyRest     io.Reader
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -71,9 +72,12 @@
 		return
 	}
 	for _, svc := range snapshot.Services {
-		for _, e := range balance.Eject(steady.Nanos(now), svc.Endpoints, snapshot.Bundle.Policy) {
-			n.logger.Info("endpoint ejection changed", "event", "ejection", "service", svc.Name,
-				"endpoint", e.Endpoint.ID, "reason", e.Reason, "until", steady.Time(e.Until))
+		// The limit on ejections holds in each view, since its requests have no other endpoints.
+		for view := range svc.WithViews() {
+			for _, e := range balance.Eject(steady.Nanos(now), view.Endpoints, snapshot.Bundle.Policy) {
+				n.logger.Info("endpoint ejection changed", "event", "ejection", "service", svc.Name,
+					"endpoint", e.Endpoint.ID, "reason", e.Reason, "until", steady.Time(e.Until))
+			}
 		}
 	}
 }
@@ -84,7 +88,7 @@
 		return
 	}
 	for _, svc := range snapshot.Services {
-		for _, ep := range svc.Endpoints {
+		for _, ep := range svc.AllEndpoints() {
 			if ep.ID == endpointID {
 				balance.ObserveReport(ep.Stats, steady.Now(), load)
 			}
@@ -112,7 +116,7 @@
 	var targets []*table.Endpoint
 	for _, name := range services {
 		if svc := snapshot.Service(name); svc != nil {
-			targets = n.probePlanner.Plan(steady.Nanos(now), n.probeRand, svc, targets)
+			targets = n.planServiceProbes(now, svc, targets)
 		}
 	}
 	counts := n.probePlanner.Counts()
@@ -120,6 +124,19 @@
 	return targets
 }
 
+// planServiceProbes plans probes of a service and its views, in random order, so that none of them uses up the budget.
+func (n *Node) planServiceProbes(now time.Time, svc *table.Service, targets []*table.Endpoint) []*table.Endpoint {
+	if len(svc.Views) == 0 {
+		return n.probePlanner.Plan(steady.Nanos(now), n.probeRand, svc, targets)
+	}
+	views := slices.Collect(svc.WithViews())
+	rand.Shuffle(len(views), func(i, j int) { views[i], views[j] = views[j], views[i] })
+	for _, view := range views {
+		targets = n.probePlanner.Plan(steady.Nanos(now), n.probeRand, view, targets)
+	}
+	return targets
+}
+
 // onBackendChange applies a changed announcement of the backend server on this node's VM; nil means that it withdrew.
 func (n *Node) onBackendChange(a *announce.Announcement, incarnation int64, draining bool) {
 	if a == nil {
--- a/internal/system/snapshot.go
+++ b/internal/system/snapshot.go
@@ -76,8 +76,11 @@
 			service = &table.Service{Name: name}
 			snap.Services[name] = service
 		}
-		setEndpoints(service, subset(self, name, candidates, size), prev.Service(name), now)
-		for _, e := range service.Endpoints {
+		resolver := newResolver(prev.Service(name), now)
+		choose := func(allowed []*table.Endpoint) []*table.Endpoint { return subset(self, name, allowed, size) }
+		setViews(service, snap.Routes, candidates, resolver, choose)
+		setEndpoints(service, choose(candidates), resolver)
+		for _, e := range resolver.resolved {
 			e.Stats.Suspect.Store(suspects[e.NodeID])
 		}
 	}
@@ -152,19 +155,14 @@
 	return a.NodeID < b.NodeID
 }
 
-func setEndpoints(service *table.Service, chosen []*table.Endpoint, prev *table.Service, now time.Time) {
+// setEndpoints sets the endpoints of a service or a view.
+func setEndpoints(service *table.Service, chosen []*table.Endpoint, resolver *resolver) {
 	slices.SortFunc(chosen, func(a, b *table.Endpoint) int {
 		return cmp.Or(cmp.Compare(a.Locality, b.Locality), cmp.Compare(a.ID, b.ID))
 	})
-	prevByID := map[string]*table.Endpoint{}
-	if prev != nil {
-		for _, e := range prev.Endpoints {
-			prevByID[e.ID] = e
-		}
-	}
 	service.Endpoints = make([]*table.Endpoint, len(chosen))
 	for i, e := range chosen {
-		service.Endpoints[i] = reuseStats(e, prevByID[e.ID], now)
+		service.Endpoints[i] = resolver.resolve(e)
 		for l := int(e.Locality); l < table.Localities; l++ {
 			service.LocalityEnd[l] = i + 1
 		}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -106,6 +106,11 @@
 	Endpoints []*Endpoint
 	// LocalityEnd[l] is the index after the last endpoint of locality l.
 	LocalityEnd [Localities]int
+	// AllowedRegions holds the regions of a view; it is nil unless the service is one.
+	AllowedRegions []string
+	// Views holds the restrictions of the service to sets of regions, by their positions in bundle.RegionSets. Each has its
+	// own subset of endpoints. An entry is nil if no request for the service can be restricted to the set.
+	Views []*Service
 }
 
 // Snapshot is an immutable view of the tables. It is safe for concurrent use.
