Count the generation of the store into the versions of objects

Cause: a store that is restored from a copy gives revisions out again, so that a remembered revision may match another content, and versions that go back were taken for old events.

Change: a version holds the generation above the revision, so that versions rise with each restore. Both clients read the generation from a header of each response. A conditional write with a version of an earlier generation is not sent and fails as a conflict; a write that another generation has acknowledged has an unknown outcome, also after a read-back. A response of an earlier generation counts as unavailable. Watches start anew from a list, which reports what has gone back or is gone. The fake store gains Copy, Restore and restores around a write.

Without a generation in the responses versions are revisions as before.

--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -51,9 +51,13 @@
 	base    *url.URL
 	http    *http.Client
 	limiter *rate.Limiter
+	Generations
 }
 
-var _ Store = (*Client)(nil)
+var (
+	_ Store            = (*Client)(nil)
+	_ GenerationStater = (*Client)(nil)
+)
 
 // NewClient returns a client for the object API at options.BaseURL.
 func NewClient(options Options) (*Client, error) {
@@ -117,8 +121,8 @@
 	if err != nil {
 		return Object{}, errors.Wrapf(err, "get %s", key)
 	}
-	version, err := ParseETag(response.header.Get("ETag"))
-	return Object{Key: key, Value: response.body, Version: version}, err
+	revision, err := ParseETag(response.header.Get("ETag"))
+	return Object{Key: key, Value: response.body, Version: VersionOf(response.generation, revision), Generation: response.generation}, err
 }
 
 // List implements Store.
@@ -141,9 +145,9 @@
 	}
 	objects := make([]Object, len(list.Objects))
 	for i, o := range list.Objects {
-		objects[i] = Object{Key: o.Key, Value: o.Value, Version: o.Version}
+		objects[i] = Object{Key: o.Key, Value: o.Value, Version: VersionOf(response.generation, o.Version), Generation: response.generation}
 	}
-	return objects, list.Revision, nil
+	return objects, VersionOf(response.generation, list.Revision), nil
 }
 
 // Put implements Store.
@@ -155,11 +159,11 @@
 	if err != nil {
 		return Object{}, err
 	}
-	version, err := ParseETag(response.header.Get("ETag"))
+	revision, err := ParseETag(response.header.Get("ETag"))
 	if err != nil {
 		return Object{}, errors.Mark(err, ErrUnknownOutcome)
 	}
-	return Object{Key: key, Value: value, Version: version}, nil
+	return Object{Key: key, Value: value, Version: VersionOf(response.generation, revision), Generation: response.generation}, nil
 }
 
 // Delete implements Store.
@@ -177,8 +181,9 @@
 
 // fullResponse holds the header and the whole body of a response.
 type fullResponse struct {
-	header http.Header
-	body   []byte
+	header     http.Header
+	body       []byte
+	generation uint64 // of the store
 }
 
 // read sends a GET request. It retries with backoff while the store is unavailable, up to ReadAttempts in total.
@@ -194,20 +199,30 @@
 	}
 }
 
-// write sends a PUT or DELETE request once. net/http does not retry such a request if it may have reached the server.
+// write sends a PUT or DELETE request once, unless ifVersion is of an earlier generation of the store. net/http does not
+// retry such a request if it may have reached the server.
 func (c *Client) write(ctx context.Context, method, key string, value []byte, ifVersion int64) (fullResponse, error) {
-	header := http.Header{}
-	SetPrecondition(header, ifVersion)
-	r, outcomeUnknown, err := c.call(ctx, method, c.objectURL(key), header, value, MaxValueBytes)
-	if outcomeUnknown && errors.Is(err, ErrUnavailable) {
+	var condition Condition
+	setCondition := func(h http.Header) (err error) {
+		if condition, err = c.Condition(ifVersion); err == nil {
+			SetPrecondition(h, condition.Revision)
+		}
+		return err
+	}
+	r, outcomeUnknown, err := c.call(ctx, method, c.objectURL(key), setCondition, value, MaxValueBytes)
+	switch {
+	case outcomeUnknown && errors.Is(err, ErrUnavailable):
 		err = errors.Mark(errors.Newf("%v", err), ErrUnknownOutcome)
+	case err == nil:
+		err = condition.Check(r.generation)
 	}
 	return r, errors.Wrapf(err, "%s %s", strings.ToLower(method), key)
 }
 
 // call makes one call, subject to the call timeout and the rate limit. outcomeUnknown means that the server may
-// have received the request, but no response shows whether it took effect.
-func (c *Client) call(ctx context.Context, method string, target *url.URL, header http.Header, body []byte, limit int64) (r fullResponse, outcomeUnknown bool, err error) {
+// have received the request, but no response shows whether it took effect. setHeader, unless nil, sets the header just
+// before the call; the call is not made if it returns an error.
+func (c *Client) call(ctx context.Context, method string, target *url.URL, setHeader func(http.Header) error, body []byte, limit int64) (r fullResponse, outcomeUnknown bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	if err := c.limiter.Wait(ctx); err != nil {
@@ -218,8 +233,10 @@
 		return r, false, errors.Wrap(err, "objectstore: build request")
 	}
 	c.authorize(request)
-	for name, values := range header {
-		request.Header[name] = values
+	if setHeader != nil {
+		if err := setHeader(request.Header); err != nil {
+			return r, false, err
+		}
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -234,8 +251,12 @@
 	if int64(len(r.body)) > limit {
 		return r, true, unavailableError(errors.Newf("answer exceeds %d bytes", limit))
 	}
-	err, outcomeUnknown = statusError(response.StatusCode)
-	return r, outcomeUnknown, err
+	r.generation, err = c.Observe(response.Header, GenerationHeader)
+	statusErr, outcomeUnknown := statusError(response.StatusCode)
+	if statusErr != nil && (err == nil || method != http.MethodGet) {
+		return r, outcomeUnknown, statusErr
+	}
+	return r, true, err
 }
 
 func unavailableError(cause error) error {
--- a/internal/objectstore/resolve.go
+++ b/internal/objectstore/resolve.go
@@ -123,6 +123,10 @@
 	if found.Version == base.Version {
 		return Sealed{}, errUnchanged
 	}
+	if !SameGeneration(found.Version, base.Version) {
+		// The store was restored: a write that took effect may have replaced another content than base.
+		return Sealed{}, errors.Wrapf(ErrUnknownOutcome, "put %s: the store was restored", key)
+	}
 	if slices.Contains(found.Writers, token) {
 		return found, nil
 	}
--- a/internal/objectstore/watch.go
+++ b/internal/objectstore/watch.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	idleTimer := time.AfterFunc(w.client.options.WatchIdleTimeout, cancel)
 	defer idleTimer.Stop()
-	response, err := w.open(ctx)
+	response, generation, err := w.open(ctx)
 	if err != nil {
 		return false
 	}
@@ -67,35 +67,46 @@
 		if line.Key == "" {
 			continue
 		}
-		object := Object{Key: line.Key, Value: line.Value, Version: line.Version}
+		object := Object{Key: line.Key, Value: line.Value, Version: VersionOf(generation, line.Version), Generation: generation}
 		if !w.tracker.Send(ctx, Event{Deleted: line.Deleted, Object: object}) {
 			return delivered
 		}
-		w.from = max(w.from, line.Version)
+		w.from = max(w.from, object.Version)
 	}
 }
 
-func (w *watch) open(ctx context.Context) (*http.Response, error) {
+func (w *watch) open(ctx context.Context) (*http.Response, uint64, error) {
 	if err := w.client.limiter.Wait(ctx); err != nil {
-		return nil, err
+		return nil, 0, err
+	}
+	condition, err := w.client.Condition(w.from)
+	if err != nil {
+		return nil, 0, err
 	}
 	target := w.client.base.JoinPath(WatchPath)
-	query := url.Values{"prefix": {w.prefix}, "from": {strconv.FormatInt(w.from, 10)}}
+	query := url.Values{"prefix": {w.prefix}, "from": {strconv.FormatInt(condition.Revision, 10)}}
 	target.RawQuery = query.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	w.client.authorize(request)
 	response, err := w.client.http.Do(request)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
+	}
+	generation, err := w.client.Observe(response.Header, GenerationHeader)
+	if err == nil && w.from != MustNotExist {
+		err = condition.Check(generation)
 	}
-	if response.StatusCode != http.StatusOK {
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = errors.Newf("watch: status %d", response.StatusCode)
+	}
+	if err != nil {
 		response.Body.Close()
-		return nil, errors.Newf("watch: status %d", response.StatusCode)
+		return nil, 0, err
 	}
-	return response, nil
+	return response, generation, nil
 }
 
 // resync lists the objects and sends the changes that were missed since the last event.
--- a/internal/objectstoretest/contract.go
+++ b/internal/objectstoretest/contract.go
@@ -30,6 +30,10 @@
 		"watch starts at a version":                  contractWatch,
 		"watch resumes or closes after interruption": contractWatchInterrupted,
 		"injected conflict has no effect":            contractSpuriousConflict,
+		"generation is stated":                       contractGeneration,
+		"versions of a lost generation conflict":     contractRestoredVersions,
+		"restore during a write":                     contractRestoreDuringWrite,
+		"watch restarts after a restore":             contractWatchRestored,
 	}
 	for name, check := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/objectstoretest/faults.go
+++ b/internal/objectstoretest/faults.go
@@ -10,14 +10,16 @@
 )
 
 type faults struct {
-	down              bool
-	callDelay         time.Duration
-	watchDelay        time.Duration
-	droppedResponses  int // number of further writes that take effect and return ErrUnknownOutcome
-	droppedWrites     int // number of further writes that have no effect and return ErrUnknownOutcome
-	delayedWrites     int // number of further writes that return ErrUnknownOutcome and take effect after writeDelay
-	writeDelay        time.Duration
-	injectedConflicts int // number of further writes that have no effect and return ErrConflict
+	down             bool
+	callDelay        time.Duration
+	watchDelay       time.Duration
+	droppedResponses int // number of further writes that take effect and return ErrUnknownOutcome
+	droppedWrites    int // number of further writes that have no effect and return ErrUnknownOutcome
+	delayedWrites    int // number of further writes that return ErrUnknownOutcome and take effect after writeDelay
+	writeDelay       time.Duration
+	// restoreBeforeWrite and restoreAfterWrite are restored before and after the effect of the next write.
+	restoreBeforeWrite, restoreAfterWrite *Copy
+	injectedConflicts                     int // number of further writes that have no effect and return ErrConflict
 }
 
 // Counts holds the number of calls received, by kind. A watch counts once, when it starts.
@@ -150,7 +152,9 @@
 		time.AfterFunc(s.faults.writeDelay, func() { s.applyDelayed(effect) })
 		return errors.Wrap(objectstore.ErrUnknownOutcome, "injected delay of the write")
 	}
+	s.consumeRestore(&s.faults.restoreBeforeWrite)
 	err := effect()
+	s.consumeRestore(&s.faults.restoreAfterWrite)
 	if consumeFault(&s.faults.droppedResponses) {
 		return errors.Wrap(objectstore.ErrUnknownOutcome, "injected loss of the response")
 	}
--- a/internal/objectstoretest/server.go
+++ b/internal/objectstoretest/server.go
@@ -36,10 +36,10 @@
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request, key string) {
 	o, err := s.Get(r.Context(), key)
 	if err != nil {
-		writeError(w, err)
+		s.writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", objectstore.FormatETag(o.Version))
+	writeVersion(w, o)
 	_, _ = w.Write(o.Value) // the client detects a broken connection
 }
 
@@ -54,12 +54,23 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	o, err := s.Put(r.Context(), key, value, ifVersion)
+	o, err := s.PutRevision(r.Context(), key, value, ifVersion)
 	if err != nil {
-		writeError(w, err)
+		s.writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", objectstore.FormatETag(o.Version))
+	writeVersion(w, o)
+}
+
+// writeVersion sets the headers that state the revision of an object and the generation of the store that returned it.
+func writeVersion(w http.ResponseWriter, o objectstore.Object) {
+	revision, _ := objectstore.RevisionOf(o.Version, o.Generation)
+	w.Header().Set("ETag", objectstore.FormatETag(revision))
+	writeGeneration(w, o.Generation)
+}
+
+func writeGeneration(w http.ResponseWriter, generation uint64) {
+	w.Header().Set(objectstore.GenerationHeader, strconv.FormatUint(generation, 10))
 }
 
 func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request, key string) {
@@ -68,23 +79,28 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if err := s.Delete(r.Context(), key, ifVersion); err != nil {
-		writeError(w, err)
+	generation, err := s.DeleteRevision(r.Context(), key, ifVersion)
+	if err != nil {
+		s.writeError(w, err)
 		return
 	}
+	writeGeneration(w, generation)
 	w.WriteHeader(http.StatusNoContent)
 }
 
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
-	objects, revision, err := s.listAt(r.Context(), r.URL.Query().Get("prefix"))
+	objects, version, generation, err := s.ListAt(r.Context(), r.URL.Query().Get("prefix"))
 	if err != nil {
-		writeError(w, err)
+		s.writeError(w, err)
 		return
 	}
+	revision, _ := objectstore.RevisionOf(version, generation)
 	list := objectstore.ListResponse{Revision: revision}
 	for _, o := range objects {
-		list.Objects = append(list.Objects, objectstore.ListObject{Key: o.Key, Value: o.Value, Version: o.Version})
+		revision, _ := objectstore.RevisionOf(o.Version, generation)
+		list.Objects = append(list.Objects, objectstore.ListObject{Key: o.Key, Value: o.Value, Version: revision})
 	}
+	writeGeneration(w, generation)
 	_ = json.NewEncoder(w).Encode(list) // the client detects a broken connection
 }
 
@@ -95,17 +111,24 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	events, err := s.Watch(r.Context(), query.Get("prefix"), from)
+	generation, _, _ := s.Generation()
+	if from > s.Revision() {
+		writeGeneration(w, generation)
+		http.Error(w, "the store does not have this revision", http.StatusGone)
+		return
+	}
+	events, err := s.Watch(r.Context(), query.Get("prefix"), objectstore.VersionOf(generation, from))
 	if err != nil {
-		writeError(w, err)
+		s.writeError(w, err)
 		return
 	}
-	streamEvents(w, events)
+	writeGeneration(w, generation)
+	streamEvents(w, events, generation)
 }
 
 // streamEvents writes the events as lines of JSON. It starts with a heartbeat, which tells the client that the watch
-// is established.
-func streamEvents(w http.ResponseWriter, events <-chan objectstore.Event) {
+// is established, and ends at an event of another generation than the one that the header states.
+func streamEvents(w http.ResponseWriter, events <-chan objectstore.Event, generation uint64) {
 	heartbeat := time.NewTicker(objectstore.HeartbeatInterval)
 	defer heartbeat.Stop()
 	encoder := json.NewEncoder(w)
@@ -117,20 +140,23 @@
 		}
 		select {
 		case e, open := <-events:
-			if !open {
+			if !open || e.Object.Generation != generation {
 				return
 			}
-			line = objectstore.WatchLine{Key: e.Object.Key, Version: e.Object.Version, Value: e.Object.Value, Deleted: e.Deleted}
+			revision, _ := objectstore.RevisionOf(e.Object.Version, e.Object.Generation)
+			line = objectstore.WatchLine{Key: e.Object.Key, Version: revision, Value: e.Object.Value, Deleted: e.Deleted}
 		case <-heartbeat.C:
 			line = objectstore.WatchLine{}
 		}
 	}
 }
 
-func writeError(w http.ResponseWriter, err error) {
+func (s *Store) writeError(w http.ResponseWriter, err error) {
 	if errors.Is(err, objectstore.ErrUnknownOutcome) {
 		panic(http.ErrAbortHandler)
 	}
+	generation, _, _ := s.Generation()
+	writeGeneration(w, generation)
 	http.Error(w, err.Error(), errorStatus(err))
 }
 
--- a/internal/objectstoretest/store.go
+++ b/internal/objectstoretest/store.go
@@ -19,17 +19,21 @@
 // Store keeps objects in memory. It is safe for concurrent use.
 type Store struct {
 	mu           sync.Mutex
+	generation   uint64
 	revision     int64
-	objects      map[string]objectstore.Object
-	deleted      map[string]int64 // version of the deletion, by key of each deleted object
-	changed      chan struct{}    // closed and replaced after each change
-	watchesEnded chan struct{}    // closed and replaced by SetDown and EndWatches
+	objects      map[string]objectstore.Object // with the revision as the version
+	deleted      map[string]int64              // version of the deletion, by key of each deleted object
+	changed      chan struct{}                 // closed and replaced after each change
+	watchesEnded chan struct{}                 // closed and replaced by SetDown and EndWatches
 	counts       Counts
 	countsSince  time.Time
 	faults       faults
 }
 
-var _ objectstore.Store = (*Store)(nil)
+var (
+	_ objectstore.Store            = (*Store)(nil)
+	_ objectstore.GenerationStater = (*Store)(nil)
+)
 
 // New returns an empty Store with no faults injected.
 func New() *Store {
@@ -53,38 +57,57 @@
 	if !found {
 		return o, errors.Wrap(objectstore.ErrNotFound, key)
 	}
-	return cloneObject(o), nil
+	return s.stated(o), nil
 }
 
 // List implements objectstore.Store.
 func (s *Store) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
-	objects, _, err := s.listAt(ctx, prefix)
+	objects, _, _, err := s.ListAt(ctx, prefix)
 	return objects, err
 }
 
-func (s *Store) listAt(ctx context.Context, prefix string) ([]objectstore.Object, int64, error) {
+// ListAt is like List and also returns the version counter and the generation at the time of the list.
+func (s *Store) ListAt(ctx context.Context, prefix string) (objects []objectstore.Object, version int64, generation uint64, err error) {
 	if err := s.beginCall(ctx, &s.counts.List); err != nil {
-		return nil, 0, err
+		return nil, 0, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	objects := []objectstore.Object{}
+	objects = []objectstore.Object{}
 	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
 		if strings.HasPrefix(key, prefix) {
-			objects = append(objects, cloneObject(s.objects[key]))
+			objects = append(objects, s.stated(s.objects[key]))
 		}
 	}
-	return objects, s.revision, nil
+	return objects, objectstore.VersionOf(s.generation, s.revision), s.generation, nil
 }
 
-// Put implements objectstore.Store.
+// Put implements objectstore.Store. Like a client of the store, it does not send a write whose version is of an earlier
+// generation.
 func (s *Store) Put(ctx context.Context, key string, value []byte, ifVersion int64) (objectstore.Object, error) {
+	condition, err := s.condition(ifVersion)
+	if err != nil {
+		return objectstore.Object{}, err
+	}
+	written, err := s.PutRevision(ctx, key, value, condition.Revision)
+	if err == nil {
+		err = condition.Check(written.Generation)
+	}
+	if err != nil {
+		return objectstore.Object{}, err
+	}
+	return written, nil
+}
+
+// PutRevision writes an object whose last change has the given revision, as the store itself does: it knows no generation
+// of the condition.
+func (s *Store) PutRevision(ctx context.Context, key string, value []byte, revision int64) (objectstore.Object, error) {
 	if err := objectstore.CheckPut(key, value); err != nil {
 		return objectstore.Object{}, err
 	}
 	var written objectstore.Object
 	err := s.applyWrite(ctx, &s.counts.Put, func() (err error) {
-		written, err = s.putLocked(key, value, ifVersion)
+		written, err = s.putLocked(key, value, revision)
 		return err
 	})
 	if err != nil {
@@ -95,7 +118,24 @@
 
 // Delete implements objectstore.Store.
 func (s *Store) Delete(ctx context.Context, key string, ifVersion int64) error {
-	return s.applyWrite(ctx, &s.counts.Delete, func() error { return s.deleteLocked(key, ifVersion) })
+	condition, err := s.condition(ifVersion)
+	if err != nil {
+		return err
+	}
+	generation, err := s.DeleteRevision(ctx, key, condition.Revision)
+	if err == nil {
+		err = condition.Check(generation)
+	}
+	return err
+}
+
+// DeleteRevision is like PutRevision and returns the generation that has deleted the object.
+func (s *Store) DeleteRevision(ctx context.Context, key string, revision int64) (generation uint64, err error) {
+	err = s.applyWrite(ctx, &s.counts.Delete, func() error {
+		generation = s.generation
+		return s.deleteLocked(key, revision)
+	})
+	return generation, err
 }
 
 func (s *Store) putLocked(key string, value []byte, ifVersion int64) (objectstore.Object, error) {
@@ -107,7 +147,7 @@
 	s.objects[key] = o
 	delete(s.deleted, key)
 	s.notifyLocked()
-	return cloneObject(o), nil
+	return s.stated(o), nil
 }
 
 func (s *Store) deleteLocked(key string, ifVersion int64) error {
@@ -134,21 +174,28 @@
 	return errors.Wrapf(objectstore.ErrConflict, "%s has version %d, expected %d", key, version, ifVersion)
 }
 
-func cloneObject(o objectstore.Object) objectstore.Object {
+// stated returns a copy of o as a client of the store returns it. It is called with mu held.
+func (s *Store) stated(o objectstore.Object) objectstore.Object {
 	o.Value = slices.Clone(o.Value)
+	o.Version, o.Generation = objectstore.VersionOf(s.generation, o.Version), s.generation
 	return o
 }
 
-// Watch implements objectstore.Store. The channel also closes on SetDown(true) and EndWatches.
+// Watch implements objectstore.Store. The channel also closes on SetDown(true), EndWatches and Restore. A watch from a
+// version of an earlier generation first sends all existing objects.
 func (s *Store) Watch(ctx context.Context, prefix string, fromVersion int64) (<-chan objectstore.Event, error) {
 	if err := s.beginCall(ctx, &s.counts.Watch); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	ended := s.watchesEnded
+	from, current := objectstore.RevisionOf(fromVersion, s.generation)
+	if !current {
+		from = 0
+	}
 	s.mu.Unlock()
 	events := make(chan objectstore.Event)
-	go s.sendChanges(ctx, ended, events, prefix, fromVersion)
+	go s.sendChanges(ctx, ended, events, prefix, from)
 	return events, nil
 }
 
@@ -167,7 +214,7 @@
 			case <-ended:
 				return
 			case events <- e:
-				from = e.Object.Version
+				from, _ = objectstore.RevisionOf(e.Object.Version, e.Object.Generation)
 			}
 		}
 		select {
@@ -189,12 +236,12 @@
 	var batch []objectstore.Event
 	for key, o := range s.objects {
 		if strings.HasPrefix(key, prefix) && o.Version > from {
-			batch = append(batch, objectstore.Event{Object: cloneObject(o)})
+			batch = append(batch, objectstore.Event{Object: s.stated(o)})
 		}
 	}
 	for key, version := range s.deleted {
 		if strings.HasPrefix(key, prefix) && version > from && from > 0 {
-			deletion := objectstore.Object{Key: key, Version: version}
+			deletion := objectstore.Object{Key: key, Version: objectstore.VersionOf(s.generation, version), Generation: s.generation}
 			batch = append(batch, objectstore.Event{Deleted: true, Object: deletion})
 		}
 	}
