Keep the claims that a restored store has lost

Cause: a store that is restored from a copy loses claims that it has acknowledged, so that their keys would run again.

Change: the owner of a shard remembers the claims that it has stored in the last two minutes, without responses. When it notices a new generation it adds those that are missing, and the records of its cached table, in the same write as any new claim, for 15 s. It writes on a cached table only if a response of the last 2 s stated the same generation. An owner that cannot vouch for a shard (not read within 30 s, or written by others meanwhile) holds keys without a claim as may-have-run for 5 s. An outcome whose claim was lost is stored. The number of shards is verified again.

--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -78,10 +78,13 @@
 	cachedBytes atomic.Int64 // encoded size of the cached tables
 	limiter     *rate.Limiter
 	layout      *layout
+	generation  *storeGeneration
+	// restoredClaims counts the claims that were stored again after a restore of the store.
+	restoredClaims atomic.Int64
 }
 
 func newSharedState(config Config) *sharedState {
-	return &sharedState{limiter: config.limiter(), layout: newLayout(config.Store)}
+	return &sharedState{limiter: config.limiter(), layout: newLayout(config.Store), generation: newStoreGeneration(config.Store)}
 }
 
 // New returns a Claimer. Close ends its goroutines.
--- a/internal/claim/layout.go
+++ b/internal/claim/layout.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,7 +25,9 @@
 type layout struct {
 	store    objectstore.Store
 	verified atomic.Bool
-	checking chan struct{} // binary semaphore: one shard checks while the others wait for the result
+	// verifiedIn is the generation of the store in which the number was verified.
+	verifiedIn atomic.Uint64
+	checking   chan struct{} // binary semaphore: one shard checks while the others wait for the result
 }
 
 func newLayout(store objectstore.Store) *layout {
@@ -32,9 +35,11 @@
 }
 
 // check returns errLayoutMismatch if the store has another number of shards. If it has none, check stores
-// shards as the number. After the first success it does not access the store again.
-func (l *layout) check(ctx context.Context, shards int) error {
-	if l.verified.Load() {
+// shards as the number. After the first success it does not access the store again, unless the store is restored.
+func (l *layout) check(ctx context.Context, shards int, generation *storeGeneration) error {
+	current, _, _ := generation.observe(time.Now())
+	isVerified := func() bool { return l.verified.Load() && l.verifiedIn.Load() == current }
+	if isVerified() {
 		return nil
 	}
 	select {
@@ -43,7 +48,7 @@
 	case <-ctx.Done():
 		return errors.Mark(ctx.Err(), objectstore.ErrUnavailable)
 	}
-	if l.verified.Load() {
+	if isVerified() {
 		return nil
 	}
 	err := l.compare(ctx, shards)
@@ -51,6 +56,7 @@
 		err = l.create(ctx, shards)
 	}
 	if err == nil {
+		l.verifiedIn.Store(current)
 		l.verified.Store(true)
 	}
 	return err
--- /dev/null
+++ b/internal/claim/restore.go
@@ -0,0 +1,209 @@
+package claim
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"dandelionspoke/internal/objectstore"
+	"dandelionspoke/internal/verdict"
+)
+
+// storeGeneration tracks the generation of the store for all shards of a process. It is safe for concurrent use.
+type storeGeneration struct {
+	stater objectstore.GenerationStater // nil if the store states none
+
+	mu        sync.Mutex
+	current   uint64
+	known     bool
+	noticedAt time.Time // when the generation was found to have risen; zero for never
+}
+
+func newStoreGeneration(s objectstore.Store) *storeGeneration {
+	stater, _ := s.(objectstore.GenerationStater)
+	return &storeGeneration{stater: stater}
+}
+
+// observe reads the generation that the store's responses have stated, and reports whether it has risen since the last
+// call. fresh is false if the latest response is older than maxGenerationAge.
+func (g *storeGeneration) observe(now time.Time) (current uint64, risen, fresh bool) {
+	if g.stater == nil {
+		return 0, false, true
+	}
+	stated, known, at := g.stater.Generation()
+	if !known {
+		return 0, false, true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	risen = g.known && stated > g.current
+	if risen {
+		g.noticedAt = now
+	}
+	g.current, g.known = max(g.current, stated), true
+	return g.current, risen, now.Sub(at) <= maxGenerationAge
+}
+
+// noticed returns the time at which the store was found to have been restored; zero for never.
+func (g *storeGeneration) noticed() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.noticedAt
+}
+
+// maxOwnWrites is the number of own writes of a shard by which writes of others are recognised. It covers some seconds at the
+// highest write rate of a node.
+const maxOwnWrites = 256
+
+// restoredShard is what a shard needs to know about a restore of the store.
+type restoredShard struct {
+	memory     memory
+	generation uint64 // that the cached table belongs to
+	// knownAt is when the table was last read or written, and foreignAt when a write of another claimer was last found.
+	knownAt, foreignAt time.Time
+	ownWrites          []string // tokens of the latest own writes, at most maxOwnWrites
+	// lost holds the records that were known before the restore that was noticed at restoredAt, in addition to memory.
+	lost       map[string]record
+	restoredAt time.Time
+	vouched    bool // the knowledge of the shard was complete at restoredAt
+}
+
+// cacheIsCurrent reports whether the cached table belongs to the store as it is now.
+func (s *shard) cacheIsCurrent(now time.Time) bool {
+	if s.table == nil {
+		return false
+	}
+	current, _, fresh := s.claimer.shared.generation.observe(now)
+	return fresh && current == s.restore.generation
+}
+
+// noteRead records that the table has been read or written. previous is the table that was cached before; it is kept if the
+// store was restored in between.
+func (s *shard) noteRead(now time.Time, previous *table) {
+	current, _, _ := s.claimer.shared.generation.observe(now)
+	r := &s.restore
+	if n := len(s.base.Writers); n > 0 && !slices.Contains(r.ownWrites, s.base.Writers[n-1]) {
+		r.foreignAt = now
+	}
+	if noticed := s.claimer.shared.generation.noticed(); noticed.After(r.restoredAt) {
+		r.restoredAt = noticed
+		r.vouched = !r.knownAt.IsZero() && noticed.Sub(r.knownAt) <= vouchTime && noticed.Sub(r.foreignAt) > vouchTime
+		r.lost = nil
+		if previous != nil {
+			r.lost = previous.records
+		}
+		if now.Sub(noticed) < restoreWindow {
+			s.logRestored(current)
+		}
+	}
+	r.generation, r.knownAt = current, now
+}
+
+// addOwnWrite records the token of a write of this claimer, which is the latest in writers.
+func (r *restoredShard) addOwnWrite(writers []string) {
+	if len(writers) == 0 {
+		return
+	}
+	r.ownWrites = append(r.ownWrites, writers[len(writers)-1])
+	r.ownWrites = r.ownWrites[max(0, len(r.ownWrites)-maxOwnWrites):]
+}
+
+func (s *shard) logRestored(generation uint64) {
+	r := &s.restore
+	s.claimer.config.Log.Warn("store was restored", "event", "claims_restored", "shard", s.key, "generation", generation,
+		"remembered", len(r.memory.records), "cached", len(r.lost), "vouched", r.vouched)
+}
+
+// restoreClaims adds the claims that the store has lost to t while the restore is recent, and reports whether t has changed.
+func (s *shard) restoreClaims(t *table, now time.Time) (bool, error) {
+	r := &s.restore
+	if r.restoredAt.IsZero() || now.Sub(r.restoredAt) > restoreWindow {
+		r.lost = nil
+		return false, nil
+	}
+	fromMemory, err := r.memory.restoreTo(t)
+	if err != nil {
+		return false, err
+	}
+	fromCache, err := restoreRecords(t, r.lost)
+	if n := fromMemory + fromCache; n > 0 {
+		s.claimer.shared.restoredClaims.Add(int64(n))
+	}
+	return fromMemory+fromCache > 0, err
+}
+
+// holdsUnverified reports whether a key without a claim is to be held, because it may have been claimed by another owner in
+// the seconds that the store has lost.
+func (s *shard) holdsUnverified(now time.Time) bool {
+	r := &s.restore
+	return !r.restoredAt.IsZero() && !r.vouched && now.Sub(r.restoredAt) < unverifiedHold
+}
+
+// completeLost stores the outcome of an attempt whose claim the store has lost.
+func (s *shard) completeLost(t *table, o *op, now time.Time, retention time.Duration) error {
+	r := &s.restore
+	if _, found := t.records[o.id.key]; found || r.restoredAt.IsZero() || now.Sub(r.restoredAt) > restoreWindow {
+		return nil
+	}
+	return t.set(record{Key: o.id.key, Digest: o.id.digest, Attempt: o.id.attempt, State: claimed, Expires: now.Add(retention).UnixMilli()})
+}
+
+// remember updates the memory after the table t, with the changes of the batch, has been stored.
+func (s *shard) remember(t *table, batch []*op, replies []reply, now time.Time) {
+	if s.claimer.shared.generation.stater == nil {
+		return
+	}
+	s.restore.knownAt = now
+	s.restore.addOwnWrite(s.base.Writers)
+	m := &s.restore.memory
+	for _, o := range s.queuedReleases {
+		m.forget(o.id.key, o.id.attempt)
+	}
+	for i, o := range batch {
+		switch {
+		case o.kind == opRelease:
+			m.forget(o.id.key, o.id.attempt)
+		case replies[i].err != nil || o.kind == opVerify || o.kind == opAcquire && replies[i].result.Kind != Run:
+		default:
+			if r, found := t.records[o.id.key]; found && r.Attempt == o.id.attempt {
+				m.remember(r, now)
+			}
+		}
+	}
+}
+
+// unverifiedResult is the result of an Acquire that cannot be decided yet.
+func unverifiedResult() Result { return Result{Kind: Held, Verdict: verdict.MayHaveRun} }
+
+// Observe notices a restore of the store, of which any response of the store may have told. It then stores the claims that
+// this process remembers again, in the background, and returns true.
+func (s *ClaimerSet) Observe(now time.Time) bool {
+	if _, risen, _ := s.shared.generation.observe(now); !risen {
+		return false
+	}
+	s.Verify()
+	return true
+}
+
+// Verify reads the shards of which this process knows claims and stores those that the store has lost, in the background.
+func (s *ClaimerSet) Verify() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.byService {
+		c.verify()
+	}
+}
+
+func (c *Claimer) verify() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	for _, s := range c.openShards {
+		s.add(&op{kind: opVerify, persistent: true, replies: make(chan reply, 1)})
+	}
+}
+
+// RestoredClaims returns the number of claims that were stored again after the store had lost them.
+func (s *ClaimerSet) RestoredClaims() int64 { return s.shared.restoredClaims.Load() }
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -19,6 +19,7 @@
 	opAcquire opKind = iota
 	opComplete
 	opRelease
+	opVerify // changes nothing; see restoreClaims
 )
 
 type reply struct {
@@ -73,6 +74,7 @@
 	retries        []*op              // operations to retry after a failure
 	queuedReleases []*op              // releases to retry or to make for callers that have given up
 	failing        bool               // the last batch was not committed
+	restore        restoredShard
 }
 
 func newShard(c *Claimer, key string) *shard {
@@ -193,14 +195,19 @@
 // tryCommit applies the batch to the cached table, or to the stored one if none is cached. It stores the
 // result and delivers the replies.
 func (s *shard) tryCommit(ctx context.Context, batch []*op) (committed bool, err error) {
-	loaded := s.table == nil // from the store, in this call
-	if err := s.load(ctx); err != nil {
+	loaded, err := s.load(ctx) // from the store, in this call
+	if err != nil {
 		return false, err
 	}
 	now := time.Now()
 	next := s.table.clone()
 	next.expire(now)
+	restored, err := s.restoreClaims(next, now)
+	if err != nil {
+		return false, err
+	}
 	replies, changed, final := s.apply(next, batch, now)
+	changed = changed || restored
 	if !changed && !loaded && !final {
 		// The replies come from a cached table, and another node may have written a newer one.
 		s.dropTable()
@@ -217,6 +224,7 @@
 		}
 		s.base = stored
 		s.cacheTable(next)
+		s.remember(next, batch, replies, now)
 		if !bytes.Equal(stored.Payload, payload) {
 			s.dropTable() // the read-back found a later write of another claimer
 		}
@@ -250,10 +258,18 @@
 func (s *shard) applyOne(t *table, o *op, now time.Time) (reply, bool) {
 	retention := max(s.claimer.config.Retention(), MinRetention)
 	switch o.kind {
+	case opVerify:
+		return reply{}, false
 	case opAcquire:
+		if _, found := t.records[o.id.key]; !found && s.holdsUnverified(now) {
+			return reply{result: unverifiedResult()}, false
+		}
 		result, changed, err := t.acquire(o.id, now, retention)
 		return reply{result: result, err: err}, changed
 	case opComplete:
+		if err := s.completeLost(t, o, now, retention); err != nil {
+			return reply{err: err}, false
+		}
 		changed, err := t.complete(o.id, o.outcome, now, retention)
 		return reply{err: err}, changed
 	default:
@@ -261,24 +277,27 @@
 	}
 }
 
-func (s *shard) load(ctx context.Context) error {
-	if s.table != nil {
-		return nil
+// load reads the table from the store, unless a cached one is current. It reports whether it has read it.
+func (s *shard) load(ctx context.Context) (loaded bool, err error) {
+	if s.cacheIsCurrent(time.Now()) {
+		return false, nil
 	}
-	if err := s.claimer.shared.layout.check(ctx, s.claimer.shards); err != nil {
-		return err
+	previous := s.table
+	if err := s.claimer.shared.layout.check(ctx, s.claimer.shards, s.claimer.shared.generation); err != nil {
+		return false, err
 	}
 	sealed, err := objectstore.GetSealed(ctx, s.claimer.config.Store, s.key)
 	if err != nil {
-		return err
+		return false, err
 	}
 	t, err := decodeTable(sealed.Payload)
 	if err != nil {
-		return err
+		return false, err
 	}
 	s.base = sealed
 	s.cacheTable(t)
-	return nil
+	s.noteRead(time.Now(), previous)
+	return true, nil
 }
 
 func (s *shard) cacheTable(t *table) {
