Count the window for lost claims from the first read after a restore

Cause: the window in which an owner stores lost claims again began when the restore was noticed; if the store was away right after that for longer than the window, the claims stayed lost.

Change: the window and the hold of unverified keys begin with the first read of the shard after the notice.

--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -62,10 +62,12 @@
 	// knownAt is when the table was last read or written, and foreignAt when a write of another claimer was last found.
 	knownAt, foreignAt time.Time
 	ownWrites          []string // tokens of the latest own writes, at most maxOwnWrites
-	// lost holds the records that were known before the restore that was noticed at restoredAt, in addition to memory.
-	lost       map[string]record
-	restoredAt time.Time
-	vouched    bool // the knowledge of the shard was complete at restoredAt
+	// noticedAt is the notice of the latest restore that the shard has taken into account, and restoredAt the time of the
+	// first read after it, from which restoreWindow and unverifiedHold count: the store may be away in between.
+	noticedAt, restoredAt time.Time
+	// lost holds the records that were known before, in addition to memory.
+	lost    map[string]record
+	vouched bool // the knowledge of the shard was complete at noticedAt
 }
 
 // cacheIsCurrent reports whether the cached table belongs to the store as it is now.
@@ -85,20 +87,26 @@
 	if n := len(s.base.Writers); n > 0 && !slices.Contains(r.ownWrites, s.base.Writers[n-1]) {
 		r.foreignAt = now
 	}
-	if noticed := s.claimer.shared.generation.noticed(); noticed.After(r.restoredAt) {
-		r.restoredAt = noticed
-		r.vouched = s.vouches(noticed)
-		r.lost = nil
-		if previous != nil {
-			r.lost = previous.records
-		}
-		if now.Sub(noticed) < restoreWindow {
-			s.logRestored(current)
+	if noticed := s.claimer.shared.generation.noticed(); noticed.After(r.noticedAt) {
+		r.noticedAt = noticed
+		// A shard that is used for the first time long after the restore has nothing to store again.
+		if !r.knownAt.IsZero() || now.Sub(noticed) <= memoryTime {
+			s.noteRestore(now, current, previous)
 		}
 	}
 	r.generation, r.knownAt = current, now
 }
 
+func (s *shard) noteRestore(now time.Time, generation uint64, previous *table) {
+	r := &s.restore
+	r.restoredAt, r.vouched, r.lost = now, s.vouches(r.noticedAt), nil
+	if previous != nil {
+		r.lost = previous.records
+	}
+	s.claimer.config.Log.Warn("store was restored", "event", "claims_restored", "shard", s.key, "generation", generation,
+		"remembered", len(r.memory.records), "cached", len(r.lost), "vouched", r.vouched)
+}
+
 // vouches reports whether this claimer knows all claims of the shard that were made before the restore noticed at the given
 // time: nobody else has written it, and it has either been read or written here lately, or all claims are sent here.
 func (s *shard) vouches(noticed time.Time) bool {
@@ -125,12 +133,6 @@
 	r.ownWrites = r.ownWrites[max(0, len(r.ownWrites)-maxOwnWrites):]
 }
 
-func (s *shard) logRestored(generation uint64) {
-	r := &s.restore
-	s.claimer.config.Log.Warn("store was restored", "event", "claims_restored", "shard", s.key, "generation", generation,
-		"remembered", len(r.memory.records), "cached", len(r.lost), "vouched", r.vouched)
-}
-
 // restoreClaims adds the claims that the store has lost to t while the restore is recent, and reports whether t has changed.
 func (s *shard) restoreClaims(t *table, now time.Time) (bool, error) {
 	r := &s.restore
--- a/internal/claim/restore_test.go
+++ b/internal/claim/restore_test.go
@@ -93,6 +93,26 @@
 	})
 }
 
+// Guards against the loss of claims when the store is away for long right after a node has noticed the restore.
+func TestClaimsAreKeptIfTheStoreIsAwayAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectstoretest.New()
+		net := newNetwork(store, 2, 2, 1, 0)
+		defer net.close()
+		owner := net.claimers[0].For("ordre")
+		net.claimers[0].Observe(time.Now())
+		copied := store.Copy()
+		acquireAndComplete(t, owner, "lost", "gone")
+		store.Restore(copied)
+		store.SetDown(true)
+		net.claimers[0].Observe(time.Now())
+		time.Sleep(2 * restoreWindow)
+		store.SetDown(false)
+		time.Sleep(5 * time.Second)
+		wantHeld(t, net.claimers[1].For("ordre"), "lost", verdict.Ran)
+	})
+}
+
 // Guards against a second run when the store is restored between a claim's write and its answer, so that the write replaces
 // the claims that another owner has made since with the same revision.
 func TestRestoreDuringClaim(t *testing.T) {
