--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -43,6 +43,7 @@
 	}
 	v.checkRoutes(b)
 	v.checkAccounts(b)
+	v.checkRegionSets(b)
 	return v.errs
 }
 
--- a/internal/claim/router.go
+++ b/internal/claim/router.go
@@ -34,6 +34,9 @@
 	Self string // node ID
 	// Local holds the claimers of this node; nil if the node has no direct access to the store.
 	Local *ClaimerSet
+	// StoreRegion is the region of the store, or empty if it is unknown. Outcomes that must not enter it are stored without
+	// header and body.
+	StoreRegion string
 	// Nodes returns the live nodes that have direct access to the store and are not draining. Self may be
 	// one of them.
 	Nodes func() []Node
@@ -60,6 +63,7 @@
 	closed         bool
 	owners         []Node
 	ownersComputed time.Time            // when owners was computed
+	ownersSince    time.Time            // since when owners has held the same nodes
 	avoidUntil     map[string]time.Time // by node ID; until then the node comes last in the order of targets
 }
 
@@ -113,9 +117,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if r.ownersComputed.IsZero() || now.Sub(r.ownersComputed) >= ownersMaxAge {
-		r.owners, r.ownersComputed = selectOwners(r.config.Nodes()), now
-	}
+	r.refreshOwners(now)
 	order := rankOwners(r.owners, service, shardNumber(key, r.shards))
 	if r.config.Local == nil {
 		order = slices.DeleteFunc(order, r.isSelf)
@@ -128,6 +130,37 @@
 	return append(first, last...)
 }
 
+// refreshOwners computes the owners again if they are older than ownersMaxAge. It is called with mu held.
+func (r *Router) refreshOwners(now time.Time) {
+	if !r.ownersComputed.IsZero() && now.Sub(r.ownersComputed) < ownersMaxAge {
+		return
+	}
+	owners := selectOwners(r.config.Nodes())
+	sameNode := func(a, b Node) bool { return a.NodeID == b.NodeID }
+	if r.ownersSince.IsZero() || !slices.EqualFunc(owners, r.owners, sameNode) {
+		r.ownersSince = now
+	}
+	r.owners, r.ownersComputed = owners, now
+}
+
+// IsOwner reports whether this node owns shards of each service.
+func (r *Router) IsOwner() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refreshOwners(time.Now())
+	return slices.ContainsFunc(r.owners, r.isSelf)
+}
+
+// OwnedSince returns the time since which the owners have been the same and this node has been the first one of a shard. It
+// returns false if this node is not.
+func (r *Router) OwnedSince(service string, shard int) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refreshOwners(time.Now())
+	order := rankOwners(r.owners, service, shard)
+	return r.ownersSince, len(order) > 0 && r.isSelf(order[0])
+}
+
 func (r *Router) isSelf(n Node) bool { return n.NodeID == r.config.Self }
 
 // recordUnanswered puts n last in the order of targets for avoidDuration.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -90,6 +90,9 @@
 	Panics atomic.Int64
 	// Returning counts the requests that their callers sent again after a refusal; only with accounts.
 	Returning atomic.Int64
+	// NoAllowedRegion counts the requests that were refused because no endpoint is known in a region that their route and
+	// account allow.
+	NoAllowedRegion atomic.Int64
 }
 
 // Ingress is an http.Handler. It is safe for concurrent use.
@@ -197,12 +200,15 @@
 	if err := in.selectAccount(q); err != nil {
 		return err
 	}
+	if err := in.restrictRegions(q); err != nil {
+		return err
+	}
 	if err := in.takeToken(r.Context(), q); err != nil {
 		return err
 	}
 	in.awaitEndpoints(r.Context(), q)
-	if q.service == nil {
-		return verdict.New(verdict.NotRun, verdict.NoEndpoint, "service %s has no endpoint", q.serviceName)
+	if err := in.checkEndpointKnown(q); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
@@ -246,9 +252,9 @@
 		return
 	}
 	q.snapshot = in.awaitSnapshot(ctx, in.startedAt.Add(startupEndpointWait), func(s *table.Snapshot) bool {
-		return known(s.Service(q.serviceName))
+		return known(q.view(s))
 	})
-	q.service = q.snapshot.Service(q.serviceName)
+	q.service = q.view(q.snapshot)
 }
 
 // awaitSnapshot waits until ok accepts the newest snapshot, the deadline has passed or ctx has ended, and returns the
--- a/internal/ingress/panic_test.go
+++ b/internal/ingress/panic_test.go
@@ -81,7 +81,7 @@
 		}, true, "not-run", verdict.ClaimUnavailable},
 		{"gate, before the queue", "POST", func(p *requestPath) { p.gate.IsQuarantined = panickingCheck }, false, "not-run", verdict.InternalError},
 		{"gate, before its history", "POST", func(p *requestPath) {
-			p.gate.WriteLimiter = func(string, bool) func(int) error { panic(injected) }
+			p.gate.WriteLimiter = func(string, bool, int) func(int) error { panic(injected) }
 		}, false, "not-run", verdict.InternalError},
 		{"gate, sending", "GET", func(p *requestPath) { p.gate.SetProtocol(panickingProtocol{}) }, false, "may-have-run", verdict.InternalError},
 		{"gate, reading", "POST", func(p *requestPath) { p.gate.SetProtocol(panickingProtocol{onRead: true}) }, false, "may-have-run", verdict.InternalError},
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -52,27 +52,35 @@
 
 // Dump is a snapshot of a node's state.
 type Dump struct {
-	NodeID        string                 `json:"node_id"`
-	UptimeSeconds float64                `json:"uptime_seconds"`
-	Addresses     Addresses              `json:"addresses"`
-	Draining      bool                   `json:"draining"`
-	StoreReader   bool                   `json:"store_reader"`
-	Backend       *announce.Announcement `json:"backend"`
-	GateLoad      *wire.Load             `json:"gate_load"`
-	GateAccounts  gate.AccountCounts     `json:"gate_accounts"`
-	Bundle        admin.BundleStatus     `json:"bundle"`
-	RateLimits    *ratelimit.State       `json:"rate_limits,omitempty"`
-	Accounts      accountState           `json:"accounts"`
-	Evacuations   admin.Evacuations      `json:"evacuations"`
-	Metrics       map[string]int64       `json:"metrics"`
-	Engine        engine.State           `json:"engine"`
+	NodeID        string    `json:"node_id"`
+	UptimeSeconds float64   `json:"uptime_seconds"`
+	Addresses     Addresses `json:"addresses"`
+	Draining      bool      `json:"draining"`
+	StoreReader   bool      `json:"store_reader"`
+	// StoreGeneration is the generation that the store states; absent if it has stated none.
+	StoreGeneration *uint64                `json:"store_generation,omitempty"`
+	Backend         *announce.Announcement `json:"backend"`
+	GateLoad        *wire.Load             `json:"gate_load"`
+	GateAccounts    gate.AccountCounts     `json:"gate_accounts"`
+	Bundle          admin.BundleStatus     `json:"bundle"`
+	RateLimits      *ratelimit.State       `json:"rate_limits,omitempty"`
+	Accounts        accountState           `json:"accounts"`
+	Evacuations     admin.Evacuations      `json:"evacuations"`
+	Metrics         map[string]int64       `json:"metrics"`
+	Engine          engine.State           `json:"engine"`
 }
 
 // Dump implements admin.Node; it returns a Dump.
 func (n *Node) Dump() any {
 	backend, _ := n.registry.Current()
+	var generation *uint64
+	if g := n.restored.generation.Load(); g > 0 {
+		g--
+		generation = &g
+	}
 	return Dump{
-		NodeID: n.settings.NodeID, UptimeSeconds: n.uptime().Seconds(), Addresses: n.addresses,
+		StoreGeneration: generation,
+		NodeID:          n.settings.NodeID, UptimeSeconds: n.uptime().Seconds(), Addresses: n.addresses,
 		Draining: n.draining.Load(), StoreReader: n.isStoreReader.Load(), Backend: backend, GateLoad: n.gate.Load(), GateAccounts: n.gate.AccountCounts(),
 		Bundle: n.BundleStatus(), RateLimits: n.rateLimitState(), Accounts: n.accountState(), Evacuations: n.Evacuations(),
 		Metrics: n.Metrics(), Engine: n.engine.Dump(),
@@ -91,7 +99,8 @@
 		"ingress_hedges": in.Hedges.Load(), "ingress_hedges_won": in.HedgesWon.Load(),
 		"ingress_hedges_no_room": in.HedgesNoRoom.Load(), "ingress_hedges_no_budget": in.HedgesNoBudget.Load(),
 		"ingress_attempt_queries": in.Queries.Load(), "ingress_replays": in.Replays.Load(),
-		"gate_admitted": g.Admitted.Load(), "gate_queued": g.Queued.Load(), "gate_refused": g.Refused.Load(),
+		"ingress_no_allowed_region": in.NoAllowedRegion.Load(),
+		"gate_admitted":             g.Admitted.Load(), "gate_queued": g.Queued.Load(), "gate_refused": g.Refused.Load(),
 		"gate_ran": g.Ran.Load(), "gate_broken": g.Broken.Load(), "gate_canceled": g.Canceled.Load(),
 		"gate_attempt_queries": g.Queries.Load(), "gate_crashes": g.Crashes.Load(), "gate_pauses": g.Pauses.Load(), "gate_panics": g.Panics.Load(), "ingress_panics": in.Panics.Load(), "gate_load_probes": g.LoadProbes.Load(), "gate_attempts_remembered": int64(n.gate.Attempts()),
 		"gate_in_flight": int64(load.InFlight), "gate_queued_short": int64(load.QueuedShort), "gate_queued_long": int64(load.QueuedLong),
@@ -110,6 +119,10 @@
 	if n.evacuationEnabled() {
 		n.addEvacuationMetrics(m)
 	}
+	m["store_restores"] = n.restored.restores.Load()
+	if n.claimers != nil {
+		m["claims_restored"] = n.claimers.RestoredClaims()
+	}
 	if n.ingressListener != nil {
 		m["ingress_overlapping"] = n.ingressListener.PipelinedRequests.Load()
 	}
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -26,10 +26,11 @@
 	if n.store != nil {
 		n.claimers = claim.NewClaimerSet(claim.Config{
 			Store: n.store, Retention: n.claimRetention, WritesPerSecond: n.claimWriteRate(), Log: n.logger,
+			OwnedSince: func(service string, shard int) (time.Time, bool) { return n.claimRouter.OwnedSince(service, shard) },
 		})
 	}
 	return claim.NewRouter(claim.RouterConfig{
-		Self: n.settings.NodeID, Local: n.claimers, Nodes: n.claimNodes, Call: n.callClaims,
+		Self: n.settings.NodeID, Local: n.claimers, StoreRegion: n.settings.Store.Region, Nodes: n.claimNodes, Call: n.callClaims,
 		Draining: n.draining.Load, Log: n.logger,
 	})
 }
@@ -63,7 +64,7 @@
 			continue
 		}
 		nodes = append(nodes, claim.Node{
-			NodeID: m.NodeId, PeerAddr: m.PeerAddr, FailureDomain: m.FailureDomain,
+			NodeID: m.NodeId, PeerAddr: m.PeerAddr, FailureDomain: m.FailureDomain, Region: m.Region,
 			InStoreRegion: m.StoreAccess == wire.StoreAccess_NEAR,
 		})
 	}
