--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// due reports whether a request is to be sent now, and whether it is one that waiting callers cause.
+// due reports whether a request is to be sent now. demand and waiting are results of demand.
 func (s *shard) due(now int64, demand, waiting bool) bool {
 	if s.pending != nil {
 		return false
