Pass over a pool node only after two lost replies

Cause: each lost datagram made a node use another pool node for 2 s, which moved its deposits and split the pools.

Change: two requests in a row must be left without a reply.

--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -29,6 +29,7 @@
 	slow         map[string]int
 	demotedUntil map[string]int64
 	pending      *pendingRequest
+	lost         int // successive requests without a reply in time
 	lastSent     int64
 	lastDeposit  int64 // end of the time that has been deposited; 0 without entitlement
 	// allowance is the number of requests that waiting callers may cause, computed at allowanceAt.
@@ -83,7 +84,9 @@
 	if s.pending == nil || now-s.pending.sentAt < int64(replyTimeout) {
 		return
 	}
-	s.avoidUntil[s.pending.to] = now + int64(avoidFor)
+	if s.lost++; s.lost >= lostReplies {
+		s.avoidUntil[s.pending.to], s.lost = now+int64(avoidFor), 0
+	}
 	s.pending = nil
 }
 
@@ -217,7 +220,7 @@
 	if p == nil || p.seq != g.GetSeq() || p.to != from || now-p.sentAt >= int64(replyTimeout) {
 		return false
 	}
-	s.pending = nil
+	s.pending, s.lost = nil, 0
 	s.noteReply(now, p)
 	if s.fallbackSince.Load() != 0 {
 		s.fallbackSince.Store(0)
--- a/internal/ratelimit/failures_test.go
+++ b/internal/ratelimit/failures_test.go
@@ -51,7 +51,7 @@
 		used float64
 	}{
 		"none":                       {func(*fleet) {}, 0.9},
-		"5 % of messages lost":       {func(f *fleet) { f.loss = 0.05 }, 0.85},
+		"5 % of messages lost":       {func(f *fleet) { f.loss = 0.05 }, 0.88},
 		"pool node killed":           {func(f *fleet) { f.poolNode(0).stopped = true }, 0.9},
 		"pool node frozen for 0.9 s": {func(f *fleet) { f.poolNode(0).frozenUntil = f.now + 9e8 }, 0.9},
 		"pool node frozen for 4 s":   {func(f *fleet) { f.poolNode(0).frozenUntil = f.now + 4e9 }, 0.9},
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -33,8 +33,10 @@
 	exchangesPerSecond = 10
 	exchangeBurst      = 4
 	exchangeGap        = 25 * time.Millisecond
-	// replyTimeout is the time after which a pool node counts as unreachable; avoidFor is how long another one is then used.
+	// A pool node that sends no reply within replyTimeout to lostReplies requests in a row counts as unreachable, and another
+	// one is used for avoidFor. A single lost datagram would otherwise move a node's deposits and so split the pools.
 	replyTimeout = GrantValidity
+	lostReplies  = 2
 	avoidFor     = 2 * time.Second
 	// A pool node whose replies take slowReply or longer slowReplies times in a row is used only if no other can be, for
 	// demoteFor: requests wait for its replies, and VMs with little processor time reply late when they are busy.
