Refuse waiting requests of accounts that can no longer complete, move less over the narrow link

Change: a waiting request of an account is refused at the last moment at which it could still start and complete. A restricted request accepts a wait of 40 ms at a gate of another region. Evacuations are listed every 15 s; the watch lists by itself after an interruption.

Result: the two new tests fail before (the first expected a decision at 0.9 s and got 1 s). Deployments without accounts and allowed regions decide as before.

--- a/internal/admission/fairness_test.go
+++ b/internal/admission/fairness_test.go
@@ -116,3 +116,30 @@
 		t.Errorf("%d flows are kept, limit %d", n, maxFlows)
 	}
 }
+
+// Guards against a request that waits until its deadline although it can no longer complete before it: its caller would learn
+// too late that it was not run.
+func TestWaitingRequestIsRefusedWhenItCannotComplete(t *testing.T) {
+	for _, account := range []string{"", "small"} {
+		q := newMeasuredQueue(Limits{Slots: 1, QueueShort: 10}, 100, 100)
+		measured, _ := q.Offer(at(0), Request{Route: "browse", Deadline: at(5000)})
+		q.Release(at(0), measured, 100*time.Millisecond)
+		running, _ := q.Offer(at(0), Request{Route: "browse", Deadline: at(5000)})
+		r := Request{ID: "waiting", Route: "browse", Account: account, Deadline: at(1000), Objective: at(800)}
+		if _, outcome := q.Offer(at(0), r); outcome.State != Queued {
+			t.Fatalf("offer: %+v", outcome)
+		}
+		next, _ := q.NextDecision()
+		want := at(1000) // its deadline, without accounts
+		if account != "" {
+			want = at(900) // it runs for 100 ms
+		}
+		if !next.Equal(want) {
+			t.Errorf("account %q: next decision at %s, want %s", account, next.Sub(at(0)), want.Sub(at(0)))
+		}
+		if account != "" {
+			expectDecisions(t, q.Expire(at(900)), "waiting overloaded")
+		}
+		q.Release(at(950), running, 0)
+	}
+}
--- a/internal/admission/objective.go
+++ b/internal/admission/objective.go
@@ -91,15 +91,19 @@
 	return start.Add(needed).After(e.request.Objective)
 }
 
-// latenessLimit returns the time after the objective of e at which e is refused if it is still waiting. It returns
-// false if e has no objective.
+// latenessLimit returns the time at which e is refused if it is still waiting: some time after its objective, or earlier if
+// it could then no longer complete before its deadline. It returns false if there is no such time.
 func (e *entry) latenessLimit() (time.Time, bool) {
 	if e.request.Objective.IsZero() {
-		return time.Time{}, false
+		return e.latestStart, !e.latestStart.IsZero()
 	}
 	lateness := time.Duration(maxLatenessRatio * float64(e.request.Objective.Sub(e.offered)))
 	minLateness := e.request.Deadline.Sub(e.offered) / latenessDeadlineDivisor
-	return e.request.Objective.Add(max(lateness, minLateness)), true
+	limit := e.request.Objective.Add(max(lateness, minLateness))
+	if !e.latestStart.IsZero() && e.latestStart.Before(limit) {
+		limit = e.latestStart
+	}
+	return limit, true
 }
 
 // latenessExceeded reports whether the latenessLimit of e has been reached.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -165,6 +165,12 @@
 	if reason := q.earlyRefusal(now, e, l); reason != "" {
 		return reason, nil
 	}
+	if e.flow != nil {
+		e.latestStart = e.request.Deadline.Add(-q.expectedRunTime(e))
+		if !e.latestStart.After(now) {
+			return verdict.Overloaded, nil
+		}
+	}
 	var evicted []Decision
 	if l.len() >= limit {
 		evictee := l.evictionCandidate(e)
--- a/internal/admission/wait_list.go
+++ b/internal/admission/wait_list.go
@@ -14,6 +14,9 @@
 	offered time.Time
 	running bool
 	flow    *flow // of the request's account in its wait list; nil without an account
+	// latestStart is the time after which the request of an account can no longer complete before its deadline; zero
+	// without an account.
+	latestStart time.Time
 }
 
 // waitList is a list of waiting entries, ordered by priority, deadline and arrival. Without accounts, the first is served
--- a/internal/ingress/regions_test.go
+++ b/internal/ingress/regions_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -165,3 +166,22 @@
 		})
 	}
 }
+
+// Guards against a restricted request that moves from gate to gate of another region: each move takes a round trip between the
+// regions and sends the body over the narrow link again.
+func TestRestrictedRequestAcceptsAWaitInAnotherRegion(t *testing.T) {
+	var waits sync.Map // region of the endpoint to the longest wait that the first attempt accepts
+	gates := &scriptedGates{refuse: func(endpoint string, head *wire.RequestHead) verdict.Reason {
+		waits.Store(endpoint[:4], time.Duration(head.MaxWaitUs)*time.Microsecond)
+		return ""
+	}}
+	in, _ := regionalIngress(t, gates, "east", "east", "west")
+	for _, path := range []string{"/order", "/any"} {
+		in.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, path, strings.NewReader("x")))
+	}
+	for region, want := range map[string]time.Duration{"west": otherRegionPlacementWait, "east": retry.MaxPlacementWait} {
+		if got, _ := waits.Load(region); got != want {
+			t.Errorf("at a gate in %s the request accepts a wait of %v, want %s", region, got, want)
+		}
+	}
+}
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -122,7 +122,7 @@
 	q.attemptsSent, q.lastEndpoint = state.startedAttempts, ep
 	in.logChoice(ctx, q, state, ep)
 	ctx, state.running[state.startedAttempts] = context.WithCancel(ctx)
-	number, maxWait := state.startedAttempts, state.maxWait(q)
+	number, maxWait := state.startedAttempts, state.maxWait(q, ep)
 	send := func() {
 		resp, err := in.sendAttempt(ctx, q, ep, maxWait)
 		state.results <- attemptResult{number, resp, err}
@@ -134,11 +134,19 @@
 	}
 }
 
-// maxWait returns the longest expected wait that the next attempt accepts; 0 accepts any.
-func (state *attemptState) maxWait(q *request) time.Duration {
+// otherRegionPlacementWait is the longest expected wait that a request restricted to other regions accepts at a gate there
+// while it may still move: about a round trip between regions, after which it would reach the next gate. Each move also sends
+// its body over the narrow link again.
+const otherRegionPlacementWait = 40 * time.Millisecond
+
+// maxWait returns the longest expected wait that the next attempt, at ep, accepts; 0 accepts any.
+func (state *attemptState) maxWait(q *request, ep *table.Endpoint) time.Duration {
 	if state.acceptAnyWait || q.long && q.route.Objective == 0 {
 		return 0
 	}
+	if q.regions != nil && ep.Locality == table.OtherRegion {
+		return otherRegionPlacementWait
+	}
 	return retry.MaxPlacementWait
 }
 
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -5,7 +5,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,9 +14,10 @@
 	"dandelionspoke/internal/sleep"
 )
 
-// evacuationListShare is the time between two lists of the evacuations by a store reader, as a share of evacuation.within: a
-// watch that has missed a change then still leaves half of that time for the gossip.
-const evacuationListShare = 0.5
+// evacuationListFactor is the time between two lists of the evacuations by a store reader, as a multiple of
+// evacuation.within. The watch of the platform's store lists by itself after an interruption or a loss of history; these lists
+// only find what a faulty watch has missed, and each is a billed call.
+const evacuationListFactor = 3
 
 // evacuationState is what the node does about evacuations. mu guards the fields without a type of sync/atomic.
 type evacuationState struct {
@@ -112,7 +112,7 @@
 // newEvacuationReader returns the task of a store reader that keeps the set up to date.
 func (n *Node) newEvacuationReader() *evacuation.Reader {
 	return &evacuation.Reader{
-		Store: n.store, Interval: time.Duration(evacuationListShare * float64(n.settings.Evacuation.Within)),
+		Store: n.store, Interval: evacuationListFactor * n.settings.Evacuation.Within,
 		Known: n.engine.Evacuations, Adopt: n.engine.SetEvacuations, Preferred: n.isKnownDomain, Log: n.logger,
 	}
 }
