Return the place in the slow-start ramp after a panic

An attempt that panicked after reserveSend and before it was sent kept its reserved place, so a cold backend server got less than its ramp permits. The attempt now notes the reservation, as it does for its slot, and recoverServe releases it.

TestPanicReturnsThePlaceInTheRamp fails without the change of recoverServe: 1 place after the panic, 2 before.

--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -57,7 +57,7 @@
 		reusable = true // nothing has been sent
 		return err
 	}
-	c.sent = true
+	c.reserved = false
 	resp, err := conn.transport.RoundTrip(req)
 	if err != nil {
 		if !mayBeSent.Load() {
--- a/internal/gate/panic.go
+++ b/internal/gate/panic.go
@@ -10,9 +10,10 @@
 	"dandelionspoke/internal/verdict"
 )
 
-// recoverServe ends an attempt whose handling panicked: it releases the slot, records the outcome for queries of the ingress
-// and refuses the attempt unless its response has begun. Call it deferred; by then the connection to the backend server is
-// closed. If the admission queue itself panicked, requests that it was deciding on may wait until their deadlines.
+// recoverServe ends an attempt whose handling panicked: it releases the slot and the place in the ramp, records the outcome
+// for queries of the ingress and refuses the attempt unless its response has begun. Call it deferred; by then the connection
+// to the backend server is closed. If the admission queue itself panicked, requests that it was deciding on may wait until
+// their deadlines.
 func (c *call) recoverServe() {
 	value := recover()
 	if value == nil {
@@ -27,6 +28,7 @@
 		}
 	}()
 	c.releaseSlot(0)
+	c.releaseSend()
 	headSent := c.recorder != nil && c.recorder.headSent
 	outcome := verdict.NotRun
 	switch {
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -38,7 +38,8 @@
 	ticket               admission.Ticket
 	holdsSlot, forwarded bool
 	registered           bool // the attempt history holds a record of the attempt that is still running
-	sent                 bool // the ramp of the backend server has recorded the request as sent
+	// reserved is set while the ramp of the backend server holds a place for the request; it ends when the request is sent.
+	reserved bool
 }
 
 // Serve serves one attempt, whose head has already been read from conn, and writes the response or a refusal to conn.
@@ -98,6 +99,7 @@
 		c.finishRefused(err)
 		return
 	}
+	c.reserved = true
 	offeredAt := time.Now()
 	if b := c.gate.Backend(); b != nil && (c.head.MaxWaitUs > 0 || c.head.HasObjective) {
 		c.slowness = c.gate.currentSlowness(ctx, b)
@@ -113,7 +115,7 @@
 	})
 	c.gate.accounts.count(c.head.Account, err)
 	if err != nil {
-		c.gate.releaseSend()
+		c.releaseSend()
 		c.finishRefused(err)
 		return
 	}
@@ -122,7 +124,7 @@
 	if !admittedAt.Before(deadline) {
 		// The process may have been paused while the request waited, and the timer of ctx is late.
 		c.releaseSlot(0)
-		c.gate.releaseSend()
+		c.releaseSend()
 		c.finishRefused(verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline passed before the request was sent"))
 		return
 	}
@@ -130,9 +132,7 @@
 	c.gate.QueueTime.Record(c.queueTime)
 	c.forwarded = true
 	err = c.forward(ctx, backend, c.body)
-	if !c.sent {
-		c.gate.releaseSend()
-	}
+	c.releaseSend()
 	serviceTime := time.Since(admittedAt)
 	c.gate.ServiceTime.Record(serviceTime)
 	c.logForwarded(ctx, backend, serviceTime, err)
@@ -151,6 +151,14 @@
 	}
 }
 
+// releaseSend returns the reserved place of the attempt in the ramp, if it holds one.
+func (c *call) releaseSend() {
+	if c.reserved {
+		c.reserved = false
+		c.gate.releaseSend()
+	}
+}
+
 func (g *Gate) responseKeepLimit() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gate/slowstart_test.go
+++ b/internal/gate/slowstart_test.go
@@ -151,3 +151,42 @@
 		t.Errorf("after the end: %d runs, %d refused", ran, refused)
 	}
 }
+
+// preparePanics is a protocol that panics while count is above 0, before the request is sent.
+type preparePanics struct {
+	nativeProtocol
+	count *atomic.Int64
+}
+
+func (p preparePanics) Prepare(h http.Header, r RequestContext) {
+	if p.count.Add(-1) >= 0 {
+		panic("injected panic")
+	}
+	p.nativeProtocol.Prepare(h, r)
+}
+
+// Guards against attempts that panic before they are sent and keep their places in the ramp, so that a cold backend server
+// gets less than it can handle.
+func TestPanicReturnsThePlaceInTheRamp(t *testing.T) {
+	g := newRampGate(t, &rampServer{}, "")
+	places := func() (free int) {
+		for ; g.reserveSend() == nil; free++ {
+		}
+		for range free {
+			g.releaseSend()
+		}
+		return free
+	}
+	waitFor(t, "two places", func() bool { return places() >= 2 })
+	var panics atomic.Int64
+	panics.Store(1)
+	g.SetProtocol(preparePanics{count: &panics})
+	before := places()
+	conn := serveAttempt(t, g, requestHead(1))
+	if f, err := conn.Read(); err != nil || f.GetRefusal().GetReason() != string(verdict.InternalError) {
+		t.Fatalf("%v, %v", f, err)
+	}
+	if after := places(); after < before {
+		t.Errorf("%d places after the panic, %d before", after, before)
+	}
+}
