Count each loan of a pool only for its own time

A pool that lent a large amount once and smaller ones since kept counting the largest, because each new loan renewed its end. Its capacity stayed reduced by that amount, and the tokens that its region deposited were cut. The lender now keeps the loans of the last 800 ms and counts the largest, which is what the borrower can be using.

TestLoansEnd fails before: 143 lent after 800 ms, want 51.

--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -167,3 +167,26 @@
 		l.Take(names[i*7919%len(names)], 2, false)
 	}
 }
+
+// Guards against a pool that counts its largest loan for ever while it continues to lend, and so has no room for the tokens
+// that its region's nodes deposit.
+func TestLoansEnd(t *testing.T) {
+	pa := &poolAccount{}
+	pa.lend(0, "a", 143)
+	for now := int64(200 * time.Millisecond); now <= int64(time.Second); now += int64(200 * time.Millisecond) {
+		want := 143.0
+		if now >= int64(loanTime) {
+			want = 51
+		}
+		if pa.lend(now, "a", 51); pa.lent(now) != want || len(pa.loans) > 2 {
+			t.Errorf("after %v: %v lent in %d loans, want %v", time.Duration(now), pa.lent(now), len(pa.loans), want)
+		}
+	}
+	pa.lend(int64(time.Second), "b", 10)
+	if got := pa.lent(int64(time.Second)); got != 61 {
+		t.Errorf("%v lent to two, want 61", got)
+	}
+	if got := pa.lent(int64(2 * time.Second)); got != 0 || len(pa.loans) > 0 {
+		t.Errorf("%v lent after all loans have ended", got)
+	}
+}
--- a/internal/ratelimit/transfer.go
+++ b/internal/ratelimit/transfer.go
@@ -22,27 +22,21 @@
 	until  int64
 }
 
-// lend notes a loan. The borrower uses only its latest loan, but may not have received that one yet.
+// lend notes a loan. The borrower uses only its latest loan, but may not have received that one yet, so that the largest one
+// of the last loanTime counts. Smaller ones before it are dropped.
 func (pa *poolAccount) lend(now int64, to string, amount float64) {
-	until := now + int64(loanTime)
-	for i, l := range pa.loans {
-		if l.to == to {
-			if now >= l.until {
-				l.amount = 0
-			}
-			pa.loans[i] = loan{to, max(amount, l.amount), until}
-			return
-		}
-	}
-	pa.loans = append(pa.loans, loan{to, amount, until})
+	pa.loans = slices.DeleteFunc(pa.loans, func(l loan) bool { return now >= l.until || l.to == to && l.amount <= amount })
+	pa.loans = append(pa.loans, loan{to, amount, now + int64(loanTime)})
 }
 
-// lent returns the capacity that is on loan, and forgets loans that have ended.
+// lent returns the capacity that is on loan, and forgets loans that have ended. The first loan of each borrower is its largest.
 func (pa *poolAccount) lent(now int64) float64 {
 	pa.loans = slices.DeleteFunc(pa.loans, func(l loan) bool { return now >= l.until })
 	sum := 0.0
-	for _, l := range pa.loans {
-		sum += l.amount
+	for i, l := range pa.loans {
+		if !slices.ContainsFunc(pa.loans[:i], func(earlier loan) bool { return earlier.to == l.to }) {
+			sum += l.amount
+		}
 	}
 	return sum
 }
