Let nodes that the others count take part in the rate limits at once

A node deposited its part of the rates only 2 s after it knew the fleet, so that limited accounts were refused for 2 to 2.5 s after a restart of all nodes. The delay is needed only by nodes that the others do not count yet. A restarted node now starts when it knows the fleet if the store's list holds its address, in a read from before it introduced itself, or if a peer states in SyncReply.counted that it has had the node's record for 2 s without LEAVING.

--- a/internal/membership/departures_test.go
+++ b/internal/membership/departures_test.go
@@ -91,3 +91,37 @@
 		t.Errorf("a new node learned %v, known %t", out.list, out.known)
 	}
 }
+
+// Guards against a restarted node that is not told that the others count it, which costs its part of the rate limits for
+// seconds, and against one that is told so although others may not: after its first start, or after a drain.
+func TestRestartedNodeLearnsThatItIsCounted(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	newNode := func(id, address string, at time.Time) *Node {
+		n, err := NewNode(Config{NodeID: id, UDPAddr: address, PeerAddr: address}, at, rand.New(rand.NewPCG(1, 2)), &recorder{}, &Counters{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	neighbour := newNode("neighbour", "10.0.0.2:1", start)
+	for _, step := range []struct {
+		name    string
+		at      time.Duration
+		drain   bool // before the exchange
+		counted bool
+	}{
+		{"first start", 0, false, false}, {"restart before gossip has spread", countedAfter / 2, false, false},
+		{"restart", countedAfter, false, true}, {"restart later", time.Minute, false, true},
+		{"drain", 2 * time.Minute, true, false}, {"start after the drain", 3 * time.Minute, false, false},
+		{"restart after that", 4 * time.Minute, false, true},
+	} {
+		at := start.Add(step.at)
+		n := newNode("node", "10.0.0.1:1", at)
+		if step.drain {
+			n.SetLeaving(at, true)
+		}
+		if got := neighbour.HandleSync(at, proto.CloneOf(n.SyncRequest())).Counted; got != step.counted {
+			t.Errorf("%s: counted %t, want %t", step.name, got, step.counted)
+		}
+	}
+}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -13,6 +13,8 @@
 const (
 	// maxDigests is the number of digest buckets of the list. It is a power of two.
 	maxDigests = 1024
+	// countedAfter is the time in which gossip makes a member known to all others.
+	countedAfter = 2 * time.Second
 	// maxMembers limits the memory of the list. It is about three times the number of nodes that the system
 	// is designed for.
 	maxMembers = 1 << 16
@@ -28,8 +30,14 @@
 	// such records out, since nodes would otherwise pass them to each other forever.
 	neverLive     bool
 	lastReceived  time.Time
-	bundleVersion uint64 // newest bundle version received in a datagram from the node
-	orderIndex    int    // index in memberList.order
+	countedSince  time.Time // since when the node has been known without a LEAVING record
+	bundleVersion uint64    // newest bundle version received in a datagram from the node
+	orderIndex    int       // index in memberList.order
+}
+
+// counted reports whether the node has been counted as a member for so long that all others count it too.
+func (e *entry) counted(now time.Time) bool {
+	return !e.neverLive && e.record.State != wire.MemberState_LEAVING && now.Sub(e.countedSince) >= countedAfter
 }
 
 // memberList is the member table. It maintains the shuffled order, the digests and the counts.
@@ -86,6 +94,9 @@
 	if e.record == nil || e.record.State != m.State {
 		e.stateSince = now
 	}
+	if e.record == nil || e.neverLive || e.record.State == wire.MemberState_LEAVING {
+		e.countedSince = now
+	}
 	e.record = m
 	e.neverLive = e.neverLive && !Live(m.State)
 	l.addToTotals(m, +1)
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -58,8 +58,9 @@
 	}
 	// The first record of a request with digests is that of the node that sends it.
 	if len(request.Members) > 0 {
-		if m := n.Record(request.Members[0].GetNodeId()); m != nil {
-			reply.Departures, reply.DeparturesKnown = m.Departures, m.DeparturesKnown
+		if e := n.list.entries[request.Members[0].GetNodeId()]; e != nil {
+			reply.Departures, reply.DeparturesKnown = e.record.Departures, e.record.DeparturesKnown
+			reply.Counted = e.counted(now)
 		}
 	}
 	reply.Buckets = uint32(count)
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -177,6 +177,7 @@
 }
 
 func (n *Node) trySync(peerAddr string, request *wire.SyncRequest) error {
+	n.fleetList.introduced.Store(true)
 	f, err := n.exchange(peerAddr, &wire.Frame{Kind: &wire.Frame_SyncRequest{SyncRequest: request}}, syncTimeout)
 	if err != nil {
 		return err
@@ -185,6 +186,9 @@
 		return errors.Newf("unexpected %s from %s", frameName(f), peerAddr)
 	}
 	n.engine.HandleSyncReply(peerAddr, f.GetSyncReply())
+	if f.GetSyncReply().GetCounted() {
+		n.fleetList.counted.Store(true)
+	}
 	n.departures.peerReply.Store(true)
 	return nil
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -238,6 +238,7 @@
 		n.gate.ServeQuery(ctx, conn, k.AttemptQuery)
 	case *wire.Frame_SyncRequest:
 		conn.AllowBulkFrames()
+		n.fleetList.introduced.Store(true)
 		reply := n.engine.HandleSync(k.SyncRequest)
 		_ = conn.Write(&wire.Frame{Kind: &wire.Frame_SyncReply{SyncReply: reply}})
 	case *wire.Frame_BundleRequest:
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -166,6 +166,7 @@
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
+	introduced := n.fleetList.introduced.Load()
 	objects, err := n.store.List(ctx, membersPrefix)
 	if err != nil {
 		n.departures.storeFailed.Store(true)
@@ -179,10 +180,21 @@
 		}
 	}
 	n.fleetList.record(time.Now(), domains)
+	if !introduced && n.isListed(domains) {
+		n.fleetList.counted.Store(true)
+	}
 	n.restoreFromStore(domains)
 	return domains
 }
 
+// isListed reports whether the list holds this node's address. If no process of this node has introduced itself since the list
+// was written, every other node counts it: running ones keep its record, and starting ones count the list.
+func (n *Node) isListed(domains []domainMembers) bool {
+	return slices.ContainsFunc(domains, func(d domainMembers) bool {
+		return slices.Contains(d.PeerAddresses, n.settings.Peer.Advertise)
+	})
+}
+
 // decodeMembers decodes an object under membersPrefix. It logs a malformed object and malformed addresses.
 func (n *Node) decodeMembers(key string, value []byte) (domainMembers, bool) {
 	d, dropped, err := decodeDomainMembers(value)
--- a/internal/node/ratelimit.go
+++ b/internal/node/ratelimit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionspoke/internal/bundle"
@@ -30,8 +31,13 @@
 	maxLimitedAccounts = 8
 )
 
-// fleetList is the number of nodes that the store listed at the last read. It is safe for concurrent use.
+// fleetList is the number of nodes that the store listed at the last read, and what follows from it and from exchanges with
+// other nodes. It is safe for concurrent use.
 type fleetList struct {
+	// introduced is set once this process has exchanged members with another node. counted is set once it is known that the
+	// others count this node, from an earlier process, in the size of the fleet.
+	introduced, counted atomic.Bool
+
 	mu   sync.Mutex
 	at   time.Time // zero before the first read
 	size int
@@ -106,6 +112,7 @@
 	version  uint64
 	floor    int
 	entitled bool
+	counted  bool
 	fallback bool                 // no pool node could be reached
 	leaving  map[string]time.Time // since when nodes are LEAVING
 	// leavingEnd is the time from which no LEAVING node counts any longer.
@@ -127,7 +134,8 @@
 func (n *Node) updateFleetView(now time.Time, v *fleetView) {
 	version := n.engine.MembersVersion()
 	floor, listed := n.fleetList.floor(now)
-	if version == v.version && floor == v.floor && v.entitled && now.After(v.leavingEnd.Add(2*fleetInterval)) {
+	counted := n.fleetList.counted.Load()
+	if version == v.version && floor == v.floor && counted == v.counted && v.entitled && now.After(v.leavingEnd.Add(2*fleetInterval)) {
 		return
 	}
 	records := n.engine.Records()
@@ -145,8 +153,12 @@
 	}
 	alone := n.store == nil && !slices.ContainsFunc(n.settings.Seeds, func(seed string) bool { return seed != n.settings.Peer.Advertise })
 	known := len(records) > 1 || listed || alone
-	v.version, v.floor, v.entitled = version, floor, known && selfSpends
-	n.limits.SetFleet(steady.Nanos(now), ratelimit.NewFleet(n.settings.NodeID, n.settings.Region, members, floor, v.entitled))
+	if counted && !v.counted {
+		n.logger.Info("takes part in the rate limits at once", "event", "rate_limit_counted", "fleet_floor", floor, "members", len(records))
+	}
+	v.version, v.floor, v.entitled, v.counted = version, floor, known && selfSpends, counted
+	fleet := ratelimit.NewFleet(n.settings.NodeID, n.settings.Region, members, floor, v.entitled, counted)
+	n.limits.SetFleet(steady.Nanos(now), fleet)
 }
 
 // spends reports whether a node may send requests to backend servers. A DEAD one may only be unreachable. before holds since
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -32,6 +32,7 @@
 	lost         int // successive requests without a reply in time
 	lastSent     int64
 	lastDeposit  int64 // end of the time that has been deposited; 0 without entitlement
+	depositDue   int64 // when the next deposit is to be sent
 	// allowance is the number of requests that waiting callers may cause, computed at allowanceAt.
 	allowance   float64
 	allowanceAt int64
@@ -130,7 +131,7 @@
 	if s.pending != nil {
 		return false
 	}
-	if s.lastDeposit != 0 && now-s.lastDeposit >= int64(depositPeriod(int(s.fleetSize.Load()))) {
+	if s.lastDeposit != 0 && now >= s.depositDue {
 		return true
 	}
 	if demand && now-s.lastSent >= int64(exchangeInterval) {
@@ -163,15 +164,28 @@
 	return any, waiting
 }
 
+// startDeposits starts this node's entitlement, whose first deposit is due after phase.
+func (s *shard) startDeposits(now int64, phase time.Duration) {
+	s.lastDeposit, s.depositDue = now, now+int64(phase)
+}
+
+// dropTime drops the time that has not been deposited.
+func (s *shard) dropTime(now int64) {
+	if s.lastDeposit != 0 {
+		s.startDeposits(now, depositPeriod(int(s.fleetSize.Load())))
+	}
+}
+
 // deposit returns the milliseconds to deposit now. In a fleet with a long deposit period, deposits have times of their own:
 // if requests carried them too, a sudden demand at all nodes would bring in the time of the whole period at once.
 func (s *shard) deposit(now int64) uint32 {
 	period := depositPeriod(int(s.fleetSize.Load()))
 	elapsed := time.Duration(now - s.lastDeposit)
-	if s.lastDeposit == 0 || elapsed < time.Millisecond || period > depositInterval && elapsed < period {
+	if s.lastDeposit == 0 || elapsed < time.Millisecond || period > depositInterval && now < s.depositDue {
 		return 0
 	}
 	s.lastDeposit += int64(elapsed.Truncate(time.Millisecond))
+	s.depositDue = s.lastDeposit + int64(period)
 	return uint32(min(elapsed, maxDeposit(period)).Milliseconds())
 }
 
@@ -224,9 +238,7 @@
 	s.noteReply(now, p)
 	if s.fallbackSince.Load() != 0 {
 		s.fallbackSince.Store(0)
-		if s.lastDeposit != 0 {
-			s.lastDeposit = now
-		}
+		s.dropTime(now)
 	}
 	for _, amount := range g.GetAmounts() {
 		for _, a := range p.accounts {
--- a/internal/ratelimit/failures_test.go
+++ b/internal/ratelimit/failures_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -86,6 +87,36 @@
 	}
 }
 
+// Guards against accounts that are refused after a restart of many nodes although the others count each node already, and
+// against a second burst: what was spent before the restart counts in windows that span it. Each restarted node is alone at
+// first and counts the list of the store.
+func TestRestartOfCountedNodes(t *testing.T) {
+	for name, c := range map[string]struct {
+		restarted int
+		before    time.Duration // of overload
+	}{
+		"all, idle before": {100, 0}, "all, burst just spent": {100, 300 * time.Millisecond}, "all, overload before": {100, 4 * time.Second},
+		"half, burst just spent": {50, 300 * time.Millisecond}, "half, overload before": {50, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 100, large)
+			f.run(c.before, overload)
+			for _, n := range f.nodes[:c.restarted] {
+				f.start(n)
+				n.counted = true
+				alone := []Member{{ID: fmt.Sprint(n.index), Region: fmt.Sprint(n.region), Alive: true, Spending: true}}
+				n.SetFleet(f.now, NewFleet(alone[0].ID, alone[0].Region, alone, len(f.nodes), true, true))
+			}
+			f.run(300*time.Millisecond, overload)
+			f.updateViews() // all have joined
+			f.run(2*time.Second, overload)
+			f.wantUsed(0.9, 1500*time.Millisecond)
+			f.run(6*time.Second, overload)
+			f.wantUsed(0.9, 6*time.Second)
+		})
+	}
+}
+
 // Guards against demand that stays refused when it moves to another node or region, where the pool has less than it needs.
 func TestDemandMoves(t *testing.T) {
 	limits, _ := mixedLimits()
--- a/internal/ratelimit/fleet.go
+++ b/internal/ratelimit/fleet.go
@@ -29,8 +29,9 @@
 	// Size is the number of nodes among which the rates are divided.
 	Size    int
 	Regions int
-	// Entitled is set if this node knows the fleet and is counted by the others.
-	Entitled bool
+	// Entitled is set if this node knows the fleet. Counted is set if the others are known to count this node, so that it takes
+	// part without ParticipationDelay.
+	Entitled, Counted bool
 	// Local holds the candidates for each shard's pool node in this node's region, best first. Remote holds, for each shard,
 	// the pool nodes of the other regions.
 	Local, Remote [][]string
@@ -41,8 +42,8 @@
 
 // NewFleet selects the pool nodes by rendezvous hashing among the alive members of each region. floor is the least size of
 // the fleet, such as the number of nodes listed in the store; it also counts members that this node does not know yet.
-func NewFleet(self, region string, members []Member, floor int, entitled bool) Fleet {
-	f := Fleet{Self: self, Entitled: entitled}
+func NewFleet(self, region string, members []Member, floor int, entitled, counted bool) Fleet {
+	f := Fleet{Self: self, Entitled: entitled, Counted: counted}
 	regions := map[string][]string{}
 	for _, m := range members {
 		if m.Spending {
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -39,6 +39,7 @@
 	slow          time.Duration // added to the delay of its messages
 	frozenUntil   int64
 	awake         int64 // time of the next Advance
+	counted       bool  // the others count the node from an earlier process
 	waiting       []waiter
 	backlog       []envelope // arrived while frozen
 }
@@ -86,7 +87,7 @@
 			})
 		}
 		if !n.stopped {
-			n.SetFleet(f.now, NewFleet(fmt.Sprint(n.index), fmt.Sprint(n.region), members, 0, true))
+			n.SetFleet(f.now, NewFleet(fmt.Sprint(n.index), fmt.Sprint(n.region), members, 0, true, n.counted))
 		}
 	}
 }
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"dandelionspoke/internal/wire"
 )
@@ -97,6 +98,8 @@
 	switch {
 	case !f.Entitled:
 		l.entitledAt = 0
+	case f.Counted && (l.entitledAt == 0 || l.entitledAt > now):
+		l.entitledAt = now
 	case l.entitledAt == 0:
 		l.entitledAt = now + int64(ParticipationDelay)
 	}
@@ -189,7 +192,7 @@
 	}
 	if s.lastDeposit == 0 && l.entitledAt != 0 && now >= l.entitledAt {
 		// The phase spreads the deposits of nodes that have started together.
-		s.lastDeposit = now + int64(l.instance%uint64(depositPeriod(l.fleet.Size)))
+		s.startDeposits(now, time.Duration(l.instance%uint64(depositPeriod(l.fleet.Size))))
 	}
 	demand, waiting := s.demand(now)
 	if !s.due(now, demand, waiting) {
@@ -323,9 +326,7 @@
 	}
 	for _, s := range l.shards {
 		s.pending = nil
-		if s.lastDeposit != 0 {
-			s.lastDeposit = now
-		}
+		s.dropTime(now)
 		if s.fallbackSince.Load() != 0 {
 			s.fallbackSince.Store(now)
 		}
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -24,7 +24,8 @@
 	depositNodes    = 1000
 	// depositWindow is the period whose deposits determine the share of its accounts' capacity that a pool may hold.
 	depositWindow = 2 * time.Second
-	// ParticipationDelay is the time from joining to the first entitlement, in which other nodes learn to count the node.
+	// ParticipationDelay is the time from joining to the first entitlement, in which other nodes learn to count the node. A node
+	// that they count already, such as a restarted one, needs none.
 	ParticipationDelay = 2 * time.Second
 	// exchangeInterval is the time between two requests to a pool node while accounts have steady demand. It is below
 	// GrantValidity, so that the tokens of a grant last until the next one.
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -51,7 +51,7 @@
 func single(now int64) *Limiter {
 	l := New(1)
 	l.SetLimits(testBounds, map[string]Limit{"a": {100, 100}})
-	l.SetFleet(now, NewFleet("self", "r", []Member{{"self", "r", false, true}, {"other", "r", true, true}}, 0, true))
+	l.SetFleet(now, NewFleet("self", "r", []Member{{"self", "r", false, true}, {"other", "r", true, true}}, 0, true, false))
 	return l
 }
 
@@ -157,7 +157,7 @@
 		limits[names[i]] = Limit{100, 100}
 	}
 	l.SetLimits(testBounds, limits)
-	l.SetFleet(1, NewFleet("a", "r", []Member{{"a", "r", true, true}}, 0, true))
+	l.SetFleet(1, NewFleet("a", "r", []Member{{"a", "r", true, true}}, 0, true, false))
 	for _, name := range names {
 		(*l.accounts.Load())[name].receive(1, 1, 1_000_000, 0)
 		l.Take(name, 2, false)
