Start empty when an account's limit comes back

An account that a bundle left out and the next one restored found a full stock in each pool: its credit was counted from the start of the pool. Stocks that were short before, and transfers on their way, replaced the new stock by one of the old account, with the same effect. The removed account also stayed in the node's exchanges and took the tokens that were granted to the new one. Pools now add a newly limited account with an empty stock, ignore stocks of removed accounts, and a removed account leaves the exchanges and wakes the requests that wait for it.

The test fleet keeps the waiting request's account as the Limiter does.

--- a/internal/ratelimit/account.go
+++ b/internal/ratelimit/account.go
@@ -51,6 +51,7 @@
 	refuseTo   int64 // until then, requests without a token are refused at once
 	nextToken  int64 // when the pool expects to have a token
 	active     bool  // the account is in its shard's list of active accounts
+	removed    bool  // the account is no longer limited
 	// changed is closed when waiting requests should try again; nil while none waits.
 	changed chan struct{}
 	// own holds tokens from this node's own entitlement while it reaches no pool node; computed at ownAt.
@@ -166,6 +167,16 @@
 	}
 }
 
+// remove ends the exchanges for an account that is no longer limited. An account of the same name that is limited later would
+// lose its tokens to this one.
+func (a *account) remove() {
+	a.drop()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.removed = true
+	a.wake()
+}
+
 // wake makes waiting requests try again. The caller holds mu.
 func (a *account) wake() {
 	if a.changed != nil {
@@ -201,6 +212,9 @@
 func (a *account) measure(now int64) (need, returned int, idle bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.removed {
+		return 0, 0, true
+	}
 	if dt := time.Duration(now - a.measuredAt).Seconds(); dt > 0 {
 		weight := dt / (dt + demandTime.Seconds())
 		a.demand += (float64(a.arrivals)/dt - a.demand) * weight
--- a/internal/ratelimit/failures_test.go
+++ b/internal/ratelimit/failures_test.go
@@ -169,6 +169,29 @@
 	f.wantUsed(0.9, 5*time.Second)
 }
 
+// Guards against a second burst for an account that a bundle leaves out and the next one restores.
+func TestAccountReturns(t *testing.T) {
+	restored := map[string]Limit{"large": {20, 285}}
+	f := newFleet(t, 20, restored)
+	f.run(15*time.Second, nil)
+	f.run(time.Second, overload[:1]) // the burst is spent
+	for _, limits := range []map[string]Limit{{}, restored} {
+		for _, n := range f.nodes {
+			n.SetLimits(testBounds, limits)
+			f.retry(n)
+		}
+		f.run(200*time.Millisecond, nil)
+	}
+	clear(f.spent)
+	f.run(300*time.Millisecond, overload[:1])
+	// What has been created in the 0.5 s since the account is back, and in a deposit period before.
+	if got := len(f.spent["large"]); got > 20 {
+		t.Errorf("%d requests in 0.3 s, want at most 20", got)
+	}
+	f.run(3*time.Second, overload[:1])
+	f.wantUsed(0.9, 2*time.Second)
+}
+
 // Guards against an entitlement that adds up to more than the limit while nodes join: a newcomer counts itself before
 // the others do.
 func TestNodesJoin(t *testing.T) {
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -45,7 +45,7 @@
 }
 
 type waiter struct {
-	account string
+	account *account
 	until   int64
 }
 
@@ -185,8 +185,9 @@
 	case Granted:
 		f.spent[d.account] = append(f.spent[d.account], f.now)
 	case Wait:
-		(*n.accounts.Load())[d.account].startWaiting()
-		n.waiting = append(n.waiting, waiter{d.account, f.now + int64(MaxWait)})
+		a := (*n.accounts.Load())[d.account]
+		a.startWaiting()
+		n.waiting = append(n.waiting, waiter{a, f.now + int64(MaxWait)})
 		n.awake = f.now
 	}
 }
@@ -194,9 +195,9 @@
 // retry lets waiting requests try again.
 func (f *fleet) retry(n *node) {
 	n.waiting = slices.DeleteFunc(n.waiting, func(w waiter) bool {
-		_, outcome := n.Take(w.account, f.now, true)
+		_, outcome := n.Take(w.account.name, f.now, true)
 		if outcome == Granted {
-			f.spent[w.account] = append(f.spent[w.account], f.now)
+			f.spent[w.account.name] = append(f.spent[w.account.name], f.now)
 		}
 		if outcome != Wait || f.now >= w.until {
 			f.waits += MaxWait - time.Duration(w.until-f.now)
@@ -205,7 +206,7 @@
 			n.awake = min(n.awake, f.now+int64(5*time.Millisecond))
 			return false
 		}
-		(*n.accounts.Load())[w.account].stopWaiting()
+		w.account.stopWaiting()
 		return true
 	})
 }
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -71,11 +71,19 @@
 		if a == nil {
 			a = &account{name: name, hash: hashOf(name)}
 			a.shard.Store(l.shardFor(a))
+			for _, p := range l.pools {
+				p.add(a)
+			}
 		}
 		a.setLimit(limit, bounds, l.fleet.Regions)
 		next[name] = a
 	}
 	l.accounts.Store(&next)
+	for name, a := range old {
+		if next[name] == nil {
+			a.remove()
+		}
+	}
 	for _, p := range l.pools {
 		share := p.share(l.lastCall)
 		for _, pa := range p.accounts {
--- a/internal/ratelimit/pool.go
+++ b/internal/ratelimit/pool.go
@@ -116,9 +116,23 @@
 	p.lastDeposit = now
 }
 
+// add makes the pool start empty for an account that was not limited before. Without it, an account that is taken out of the
+// bundle and put back would find a full stock.
+func (p *pool) add(a *account) {
+	if p.holds(a) {
+		p.accounts[a.name] = &poolAccount{account: a, credit: p.credit, backoff: transferInterval}
+	}
+}
+
+// current reports whether pa is the stock of an account that is still limited.
+func (p *pool) current(pa *poolAccount) bool { return p.accounts[pa.account.name] == pa }
+
+// holds reports whether the account belongs to the pool's shard.
+func (p *pool) holds(a *account) bool { return uint32(a.hash%uint64(p.key.shards)) == p.key.shard }
+
 // settle brings the stock of an account up to date. It returns nil if the account does not belong to this shard.
 func (p *pool) settle(now int64, a *account, share float64) *poolAccount {
-	if uint32(a.hash%uint64(p.key.shards)) != p.key.shard {
+	if !p.holds(a) {
 		return nil
 	}
 	pa := p.accounts[a.name]
--- a/internal/ratelimit/transfer.go
+++ b/internal/ratelimit/transfer.go
@@ -96,6 +96,9 @@
 	var later []*poolAccount
 	size := 0
 	for _, pa := range p.short {
+		if !p.current(pa) {
+			continue
+		}
 		if len(r.Amounts) >= maxAmounts || size > maxAmountBytes || now < pa.nextTransfer {
 			later = append(later, pa)
 			continue
@@ -159,6 +162,9 @@
 	}
 	share := p.share(now)
 	for i, pa := range t.accounts {
+		if !p.current(pa) {
+			continue
+		}
 		n := min(granted[pa.account.name], t.wanted[i])
 		if n < 1 {
 			pa.delay(now)
