Forget the transfers with former pool nodes of other regions

A pool kept an entry for each node that had ever held the pool of another region, for as long as the pool existed. TestPoolForgetsTransfers fails before: 5 nodes are remembered.

--- a/internal/ratelimit/pool.go
+++ b/internal/ratelimit/pool.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// prune forgets accounts that are no longer limited, and senders that have not sent for senderRetention.
+// prune forgets accounts that are no longer limited, and nodes with which no message was exchanged for senderRetention.
 func (p *pool) prune(now int64, accounts map[string]*account) {
 	for name, pa := range p.accounts {
 		if accounts[name] != pa.account {
@@ -196,6 +196,11 @@
 			delete(p.senders, id)
 		}
 	}
+	for id, t := range p.transfers {
+		if t.seq == 0 && now-t.sentAt > int64(senderRetention) {
+			delete(p.transfers, id)
+		}
+	}
 }
 
 // addDemand records a request for tokens and returns the demand in tokens per second, at most the account's rate.
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -190,3 +190,21 @@
 		t.Errorf("%v lent after all loans have ended", got)
 	}
 }
+
+// Guards against a pool that remembers each node that has ever held the pool of another region.
+func TestPoolForgetsTransfers(t *testing.T) {
+	p := newPool(poolKey{0, 1}, 0)
+	a := &account{name: "a", limit: Limit{10, 10}, capacity: 10, creation: 10}
+	for i := range 5 {
+		now := int64(i+1) * int64(2*senderRetention)
+		p.markShort(p.settle(now, a, 1))
+		if to, _ := p.requestTransfer(now, uint64(i+1), 1, []string{fmt.Sprint("node-", i)}); to == "" {
+			t.Fatal("no request")
+		}
+		p.expireTransfers(now + int64(transferTimeout))
+		p.prune(now+int64(2*senderRetention), map[string]*account{"a": a})
+	}
+	if len(p.transfers) > 0 {
+		t.Errorf("%d nodes are remembered", len(p.transfers))
+	}
+}
