Keep the list of nodes in the store while many nodes restart

A store reader that had just started wrote the few nodes that it knew in place of its domain's list. Nodes that started later then counted too few nodes, and found themselves not listed. A node that others found before its first attempt to join never read the list, and so counted only the nodes it knew; it now reads it once.

TestStartingNodeKeepsTheList fails before: only the starting node is listed. Without rate limits nothing changes.

--- a/internal/node/counted_test.go
+++ b/internal/node/counted_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,3 +64,47 @@
 		})
 	}
 }
+
+// Guards against a list in the store that shrinks while all nodes restart, so that those that start later count too few nodes
+// or are refused a part in the rate limits; and against a change of deployments without them.
+func TestStartingNodeKeepsTheList(t *testing.T) {
+	for name, limited := range map[string]bool{"with rate limits": true, "without": false} {
+		t.Run(name, func(t *testing.T) {
+			s := settings.LoopbackDefaults()
+			if limited {
+				s.RateLimit = settings.RateLimit{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20}
+			}
+			store, key := objectstoretest.New(), membersPrefix+s.FailureDomain
+			listed := []string{"127.0.0.1:1", "127.0.0.1:2"}
+			value, err := json.Marshal(domainMembers{FailureDomain: s.FailureDomain, Region: s.Region, PeerAddresses: listed})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := store.Put(t.Context(), key, value, objectstore.MustNotExist); err != nil {
+				t.Fatal(err)
+			}
+			n, err := New(Options{Settings: s, Store: store})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := n.Start(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			defer n.Close()
+			var list domainMembers
+			for started := time.Now(); !slices.Contains(list.PeerAddresses, n.Addrs().Peer); time.Sleep(10 * time.Millisecond) {
+				if time.Since(started) > 10*time.Second {
+					t.Fatal("the node is not listed after 10 s")
+				}
+				o, err := store.Get(t.Context(), key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				list, _ = n.decodeMembers(key, o.Value)
+			}
+			if kept := slices.Contains(list.PeerAddresses, listed[0]) && slices.Contains(list.PeerAddresses, listed[1]); kept != limited {
+				t.Errorf("listed: %v", list.PeerAddresses)
+			}
+		})
+	}
+}
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -54,7 +54,13 @@
 	retry := min(firstJoinRetryInterval, n.bootstrapDelay())
 	for n.ctx.Err() == nil {
 		wait := rejoinInterval
-		if n.knowsNoOtherNode() && !n.tryJoin() {
+		switch {
+		case !n.knowsNoOtherNode():
+			// A node that others have found before it joins still has to count those that the store lists.
+			if n.limits != nil && !n.joinAttempted.Load() {
+				n.storedMembers()
+			}
+		case !n.tryJoin():
 			wait, retry = retry, joinRetryInterval
 		}
 		n.joinAttempted.Store(true)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -71,7 +71,7 @@
 	err := n.updateDomainMembers(ctx, func(m *domainMembers) {
 		n.joinUnknownMember(m.PeerAddresses)
 		addresses = n.domainAddresses()
-		m.PeerAddresses = addresses
+		m.PeerAddresses = n.withListedAddresses(addresses, m.PeerAddresses)
 		if restored {
 			for _, d := range n.knownDepartures(time.Now()) {
 				m.addDeparture(d)
@@ -84,6 +84,18 @@
 	return addresses, nil
 }
 
+// withListedAddresses returns the addresses to write in place of the listed ones. With rate limits, a node that has just started
+// removes none: after a restart of all nodes it knows only some of them, and those that start later count the list.
+func (n *Node) withListedAddresses(known, listed []string) []string {
+	if n.limits == nil || n.uptime() >= fleetListValid {
+		return known
+	}
+	all := slices.Concat(known, listed)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return all[:min(len(all), maxDomainAddresses)]
+}
+
 // joinUnknownMember joins through the first responding stored address that belongs to no known member. One exchange
 // transfers all members of its group.
 func (n *Node) joinUnknownMember(stored []string) {
