--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"io"
 	"net/http"
 	"time"
@@ -79,6 +80,12 @@
 	return peer.SessionShort
 }
 
+func newAttemptID() []byte {
+	id := make([]byte, 16)
+	_, _ = rand.Read(id)
+	return id
+}
+
 // requestHead returns the head of an attempt on ep, its first frame.
 func (in *Ingress) requestHead(q *request, ep *table.Endpoint, remote *peer.Remote) *wire.RequestHead {
 	head := &wire.RequestHead{
@@ -98,13 +105,6 @@
 	return head
 }
 
-// exchangePending is exchange for an attempt that Withdraw may cancel in the meantime.
-func (in *Ingress) exchangePending(ctx context.Context, q *request, resp *response, head *wire.RequestHead, query *wire.AttemptQuery) error {
-	in.pendingAttempts.Store(query, resp.endpoint)
-	defer in.pendingAttempts.Delete(query)
-	return in.exchange(ctx, q, resp, head)
-}
-
 // exchange sends the request and reads the head of the response.
 func (in *Ingress) exchange(ctx context.Context, q *request, resp *response, head *wire.RequestHead) error {
 	if err := sendRequest(q, resp.conn, head); err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -3,19 +3,15 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"dandelionspoke/internal/admission"
-	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/claim"
-	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/httpconn"
 	"dandelionspoke/internal/metrics"
 	"dandelionspoke/internal/peer"
@@ -23,10 +19,8 @@
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
-	"dandelionspoke/internal/wire"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -132,31 +126,6 @@
 // still runs would be cut off without a response. Requests that have been sent to a gate continue.
 func (in *Ingress) LimitDeadlines(latest time.Time) { in.latestDeadline.Store(&latest) }
 
-// Withdraw cancels the attempts that have not started to run: gates refuse those that still wait for a slot, and no
-// new attempt starts. A node calls it shortly before it aborts the requests in flight, so that callers whose request
-// has not run are told so. Requests that are running continue. Withdraw returns when the gates have been notified or
-// ctx has ended.
-func (in *Ingress) Withdraw(ctx context.Context) {
-	in.closing.Store(true)
-	var notified sync.WaitGroup
-	in.pendingAttempts.Range(func(key, value any) bool {
-		query, ep := proto.CloneOf(key.(*wire.AttemptQuery)), value.(*table.Endpoint)
-		query.Withdraw = true
-		notified.Go(func() {
-			defer in.recoverBackground(nil)
-			conn, err := in.Opener.Open(ctx, ep, peer.SessionControl)
-			if err == nil {
-				_, err = exchangeQuery(ctx, conn, query)
-			}
-			if err != nil {
-				in.Logger.Info("attempt not withdrawn", "event", "withdraw_failed", "endpoint", ep.ID, "error", err)
-			}
-		})
-		return true
-	})
-	notified.Wait()
-}
-
 // Wait blocks until no request is in flight.
 func (in *Ingress) Wait() { in.inFlight.Wait() }
 
@@ -317,159 +286,3 @@
 	}
 	return min(max(e.Wait, minRetryAfter), maxRetryAfter)
 }
-
-// response is a response from a gate whose head has been read.
-type response struct {
-	endpoint      *table.Endpoint
-	head          *wire.ResponseHead
-	conn          *peer.Conn
-	body          *peer.Body
-	stop          func() bool // detaches the request's context from conn
-	cancelAll     func()      // cancels the context of all attempts; may be nil
-	cancelAttempt context.CancelFunc
-	hedge         bool // of a hedge, which responded before the earlier attempt
-	observation   *observation
-	retained      *wire.AttemptFate // set instead of conn for a complete response that the gate had retained
-}
-
-func (resp *response) close() {
-	if resp.conn != nil {
-		resp.stop()
-		_ = resp.conn.Close()
-	}
-	if resp.cancelAttempt != nil {
-		resp.cancelAttempt()
-	}
-	if resp.cancelAll != nil {
-		resp.cancelAll()
-	}
-}
-
-// relay writes the response to the caller.
-func (in *Ingress) relay(w http.ResponseWriter, q *request, resp *response) error {
-	defer resp.close()
-	q.status = int(resp.head.Status)
-	q.lastEndpoint, q.hedgeWon = resp.endpoint, resp.hedge
-	if resp.hedge {
-		in.Counters.HedgesWon.Add(1)
-	}
-	in.closeIfDraining(w, q.httpRequest)
-	q.responseStarted = true
-	writeHead(w, resp.head)
-	if resp.retained != nil {
-		_, _ = w.Write(resp.retained.Body)
-		if err := writeTrailers(w, resp.retained.Trailers); err != nil {
-			return http.ErrAbortHandler
-		}
-		in.Counters.Answered.Add(1)
-		return nil
-	}
-	defer resp.observation.end(balance.Failed, nil) // only if the rest panics
-	err := copyBody(w, resp)
-	if err == nil {
-		err = writeTrailers(w, resp.body.End().Trailers)
-	}
-	outcome := outcomeOf(q.httpRequest.Context(), resp.head.Status, err)
-	resp.observation.end(outcome, resp.body.End().GetLoad())
-	if outcome == balance.Success {
-		in.classes.Record(q.serviceName, q.route.Name, q.route.Class == bundle.Long, resp.observation.elapsed())
-		if q.route.Hedge && q.route.Objective == 0 {
-			in.latencyTracker(q).Record(time.Now(), resp.observation.elapsed())
-		}
-	}
-	if err != nil {
-		return http.ErrAbortHandler
-	}
-	in.Counters.Answered.Add(1)
-	if in.OnSuccess != nil {
-		in.OnSuccess(q.fingerprint, q.callerFingerprint)
-	}
-	return nil
-}
-
-func writeHead(w http.ResponseWriter, head *wire.ResponseHead) {
-	h := w.Header()
-	for _, header := range head.Headers {
-		h[header.Name] = header.All()
-	}
-	if head.ContentLength >= 0 && h.Get("Content-Length") == "" {
-		h.Set("Content-Length", strconv.FormatInt(head.ContentLength, 10))
-	}
-	w.WriteHeader(int(head.Status))
-	if head.ContentLength < 0 {
-		// Without a flush, net/http would send an empty response with a Content-Length and drop its trailers.
-		_ = http.NewResponseController(w).Flush()
-	}
-}
-
-// writeTrailers sets the trailers of a response. It sets none and returns an error if one is malformed.
-func writeTrailers(w http.ResponseWriter, trailers []*wire.Header) error {
-	trailers, err := gate.CheckTrailers(trailers)
-	if err != nil {
-		return err
-	}
-	for _, t := range trailers {
-		w.Header()[http.TrailerPrefix+t.Name] = t.All()
-	}
-	return nil
-}
-
-func copyBody(w http.ResponseWriter, resp *response) error {
-	flush := resp.head.ContentLength < 0
-	buf := make([]byte, wire.MaxChunkBytes)
-	for {
-		n, err := resp.body.Read(buf)
-		if n > 0 {
-			if _, writeErr := w.Write(buf[:n]); writeErr != nil {
-				return writeErr
-			}
-			if flush {
-				_ = http.NewResponseController(w).Flush()
-			}
-		}
-		if resp.body.End() != nil && err != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-func newAttemptID() []byte {
-	id := make([]byte, 16)
-	_, _ = rand.Read(id)
-	return id
-}
-
-// queryAttempt asks the gate for the outcome of an attempt whose connection broke, until the attempt has ended.
-func (in *Ingress) queryAttempt(ctx context.Context, ep *table.Endpoint, query *wire.AttemptQuery) *wire.AttemptFate {
-	unknown := &wire.AttemptFate{Verdict: wire.Verdict_MAY_HAVE_RUN}
-	for ctx.Err() == nil {
-		in.Counters.Queries.Add(1)
-		conn, err := in.Opener.Open(ctx, ep, peer.SessionControl)
-		if err != nil {
-			return unknown
-		}
-		outcome, err := exchangeQuery(ctx, conn, query)
-		if err != nil {
-			return unknown
-		}
-		if !outcome.InProgress {
-			return outcome
-		}
-	}
-	return unknown
-}
-
-func exchangeQuery(ctx context.Context, conn *peer.Conn, query *wire.AttemptQuery) (*wire.AttemptFate, error) {
-	defer conn.Close()
-	f, err := conn.Exchange(ctx, &wire.Frame{Kind: &wire.Frame_AttemptQuery{AttemptQuery: query}})
-	if err != nil {
-		return nil, err
-	}
-	if f.GetAttemptFate() == nil {
-		return nil, errors.New("unexpected answer to an attempt query")
-	}
-	return f.GetAttemptFate(), nil
-}
