Set the account in a request's head in one place

requestHead filled the account and its weight, and setAccount again; accountWeight existed as a method, with 0 for no rate, and as a function, with 1. The function and setAccount remain. setAccount no longer depends on the latest bundle: the account that was selected with an earlier one is still named.

--- a/internal/ingress/accounts.go
+++ b/internal/ingress/accounts.go
@@ -70,15 +70,6 @@
 	return text + "\x00" + q.accountName
 }
 
-// accountWeight returns the weight of the account when capacity is shared; 0, which stands for 1, without an account or
-// without a rate.
-func (q *request) accountWeight() float64 {
-	if q.account == nil {
-		return 0
-	}
-	return q.account.RatePerSecond
-}
-
 // accountRefusals counts the refused requests of accounts by reason. It is safe for concurrent use.
 type accountRefusals struct {
 	mu       sync.Mutex
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -95,13 +95,12 @@
 		DeadlineMs: uint32(max(time.Until(q.deadline).Milliseconds(), 0)), Priority: uint32(q.priority),
 		Long: q.long, Region: in.Region, Depth: uint32(q.depth), Idempotent: q.idempotent,
 		Fingerprint: q.fingerprint, CallerFingerprint: q.callerFingerprint, IdempotencyKey: q.idempotencyKey, Generation: remote.Generation.Load(),
-		Account: q.accountName, AccountWeight: q.accountWeight(),
 	}
 	if objective := q.route.Objective.D(); objective > 0 {
 		head.HasObjective = true
 		head.ObjectiveMs = uint32(max(time.Until(q.startedAt.Add(objective)).Milliseconds(), 0))
 	}
-	in.setAccount(q, head)
+	setAccount(q, head)
 	return head
 }
 
--- a/internal/ingress/fairness.go
+++ b/internal/ingress/fairness.go
@@ -29,11 +29,9 @@
 	return q.account.RatePerSecond
 }
 
-// setAccount fills the fields of the head by which gates share slots.
-func (in *Ingress) setAccount(q *request, head *wire.RequestHead) {
-	if !usesAccounts(q) {
-		return
-	}
+// setAccount fills the fields of the head by which gates share slots and name the account to the backend server. The latest
+// snapshot may have no accounts any more; the account that was selected still applies.
+func setAccount(q *request, head *wire.RequestHead) {
 	head.Returning = q.returning
 	if q.accountName != "" {
 		head.Account, head.AccountWeight = q.accountName, accountWeight(q)
--- a/internal/ingress/fairness_test.go
+++ b/internal/ingress/fairness_test.go
@@ -49,7 +49,7 @@
 		again := newSharedRequest(want.account, 2)
 		in.recognizeReturning(again)
 		head := &wire.RequestHead{}
-		in.setAccount(again, head)
+		setAccount(again, head)
 		if head.Returning != want.returning || head.Account != want.account || head.AccountWeight != 285 {
 			t.Errorf("%d: head %v, want returning %v", i, head, want.returning)
 		}
@@ -67,7 +67,7 @@
 	in.refused.add(returnKey(q), time.Now(), q.deadline)
 	in.recognizeReturning(q)
 	head := &wire.RequestHead{}
-	in.setAccount(q, head)
+	setAccount(q, head)
 	if q.returning || head.Returning || head.Account != "" || in.budget(q) != retry.HedgeSpender(in.Budget) {
 		t.Errorf("returning %v, head %v, budget %T", q.returning, head, in.budget(q))
 	}
