Return the token of a request whose handling panicked before an attempt

The request ended as not-run, but its token of the rate limit was lost and the refusal was not counted for its account. TestPanicReturnsTheToken fails before: 1 panic, 0 tokens returned.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -147,6 +147,8 @@
 	defer func() {
 		if value := recover(); value != nil {
 			if err = in.handlerPanic(q, value); q != nil {
+				in.returnTokenAfter(q, err)
+				in.accountRefusals.record(q, err)
 				in.logRequestEnd(r.Context(), q, err)
 			}
 		}
