Update the view of the fleet at the usual interval while draining

A node that has drained for 10 s has no entitlement, and so computed its view of the fleet, with a hash of each member for each shard, every 50 ms as if it did not know the fleet yet. The short interval now depends on knowing the fleet. A node that learns that it is counted still updates its view at once.

TestDrainingNodeUpdatesItsViewAtTheUsualInterval fails before.

--- a/internal/node/counted_test.go
+++ b/internal/node/counted_test.go
@@ -108,3 +108,28 @@
 		})
 	}
 }
+
+// Guards against a draining node that hashes all members for its view of the fleet 20 times a second, without any change of
+// them.
+func TestDrainingNodeUpdatesItsViewAtTheUsualInterval(t *testing.T) {
+	s := settings.LoopbackDefaults()
+	s.RateLimit = settings.RateLimit{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20}
+	n, err := New(Options{Settings: s})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	now := time.Now()
+	var view fleetView
+	n.updateFleetView(now, &view)
+	n.engine.SetLeaving()
+	n.updateFleetView(now, &view)
+	now = now.Add(leavingSpends + time.Second)
+	n.updateFleetView(now, &view)
+	if now = view.next.Add(time.Hour); !view.due(now) || view.due(now.Add(fleetInterval-time.Millisecond)) {
+		t.Errorf("the next update is due after %v, want %v", view.next.Sub(now), fleetInterval)
+	}
+}
--- a/internal/node/ratelimit.go
+++ b/internal/node/ratelimit.go
@@ -93,7 +93,7 @@
 		case <-timer.C:
 		}
 		now := time.Now()
-		if view.due(now) {
+		if view.due(now) || n.fleetList.counted.Load() != view.counted {
 			n.updateFleetView(now, &view)
 			n.logFallback(&view)
 		}
@@ -111,7 +111,7 @@
 	next     time.Time
 	version  uint64
 	floor    int
-	entitled bool
+	known    bool // this node knows the fleet
 	counted  bool
 	fallback bool                 // no pool node could be reached
 	leaving  map[string]time.Time // since when nodes are LEAVING
@@ -124,7 +124,7 @@
 		return false
 	}
 	v.next = now.Add(fleetInterval)
-	if !v.entitled {
+	if !v.known {
 		v.next = now.Add(joiningInterval)
 	}
 	return true
@@ -135,7 +135,7 @@
 	version := n.engine.MembersVersion()
 	floor, listed := n.fleetList.floor(now)
 	counted := n.fleetList.counted.Load()
-	if version == v.version && floor == v.floor && counted == v.counted && v.entitled && now.After(v.leavingEnd.Add(2*fleetInterval)) {
+	if version == v.version && floor == v.floor && counted == v.counted && v.known && now.After(v.leavingEnd.Add(2*fleetInterval)) {
 		return
 	}
 	records := n.engine.Records()
@@ -156,8 +156,8 @@
 	if counted && !v.counted {
 		n.logger.Info("takes part in the rate limits at once", "event", "rate_limit_counted", "fleet_floor", floor, "members", len(records))
 	}
-	v.version, v.floor, v.entitled, v.counted = version, floor, known && selfSpends, counted
-	fleet := ratelimit.NewFleet(n.settings.NodeID, n.settings.Region, members, floor, v.entitled, counted)
+	v.version, v.floor, v.known, v.counted = version, floor, known, counted
+	fleet := ratelimit.NewFleet(n.settings.NodeID, n.settings.Region, members, floor, known && selfSpends, counted)
 	n.limits.SetFleet(steady.Nanos(now), fleet)
 }
 
