Refuse requests that wait for a token of a removed account

They are now refused at once, with the shortest Retry-After. TestRemovedAccountRefusesWaitingRequests fails before: granted after 50ms, wait 0s.

--- a/internal/ratelimit/acquire.go
+++ b/internal/ratelimit/acquire.go
@@ -28,7 +28,7 @@
 // await waits until the account has a token for the request, its pool reports that it has none, or MaxWait has passed.
 func (l *Limiter) await(ctx context.Context, a *account) (Token, Outcome) {
 	if a == nil {
-		return Token{}, Granted // its limit has just been removed
+		return Token{}, Refused // its limit has just been removed, probably with its keys
 	}
 	a.startWaiting()
 	defer a.stopWaiting()
@@ -36,6 +36,9 @@
 	defer timer.Stop()
 	for {
 		changed := a.signal()
+		if (*l.accounts.Load())[a.name] == nil {
+			return Token{}, Refused
+		}
 		if t, outcome := l.Take(a.name, steady.Now(), true); outcome != Wait {
 			return t, outcome
 		}
@@ -61,7 +64,7 @@
 func (l *Limiter) Refuse(name string, now int64, spread float64) time.Duration {
 	a := (*l.accounts.Load())[name]
 	if a == nil {
-		return 0
+		return minRetryAfter
 	}
 	a.refused.Add(1)
 	return time.Duration(float64(a.retryAfter(now)) * (1 + retrySpread*spread))
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"dandelionspoke/internal/steady"
 	"dandelionspoke/internal/wire"
 )
 
@@ -208,3 +210,16 @@
 		t.Errorf("%d nodes are remembered", len(p.transfers))
 	}
 }
+
+// Guards against requests that wait for a token and are all granted, or wait on, when a bundle removes their account.
+func TestRemovedAccountRefusesWaitingRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := single(steady.Now())
+		start := time.Now()
+		time.AfterFunc(MaxWait/2, func() { l.SetLimits(Bounds{Window: time.Second}, nil) })
+		_, wait, ok := l.Acquire(t.Context(), "a")
+		if took := time.Since(start); ok || wait <= 0 || took != MaxWait/2 {
+			t.Errorf("granted %t after %v, wait %v", ok, took, wait)
+		}
+	})
+}
