--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"dandelionspoke/internal/wire"
 )
@@ -70,11 +71,19 @@
 		if a == nil {
 			a = &account{name: name, hash: hashOf(name)}
 			a.shard.Store(l.shardFor(a))
+			for _, p := range l.pools {
+				p.add(a)
+			}
 		}
 		a.setLimit(limit, bounds, l.fleet.Regions)
 		next[name] = a
 	}
 	l.accounts.Store(&next)
+	for name, a := range old {
+		if next[name] == nil {
+			a.remove()
+		}
+	}
 	for _, p := range l.pools {
 		share := p.share(l.lastCall)
 		for _, pa := range p.accounts {
@@ -97,6 +106,8 @@
 	switch {
 	case !f.Entitled:
 		l.entitledAt = 0
+	case f.Counted && (l.entitledAt == 0 || l.entitledAt > now):
+		l.entitledAt = now
 	case l.entitledAt == 0:
 		l.entitledAt = now + int64(ParticipationDelay)
 	}
@@ -189,7 +200,7 @@
 	}
 	if s.lastDeposit == 0 && l.entitledAt != 0 && now >= l.entitledAt {
 		// The phase spreads the deposits of nodes that have started together.
-		s.lastDeposit = now + int64(l.instance%uint64(depositPeriod(l.fleet.Size)))
+		s.startDeposits(now, time.Duration(l.instance%uint64(depositPeriod(l.fleet.Size))))
 	}
 	demand, waiting := s.demand(now)
 	if !s.due(now, demand, waiting) {
@@ -323,9 +334,7 @@
 	}
 	for _, s := range l.shards {
 		s.pending = nil
-		if s.lastDeposit != 0 {
-			s.lastDeposit = now
-		}
+		s.dropTime(now)
 		if s.fallbackSince.Load() != 0 {
 			s.fallbackSince.Store(now)
 		}
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"dandelionspoke/internal/steady"
 	"dandelionspoke/internal/wire"
 )
 
@@ -51,7 +53,7 @@
 func single(now int64) *Limiter {
 	l := New(1)
 	l.SetLimits(testBounds, map[string]Limit{"a": {100, 100}})
-	l.SetFleet(now, NewFleet("self", "r", []Member{{"self", "r", false, true}, {"other", "r", true, true}}, 0, true))
+	l.SetFleet(now, NewFleet("self", "r", []Member{{"self", "r", false, true}, {"other", "r", true, true}}, 0, true, false))
 	return l
 }
 
@@ -157,7 +159,7 @@
 		limits[names[i]] = Limit{100, 100}
 	}
 	l.SetLimits(testBounds, limits)
-	l.SetFleet(1, NewFleet("a", "r", []Member{{"a", "r", true, true}}, 0, true))
+	l.SetFleet(1, NewFleet("a", "r", []Member{{"a", "r", true, true}}, 0, true, false))
 	for _, name := range names {
 		(*l.accounts.Load())[name].receive(1, 1, 1_000_000, 0)
 		l.Take(name, 2, false)
@@ -167,3 +169,57 @@
 		l.Take(names[i*7919%len(names)], 2, false)
 	}
 }
+
+// Guards against a pool that counts its largest loan for ever while it continues to lend, and so has no room for the tokens
+// that its region's nodes deposit.
+func TestLoansEnd(t *testing.T) {
+	pa := &poolAccount{}
+	pa.lend(0, "a", 143)
+	for now := int64(200 * time.Millisecond); now <= int64(time.Second); now += int64(200 * time.Millisecond) {
+		want := 143.0
+		if now >= int64(loanTime) {
+			want = 51
+		}
+		if pa.lend(now, "a", 51); pa.lent(now) != want || len(pa.loans) > 2 {
+			t.Errorf("after %v: %v lent in %d loans, want %v", time.Duration(now), pa.lent(now), len(pa.loans), want)
+		}
+	}
+	pa.lend(int64(time.Second), "b", 10)
+	if got := pa.lent(int64(time.Second)); got != 61 {
+		t.Errorf("%v lent to two, want 61", got)
+	}
+	if got := pa.lent(int64(2 * time.Second)); got != 0 || len(pa.loans) > 0 {
+		t.Errorf("%v lent after all loans have ended", got)
+	}
+}
+
+// Guards against a pool that remembers each node that has ever held the pool of another region.
+func TestPoolForgetsTransfers(t *testing.T) {
+	p := newPool(poolKey{0, 1}, 0)
+	a := &account{name: "a", limit: Limit{10, 10}, capacity: 10, creation: 10}
+	for i := range 5 {
+		now := int64(i+1) * int64(2*senderRetention)
+		p.markShort(p.settle(now, a, 1))
+		if to, _ := p.requestTransfer(now, uint64(i+1), 1, []string{fmt.Sprint("node-", i)}); to == "" {
+			t.Fatal("no request")
+		}
+		p.expireTransfers(now + int64(transferTimeout))
+		p.prune(now+int64(2*senderRetention), map[string]*account{"a": a})
+	}
+	if len(p.transfers) > 0 {
+		t.Errorf("%d nodes are remembered", len(p.transfers))
+	}
+}
+
+// Guards against requests that wait for a token and are all granted, or wait on, when a bundle removes their account.
+func TestRemovedAccountRefusesWaitingRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := single(steady.Now())
+		start := time.Now()
+		time.AfterFunc(MaxWait/2, func() { l.SetLimits(Bounds{Window: time.Second}, nil) })
+		_, wait, ok := l.Acquire(t.Context(), "a")
+		if took := time.Since(start); ok || wait <= 0 || took != MaxWait/2 {
+			t.Errorf("granted %t after %v, wait %v", ok, took, wait)
+		}
+	})
+}
