Ask for the evacuations again while a starting node does not know them

A node without access to the store, or that the store turns away, learned the set only from the exchanges of its start. When all nodes restart, the nodes that it asked may not have read the store yet; a set without evacuations is in no datagram, and the time between exchanges grows with the age of the process. Its gate then stayed closed although the store was up.

--- a/internal/membership/evacuations.go
+++ b/internal/membership/evacuations.go
@@ -9,6 +9,19 @@
 	"dandelionspoke/internal/wire"
 )
 
+const (
+	// evacuationAskInterval is the mean time between the exchanges of a node that has just started and does not know the
+	// evacuations. Its gate is closed meanwhile, and the nodes that it has joined through may have learned of them since.
+	evacuationAskInterval = 250 * time.Millisecond
+	// evacuationAskTime is the age of the process up to which it asks so often. The gate waits no longer.
+	evacuationAskTime = 8 * time.Second
+)
+
+// awaitsEvacuations reports whether this node has just started and does not know the evacuations yet.
+func (n *Node) awaitsEvacuations(now time.Time) bool {
+	return n.cfg.Evacuations && !n.evacuationsKnown && now.Sub(n.started) < evacuationAskTime
+}
+
 // Evacuations returns the newest set of evacuated failure domains that this node knows, and whether it has learned it from
 // the store or another node.
 func (n *Node) Evacuations() (set evacuation.Set, known bool) {
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -180,6 +180,9 @@
 	}
 	// The interval grows with the age of the process, so that nodes that start together converge soon.
 	interval := min(n.cfg.SyncInterval, max(n.startupPause(), now.Sub(n.started)))
+	if n.awaitsEvacuations(now) {
+		interval = min(interval, max(evacuationAskInterval, n.transferTime(n.SyncRequest())))
+	}
 	n.nextSync = now.Add(interval/2 + jitter(n.rng, interval))
 	anyRegion := n.rng.IntN(syncsPerCrossRegionSync) == 0
 	peers := n.list.sample(1, n.rng, func(e *entry) bool {
@@ -190,6 +193,11 @@
 	}
 }
 
+// transferTime returns the time in which the byte budget covers a message.
+func (n *Node) transferTime(m proto.Message) time.Duration {
+	return time.Duration(float64(proto.Size(m)) / float64(n.cfg.BytesPerSecond) * float64(time.Second))
+}
+
 // syncRecovered starts a sync with a member that was DEAD and is live again. In a large system only some
 // nodes do so; the others soon get the changes within their own region.
 func (n *Node) syncRecovered(now time.Time, m *wire.Member, source recordSource) {
