--- a/internal/system/evacuation.go
+++ b/internal/system/evacuation.go
@@ -30,7 +30,7 @@
 		return
 	}
 	for _, service := range prev.Services {
-		for _, e := range service.Endpoints {
+		for _, e := range service.AllEndpoints() {
 			if evacuated.Contains(e.FailureDomain) {
 				e.Stats.Draining.Store(true)
 			}
@@ -48,11 +48,11 @@
 	for name, service := range next.Services {
 		known := map[string]bool{}
 		if before := prev.Service(name); before != nil {
-			for _, e := range before.Endpoints {
+			for _, e := range before.AllEndpoints() {
 				known[e.ID] = true
 			}
 		}
-		for _, e := range service.Endpoints {
+		for _, e := range service.AllEndpoints() {
 			if evacuated.Contains(e.FailureDomain) && !known[e.ID] {
 				e.Stats.AdmittedAt.Store(steady.Nanos(now))
 			}
--- a/internal/system/evacuation_test.go
+++ b/internal/system/evacuation_test.go
@@ -1,11 +1,13 @@
 package system
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/evacuation"
 	"dandelionspoke/internal/steady"
 	"dandelionspoke/internal/table"
@@ -40,3 +42,46 @@
 		t.Errorf("after the end: draining %v, admitted at %d and %d", returned.Draining.Load(), returned.AdmittedAt.Load(), stayed.AdmittedAt.Load())
 	}
 }
+
+// Guards against endpoints that only the view of a set of regions holds, and that an evacuation leaves out: requests with an
+// older snapshot still use them, and their domain returns without a slow start.
+func TestEvacuationAppliesToViews(t *testing.T) {
+	b := &bundle.Bundle{
+		Version: 1, Services: map[string]bundle.Service{"katalog": {}},
+		Routes: []bundle.Route{{Name: "all", Service: "katalog", PathPrefix: "/", AllowedRegions: []string{"vestlandet"}}},
+	}
+	b.SetDefaults()
+	var members []*wire.Member
+	for i := range 4 {
+		members = append(members, member(fmt.Sprint("n", i), "oslo-a", "ostlandet", wire.MemberState_ALIVE, "katalog"),
+			member(fmt.Sprint("v", i), "bergen-a", "vestlandet", wire.MemberState_ALIVE, "katalog"))
+	}
+	localOnly := func(_ Self, _ string, candidates []*table.Endpoint, _ int) []*table.Endpoint {
+		if local := table.InRegions(candidates, []string{"ostlandet"}); len(local) > 0 {
+			return local
+		}
+		return candidates
+	}
+	evacuated := evacuation.Set{Revision: 1, Domains: []string{"bergen-a"}}
+	now := start.Add(time.Hour)
+	build := func(e evacuation.Set, prev *table.Snapshot) *table.Snapshot {
+		return BuildSnapshot(1, self, OutsideOf(e, members), b, prev, now, localOnly)
+	}
+	view := func(s *table.Snapshot) []*table.Endpoint {
+		_, v := s.View("katalog", []string{"vestlandet"}, nil)
+		return v.Endpoints
+	}
+	before := build(evacuation.Set{}, nil)
+	during := build(evacuated, before)
+	Retire(before, evacuated)
+	if len(view(before)) != 4 || len(view(during)) != 0 {
+		t.Fatalf("%d endpoints before and %d during the evacuation", len(view(before)), len(view(during)))
+	}
+	after := build(evacuation.Set{Revision: 2}, during)
+	Readmit(after, during, evacuated, now)
+	for i, e := range view(before) {
+		if !e.Stats.Draining.Load() || view(after)[i].Stats.AdmittedAt.Load() != steady.Nanos(now) {
+			t.Errorf("%s: draining %v in the older snapshot, admitted at %d", e.ID, e.Stats.Draining.Load(), view(after)[i].Stats.AdmittedAt.Load())
+		}
+	}
+}
