Limit how long a closing listener waits for its queue

It now closes at most 20 ms after it began to drop requests, checked each 2 ms; a refused filter is logged.

--- a/internal/httpconn/listener.go
+++ b/internal/httpconn/listener.go
@@ -25,6 +25,10 @@
 // in this time learn only a second later that the listener has closed, so it is short.
 const settlePeriod = 2 * time.Millisecond
 
+// maxSettlePeriod limits the time for which a closing listener accepts what is still in its queue. Where the kernel refuses to
+// drop connection requests, as a seccomp policy may, new ones can keep the queue filled.
+const maxSettlePeriod = 20 * time.Millisecond
+
 const (
 	// idlePeriod is the time without an open request after which the remaining connections count as idle. A caller
 	// that sends a request on an idle connection within this time gets a response that closes the connection.
@@ -39,6 +43,7 @@
 type Listener struct {
 	tcp         *net.TCPListener
 	logger      *slog.Logger
+	queue       acceptQueue
 	closing     atomic.Bool
 	accepted    chan acceptResult
 	streamReady chan struct{} // holds an item while pendingStreams is not empty
@@ -52,6 +57,12 @@
 	streamsClosed     bool      // no more streams are accepted
 }
 
+// acceptQueue is the access to the kernel's queue of connections of a listener; tests replace it.
+type acceptQueue struct {
+	dropRequests func(*net.TCPListener) error
+	hasQueued    func(*net.TCPListener) (bool, error)
+}
+
 type acceptResult struct {
 	conn net.Conn
 	err  error
@@ -67,8 +78,12 @@
 
 // NewListener returns a listener that accepts connections from tcp and takes ownership of it.
 func NewListener(tcp *net.TCPListener, logger *slog.Logger) *Listener {
+	return newListener(tcp, logger, acceptQueue{dropConnectionRequests, hasQueuedConnections})
+}
+
+func newListener(tcp *net.TCPListener, logger *slog.Logger, queue acceptQueue) *Listener {
 	l := &Listener{
-		tcp: tcp, logger: logger, accepted: make(chan acceptResult), streamReady: make(chan struct{}, 1), acceptDone: make(chan struct{}),
+		tcp: tcp, logger: logger, queue: queue, accepted: make(chan acceptResult), streamReady: make(chan struct{}, 1), acceptDone: make(chan struct{}),
 		activeConns: map[net.Conn]struct{}{},
 	}
 	go l.acceptLoop()
@@ -78,11 +93,11 @@
 // acceptLoop passes connections from tcp to Accept, until acceptGracePeriod after Close and until the accept queue is empty.
 func (l *Listener) acceptLoop() {
 	defer close(l.acceptDone)
-	settling := false // connection requests are dropped
+	var settlingSince time.Time // when the deadline after Close had passed first
 	for {
 		socket, err := l.tcp.Accept()
 		if err != nil && l.closing.Load() {
-			if l.extendForQueued(&settling) {
+			if l.extendForQueued(&settlingSince) {
 				continue
 			}
 			l.closeErr = l.tcp.Close()
@@ -102,12 +117,14 @@
 // extendForQueued is called when the deadline of a closing listener has passed. It reports true, with a new deadline, if
 // handshakes in progress or queued connections have to be awaited: closing the socket resets queued connections, and Accept
 // does not look for them once its deadline has passed.
-func (l *Listener) extendForQueued(settling *bool) bool {
-	if !*settling {
-		*settling = true
-		// If this fails, connections that arrive between the last look at the queue and the close are reset.
-		_ = dropConnectionRequests(l.tcp)
-	} else if queued, err := hasQueuedConnections(l.tcp); err != nil || !queued {
+func (l *Listener) extendForQueued(settlingSince *time.Time) bool {
+	if settlingSince.IsZero() {
+		*settlingSince = time.Now()
+		if err := l.queue.dropRequests(l.tcp); err != nil {
+			// Connections that arrive between the last look at the queue and the close are reset.
+			l.logger.Info("connection requests are not dropped before the close", "event", "listener_filter_refused", "error", err)
+		}
+	} else if queued, err := l.queue.hasQueued(l.tcp); err != nil || !queued || time.Since(*settlingSince) >= maxSettlePeriod {
 		return false
 	}
 	return l.tcp.SetDeadline(time.Now().Add(settlePeriod)) == nil
