Send one load probe for slowness and slow start

A service with a ramp got a load probe each 100 ms beside those that find out the slowness: a probe sent for the slowness did not count as one for the slow start, though its response states both. A probe that the rate limit did not permit counted as sent, on the other hand, so that the next one came 100 ms later. TestOneProbeStatesSlownessAndSlowStart got 2 probes where one is due.

--- a/internal/gate/load.go
+++ b/internal/gate/load.go
@@ -151,6 +151,7 @@
 		return
 	}
 	g.Counters.LoadProbes.Add(1)
+	g.beginProbe()
 	conn, err := g.connections.Load().acquire(ctx, "")
 	if err != nil {
 		g.logger.Info("backend load probe not sent", "event", "load_probe_failed", "address", address, "error", err)
--- a/internal/gate/slowstart.go
+++ b/internal/gate/slowstart.go
@@ -18,8 +18,8 @@
 type slowStart struct {
 	settings   settings.SlowStart
 	ramp       *slowstart.Ramp
-	probedAt   time.Time
-	loggedCold bool // the last log line stated that the backend server is cold
+	probedAt   time.Time // when the last load probe was sent, for whatever purpose
+	loggedCold bool      // the last log line stated that the backend server is cold
 }
 
 // SetSlowStart sets the tolerance of the ramps that services configure. Call it before SetLimits.
@@ -41,6 +41,13 @@
 	g.logSlowStartLocked("heartbeat")
 }
 
+// beginProbe records that a load probe is sent now.
+func (g *Gate) beginProbe() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slowStart.probedAt = time.Now()
+}
+
 // recordSlowStart records the slow start that a response of the health path has stated; nil states nothing. address is that
 // of the backend server that the probe was sent to.
 func (g *Gate) recordSlowStart(address string, remaining *time.Duration) {
@@ -143,9 +150,6 @@
 	now := time.Now()
 	g.mu.Lock()
 	due := g.slowStart.ramp.Enabled() && now.Sub(g.slowStart.probedAt) >= slowStartProbeInterval
-	if due {
-		g.slowStart.probedAt = now
-	}
 	g.mu.Unlock()
 	if !due {
 		return
--- a/internal/gate/slowstart_test.go
+++ b/internal/gate/slowstart_test.go
@@ -35,7 +35,7 @@
 	return newGateWithRamp(t, s, loadPath, settings.SlowStart{Tolerance: 1, Slack: 4})
 }
 
-func newGateWithRamp(t *testing.T, s *rampServer, loadPath string, slowStart settings.SlowStart) *Gate {
+func newGateWithRamp(t *testing.T, s http.Handler, loadPath string, slowStart settings.SlowStart) *Gate {
 	t.Helper()
 	g := newGate(t, s)
 	g.SetSlowStart(slowStart)
@@ -151,3 +151,15 @@
 		t.Errorf("after the end: %d runs, %d refused", ran, refused)
 	}
 }
+
+// Guards against two load probes of a backend server in the time of one, when its slowness has just been asked for.
+func TestOneProbeStatesSlownessAndSlowStart(t *testing.T) {
+	g := newRampGate(t, &rampServer{}, testLoadPath)
+	g.currentSlowness(t.Context(), g.Backend())
+	time.Sleep(slowStartProbeInterval / 2) // the limit of probes permits another
+	g.watchSlowStart(g.Backend())
+	time.Sleep(slowStartProbeInterval / 10)
+	if probes := g.Counters.LoadProbes.Load(); probes != 1 {
+		t.Errorf("%d load probes, want 1", probes)
+	}
+}
