Ignore load probes of an earlier process of the backend server

A response to a load probe that was sent before another process of the backend server was announced stated the slow start of that process, so that a cold one could count as warm from its start. TestLateProbeOfThePredecessorStatesNothing fails before.

--- a/internal/gate/load.go
+++ b/internal/gate/load.go
@@ -151,7 +151,7 @@
 		return
 	}
 	g.Counters.LoadProbes.Add(1)
-	g.beginProbe()
+	starts := g.beginProbe()
 	conn, err := g.connections.Load().acquire(ctx, "")
 	if err != nil {
 		g.logger.Info("backend load probe not sent", "event", "load_probe_failed", "address", address, "error", err)
@@ -176,5 +176,5 @@
 	info := g.protocol.Read(req.Header, resp)
 	reusable = !resp.Close && !info.NotRun
 	g.recordSlowness(info.Slowness)
-	g.recordSlowStart(address, info.SlowStart)
+	g.recordSlowStart(address, starts, info.SlowStart)
 }
--- a/internal/gate/slowstart.go
+++ b/internal/gate/slowstart.go
@@ -18,6 +18,7 @@
 type slowStart struct {
 	settings   settings.SlowStart
 	ramp       *slowstart.Ramp
+	starts     uint64    // times at which another process of the backend server was announced
 	probedAt   time.Time // when the last load probe was sent, for whatever purpose
 	loggedCold bool      // the last log line stated that the backend server is cold
 }
@@ -41,22 +42,25 @@
 	g.logSlowStartLocked("heartbeat")
 }
 
-// beginProbe records that a load probe is sent now.
-func (g *Gate) beginProbe() {
+// beginProbe records that a load probe is sent now, and returns what recordSlowStart needs to tell its response from that of
+// an earlier process.
+func (g *Gate) beginProbe() (starts uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.slowStart.probedAt = time.Now()
+	return g.slowStart.starts
 }
 
 // recordSlowStart records the slow start that a response of the health path has stated; nil states nothing. address is that
-// of the backend server that the probe was sent to.
-func (g *Gate) recordSlowStart(address string, remaining *time.Duration) {
+// of the backend server that the probe was sent to, and starts the result of beginProbe: a response that was on its way when
+// another process was announced may be that of the earlier one.
+func (g *Gate) recordSlowStart(address string, starts uint64, remaining *time.Duration) {
 	if remaining == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.backend == nil || g.backend.Address != address {
+	if g.backend == nil || g.backend.Address != address || g.slowStart.starts != starts {
 		return
 	}
 	g.slowStart.ramp.State(slowstart.Health, time.Now(), *remaining)
@@ -69,6 +73,7 @@
 	if next == nil || previous.isServer(next) && previous.Incarnation == next.Incarnation {
 		return
 	}
+	g.slowStart.starts++
 	g.slowStart.ramp.Restart()
 	g.logSlowStartLocked("start")
 }
--- a/internal/gate/slowstart_test.go
+++ b/internal/gate/slowstart_test.go
@@ -152,6 +152,30 @@
 	}
 }
 
+// Guards against a backend server that counts as warm from its start, because the response to a load probe sent to its
+// predecessor arrives after its announcement.
+func TestLateProbeOfThePredecessorStatesNothing(t *testing.T) {
+	probed, answer := make(chan struct{}), make(chan struct{})
+	g := newGateWithRamp(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(probed)
+		<-answer
+		w.Header().Set(slowStartHeader, "0")
+	}), testLoadPath, settings.SlowStart{Tolerance: 1, Slack: 4})
+	g.StateSlowStart("katalog-1", 0, 0, time.Now())
+	old := g.Backend()
+	g.watchSlowStart(old)
+	<-probed
+	next := *old
+	next.Incarnation++
+	g.SetBackend(&next)
+	_, done := g.slowness.startProbe(time.Now(), -1)
+	close(answer)
+	<-done
+	if g.Load().RampMilli == 0 {
+		t.Error("the new process counts as warm")
+	}
+}
+
 // Guards against two load probes of a backend server in the time of one, when its slowness has just been asked for.
 func TestOneProbeStatesSlownessAndSlowStart(t *testing.T) {
 	g := newRampGate(t, &rampServer{}, testLoadPath)
