Compute the owners of claims only where claims are in use

Each node with access to the store went through all members twice every 5 s, for the interval of polls that it does not make while no claims are in use. TestGenerationIsPolledOnlyWhileClaimsAreInUse fails before. The store is read as before: not at all without claims, once a second at an owner with claims that gets no other response.

--- a/internal/claim/router.go
+++ b/internal/claim/router.go
@@ -143,6 +143,13 @@
 	r.owners, r.ownersComputed = owners, now
 }
 
+// KnowsOwners reports whether the owners have been computed, which the first claim and IsOwner cause.
+func (r *Router) KnowsOwners() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.ownersComputed.IsZero()
+}
+
 // IsOwner reports whether this node owns shards of each service.
 func (r *Router) IsOwner() bool {
 	r.mu.Lock()
--- a/internal/node/restored.go
+++ b/internal/node/restored.go
@@ -65,18 +65,13 @@
 	if !ok {
 		return
 	}
-	var interval time.Duration
-	var intervalAt, polledAt time.Time
+	var poll generationPoll
 	for ok := true; ok; ok = sleep.For(n.ctx, generationCheckInterval) {
 		generation, known, at := stater.Generation()
 		if !known {
 			continue
 		}
-		if time.Since(intervalAt) >= pollIntervalMaxAge {
-			interval, intervalAt = n.generationPollInterval(), time.Now()
-		}
-		if n.claimers.InUse() && time.Since(at) >= interval && time.Since(polledAt) >= interval {
-			polledAt = time.Now()
+		if n.claimers.InUse() && poll.due(time.Now(), at, n.generationPollInterval) {
 			n.pollGeneration()
 			generation, _, _ = stater.Generation()
 		}
@@ -87,6 +82,26 @@
 	}
 }
 
+// generationPoll decides when to read the store for its generation.
+type generationPoll struct {
+	interval               time.Duration
+	computedAt, lastReadAt time.Time
+}
+
+// due reports whether the store is to be read now, and records that it is. statedAt is when a response last stated the
+// generation. interval iterates over all members, so that it is called only in nodes that read at all, each
+// pollIntervalMaxAge.
+func (p *generationPoll) due(now, statedAt time.Time, interval func() time.Duration) bool {
+	if now.Sub(p.computedAt) >= pollIntervalMaxAge {
+		p.interval, p.computedAt = interval(), now
+	}
+	if now.Sub(statedAt) < p.interval || now.Sub(p.lastReadAt) < p.interval {
+		return false
+	}
+	p.lastReadAt = now
+	return true
+}
+
 func (n *Node) generationPollInterval() time.Duration {
 	if n.claimRouter.IsOwner() {
 		return ownerPollInterval
--- a/internal/node/restored_test.go
+++ b/internal/node/restored_test.go
@@ -48,3 +48,31 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// Guards against a node that goes through all members, or reads the store, for its generation although no claims are in use, and
+// against reads beside other responses of the store.
+func TestGenerationIsPolledOnlyWhileClaimsAreInUse(t *testing.T) {
+	f := newDepartureFleet(t, 2)
+	time.Sleep(2 * ownerPollInterval)
+	for i, n := range f.nodes {
+		if n.claimRouter.KnowsOwners() {
+			t.Errorf("node %d has computed the owners of claims", i)
+		}
+	}
+	now := time.Now()
+	var poll generationPoll
+	computed, reads := 0, 0
+	interval := func() time.Duration { computed++; return time.Second }
+	for at := now; at.Before(now.Add(10 * time.Second)); at = at.Add(generationCheckInterval) {
+		statedAt := now
+		if at.Sub(now) > 6*time.Second {
+			statedAt = at // other calls are answered
+		}
+		if poll.due(at, statedAt, interval) {
+			reads++
+		}
+	}
+	if computed != 2 || reads != 6 {
+		t.Errorf("interval computed %d times, %d reads; want 2 and 6", computed, reads)
+	}
+}
