Eject endpoints once for a service and all its views

A pass over a service with views of allowed regions ran once for each list, with shared statistics: a view with fewer than three known latencies reset the time since which the service had found an endpoint slow, so that it was never ejected; and an endpoint that the service ejected was re-admitted by a view without room in the same pass, which began a slow start and wrote two log lines, each time. Now one pass decides for all lists.

Services without views are handled by the same code as before.

--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -155,11 +155,7 @@
 // isPersistentlySlow reports whether every pass of the last minSlowDuration found the endpoint slow compared
 // with the given median latency.
 func isPersistentlySlow(now int64, s *table.Stats, median float64) bool {
-	latency := meanInFlightAge(s, now)
-	if now-s.LatencyUpdatedAt.Load() <= int64(maxLatencyAge) {
-		latency = max(latency, float64(s.LatencyNanos.Load()))
-	}
-	if median == 0 || latency <= ejectionLatencyRatio*median || latency <= float64(minEjectionLatency) {
+	if !isSlow(now, s, median) {
 		s.SlowSince.Store(0)
 		return false
 	}
@@ -167,6 +163,15 @@
 	return now-s.SlowSince.Load() >= int64(minSlowDuration)
 }
 
+// isSlow reports whether the endpoint is slow compared with the given median latency; 0 means that none is known.
+func isSlow(now int64, s *table.Stats, median float64) bool {
+	latency := meanInFlightAge(s, now)
+	if now-s.LatencyUpdatedAt.Load() <= int64(maxLatencyAge) {
+		latency = max(latency, float64(s.LatencyNanos.Load()))
+	}
+	return median > 0 && latency > ejectionLatencyRatio*median && latency > float64(minEjectionLatency)
+}
+
 // medianLatencies returns, for each locality, the lower median of the recent latency averages, or 0 when
 // too few are known. Endpoints of the local region are compared only with one another, and likewise
 // endpoints of other regions, since the latency between regions may exceed any service time.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -76,12 +76,9 @@
 		return
 	}
 	for _, svc := range snapshot.Services {
-		// The limit on ejections holds in each view, since its requests have no other endpoints.
-		for view := range svc.WithViews() {
-			for _, e := range balance.Eject(steady.Nanos(now), view.Endpoints, snapshot.Bundle.Policy) {
-				n.logger.Info("endpoint ejection changed", "event", "ejection", "service", svc.Name,
-					"endpoint", e.Endpoint.ID, "reason", e.Reason, "until", steady.Time(e.Until))
-			}
+		for _, e := range balance.EjectService(steady.Nanos(now), svc, snapshot.Bundle.Policy) {
+			n.logger.Info("endpoint ejection changed", "event", "ejection", "service", svc.Name,
+				"endpoint", e.Endpoint.ID, "reason", e.Reason, "until", steady.Time(e.Until))
 		}
 	}
 }
