--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -33,6 +33,9 @@
 	Sessions int
 	// BundleServices are the numbers of services in the measured bundles.
 	BundleServices []int
+	// Accounts is the number of client accounts with which the parts for contested capacity are measured, in a fleet of
+	// AccountNodes nodes; 0 skips them.
+	Accounts, AccountNodes int
 	// Callers are the numbers of concurrent callers on the request path. LoadDuration is the length of each of
 	// these runs.
 	Callers      []int
@@ -55,6 +58,8 @@
 		ChoiceEndpoints: []int{4, 32, 128, 1000},
 		Sessions:        200,
 		BundleServices:  []int{72, 720},
+		Accounts:        10_000,
+		AccountNodes:    23_000,
 		Callers:         []int{1, 8, 32},
 		LoadDuration:    3 * time.Second,
 		StoreSizes:      []int{10, 30, 100},
@@ -92,6 +97,9 @@
 	for _, n := range o.BundleServices {
 		all = append(all, func() ([]row, error) { return bundleRows(n) })
 	}
+	if o.Accounts > 0 {
+		all = append(all, func() ([]row, error) { return contestedRows(o.AccountNodes, o.Accounts) })
+	}
 	if o.Sessions > 0 {
 		all = append(all, func() ([]row, error) { return sessionRows(o.Sessions) })
 	}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -10,7 +10,7 @@
 func TestRunPrintsRows(t *testing.T) {
 	var out strings.Builder
 	o := Options{FleetSizes: []int{6}, Seeds: 1, TableSizes: []int{50}, Engines: 3, IdleDuration: 1200 * time.Millisecond,
-		Sessions: 4, ChoiceEndpoints: []int{4}, BundleServices: []int{3}, Callers: []int{2}, LoadDuration: 200 * time.Millisecond}
+		Sessions: 4, ChoiceEndpoints: []int{4}, BundleServices: []int{3}, Accounts: 5, AccountNodes: 30, Callers: []int{2}, LoadDuration: 200 * time.Millisecond}
 	if err := Run(&out, o); err != nil {
 		t.Fatal(err)
 	}
@@ -32,6 +32,7 @@
 	for _, name := range []string{
 		"start_all", "steady", "leave", "join", "death", "bundle", "region_cut", "region_heal", "table", "engines_idle",
 		"bundle", "request_path", "node_idle", "session", "choice",
+		"accounts", "account_bundle", "rate_limits", "slow_start", "evacuation", "views",
 	} {
 		if !seen[name] {
 			t.Errorf("no row for %s in:\n%s", name, out.String())
