--- a/internal/gate/slowstart_test.go
+++ b/internal/gate/slowstart_test.go
@@ -35,7 +35,7 @@
 	return newGateWithRamp(t, s, loadPath, settings.SlowStart{Tolerance: 1, Slack: 4})
 }
 
-func newGateWithRamp(t *testing.T, s *rampServer, loadPath string, slowStart settings.SlowStart) *Gate {
+func newGateWithRamp(t *testing.T, s http.Handler, loadPath string, slowStart settings.SlowStart) *Gate {
 	t.Helper()
 	g := newGate(t, s)
 	g.SetSlowStart(slowStart)
@@ -190,3 +190,39 @@
 		t.Errorf("%d places after the panic, %d before", after, before)
 	}
 }
+
+// Guards against a backend server that counts as warm from its start, because the response to a load probe sent to its
+// predecessor arrives after its announcement.
+func TestLateProbeOfThePredecessorStatesNothing(t *testing.T) {
+	probed, answer := make(chan struct{}), make(chan struct{})
+	g := newGateWithRamp(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(probed)
+		<-answer
+		w.Header().Set(slowStartHeader, "0")
+	}), testLoadPath, settings.SlowStart{Tolerance: 1, Slack: 4})
+	g.StateSlowStart("katalog-1", 0, 0, time.Now())
+	old := g.Backend()
+	g.watchSlowStart(old)
+	<-probed
+	next := *old
+	next.Incarnation++
+	g.SetBackend(&next)
+	_, done := g.slowness.startProbe(time.Now(), -1)
+	close(answer)
+	<-done
+	if g.Load().RampMilli == 0 {
+		t.Error("the new process counts as warm")
+	}
+}
+
+// Guards against two load probes of a backend server in the time of one, when its slowness has just been asked for.
+func TestOneProbeStatesSlownessAndSlowStart(t *testing.T) {
+	g := newRampGate(t, &rampServer{}, testLoadPath)
+	g.currentSlowness(t.Context(), g.Backend())
+	time.Sleep(slowStartProbeInterval / 2) // the limit of probes permits another
+	g.watchSlowStart(g.Backend())
+	time.Sleep(slowStartProbeInterval / 10)
+	if probes := g.Counters.LoadProbes.Load(); probes != 1 {
+		t.Errorf("%d load probes, want 1", probes)
+	}
+}
