Measure uneven demand over three regions

The measurement program had no load that moves between failure domains, no unevenly placed service and no count of bytes between failure domains.

Caller nodes now have distinct IDs, because their subsets differ.

--- a/internal/measure/backend.go
+++ b/internal/measure/backend.go
@@ -24,10 +24,7 @@
 func newBackend(s *simulation, index int) *backend {
 	b := &backend{sim: s, index: index, rng: s.newRand()}
 	b.speed = newSpeedProfile(s.config.Duration+drainTime(s.workload), s.newRand(), func(at time.Duration) float64 {
-		if s.scenario.Slowdown == nil {
-			return 1
-		}
-		return s.scenario.Slowdown(s.config.Duration, at, index)
+		return s.scenario.slowdown(s.config.Duration, at, index)
 	})
 	return b
 }
--- a/internal/measure/caller.go
+++ b/internal/measure/caller.go
@@ -28,8 +28,8 @@
 // attempts as the policy decides.
 type callerNode struct {
 	sim      *simulation
+	id       string
 	domain   int
-	region   int
 	rng      *rand.Rand
 	picker   balance.Picker
 	snapshot *table.Snapshot
@@ -43,12 +43,12 @@
 	probeCount, crossRegionProbeCount int
 }
 
-func newCallerNode(s *simulation, domain, region int) *callerNode {
+func newCallerNode(s *simulation, domain, index int) *callerNode {
 	picker, err := balance.New(s.config.Policy)
 	if err != nil {
 		panic(err)
 	}
-	c := &callerNode{sim: s, domain: domain, region: region, rng: s.newRand(), picker: picker}
+	c := &callerNode{sim: s, id: fmt.Sprintf("caller-%d-%d", domain, index), domain: domain, rng: s.newRand(), picker: picker}
 	if s.isDandelionspoke {
 		p := s.bundle.Policy
 		c.retries = retry.NewBudget(s.loop.time(), p.RetryShare, p.RetryMinPerSecond)
@@ -63,7 +63,7 @@
 // updateSnapshot rebuilds the snapshot from the members, as the engine does after a change.
 func (c *callerNode) updateSnapshot(members []*wire.Member) {
 	d := c.sim.workload.Domains[c.domain]
-	self := system.Self{NodeID: fmt.Sprint("caller-", c.domain), FailureDomain: d.Name, Region: d.Region}
+	self := system.Self{NodeID: c.id, FailureDomain: d.Name, Region: d.Region}
 	var usable []*wire.Member
 	for _, m := range members {
 		if c.sim.isDandelionspoke || !c.sim.config.LocalRegionOnly || m.Region == d.Region {
@@ -83,7 +83,7 @@
 	if s.arrivalsEnded {
 		return
 	}
-	rate := s.scenario.Load(s.config.Duration, s.loop.elapsed(), c.region) * s.capacityPerCallerNode
+	rate := s.scenario.Load(s.config.Duration, s.loop.elapsed(), c.domain) * s.capacityPerCallerNode
 	wait := time.Duration(c.rng.ExpFloat64() / rate * float64(time.Second))
 	if wait > rateUpdateInterval {
 		s.loop.after(rateUpdateInterval, c.arrive)
@@ -132,7 +132,8 @@
 	c.attemptsSinceProbe++
 	balance.ObserveStart(e.Stats, l.now, long)
 	target := c.sim.endpointIndex(e)
-	c.sim.send(c.domain, target, func() { c.sim.gates[target].offer(a) })
+	c.sim.countBytes(c.domain, a.domain(), requestBytes)
+	c.sim.send(c.domain, a.domain(), func() { c.sim.gates[target].offer(a) })
 }
 
 // isLong returns the class of the route, which policy dandelionspoke corrects by measured time.
@@ -216,11 +217,12 @@
 	c.probes.ObserveRequests(c.attemptsSinceProbe)
 	c.attemptsSinceProbe = 0
 	for _, e := range c.probes.Plan(s.loop.now, c.rng, c.service(), nil) {
-		target := s.endpointIndex(e)
+		gate := s.gates[s.endpointIndex(e)]
+		target := s.endpointDomains[s.endpointIndex(e)]
 		c.countProbeExchange(s.crossesRegions(c.domain, target))
 		s.countProbe(c.domain, target, probeBytes(c.domain))
 		s.send(c.domain, target, func() {
-			load := s.gates[target].load()
+			load := gate.load()
 			s.countProbe(target, c.domain, probeReplyBytes(s))
 			s.send(target, c.domain, func() { balance.ObserveReport(e.Stats, s.loop.now, load) })
 		})
--- a/internal/measure/cmd/measure/main.go
+++ b/internal/measure/cmd/measure/main.go
@@ -44,7 +44,7 @@
 func (o *options) jobs() []job {
 	var jobs []job
 	for _, s := range measure.Scenarios() {
-		for _, w := range measure.Workloads() {
+		for _, w := range s.Workloads() {
 			for _, p := range balance.PolicyNames() {
 				if selected(o.Scenario, s.Name) && selected(o.Workload, w.Name) && selected(o.Policy, p) {
 					jobs = append(jobs, job{s, w, p})
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -87,7 +87,7 @@
 	const burst = 250 * time.Millisecond
 	bound := func(rate float64) int { return int(rate*(time.Second+burst).Seconds()) + messagesPerExchange }
 	for _, s := range Scenarios() {
-		for _, w := range Workloads() {
+		for _, w := range s.Workloads() {
 			t.Run(s.Name+"/"+w.Name, func(t *testing.T) {
 				t.Parallel()
 				r := run(t, s.Name, w, balance.Dandelionspoke, testDuration)
--- a/internal/measure/request.go
+++ b/internal/measure/request.go
@@ -83,10 +83,21 @@
 	balance.ObserveResult(a.endpoint.Stats, now, time.Duration(now-a.sentAt), outcome, a.long)
 }
 
+// domain returns the index of the failure domain of the endpoint.
+func (a *attempt) domain() int {
+	s := a.request.callerNode.sim
+	return s.endpointDomains[s.endpointIndex(a.endpoint)]
+}
+
 // reply sends a response to the caller node.
 func (a *attempt) reply(resp response) {
 	c := a.request.callerNode
-	c.sim.send(c.sim.endpointIndex(a.endpoint), c.domain, func() { c.handleResponse(a, resp) })
+	bytes := responseBytes
+	if resp.refused != "" {
+		bytes = refusalBytes
+	}
+	c.sim.countBytes(a.domain(), c.domain, bytes)
+	c.sim.send(a.domain(), c.domain, func() { c.handleResponse(a, resp) })
 }
 
 // startWait and endWait are called when the wait for a slot begins and ends.
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -21,6 +21,12 @@
 	// ProbeMessages and ProbeBytes count probes and replies in the whole run. CrossRegionProbeBytes counts
 	// those between regions.
 	ProbeMessages, ProbeBytes, CrossRegionProbeBytes uint64
+	// DomainBytes counts the payload of requests, responses and probes between failure domains in the whole run.
+	DomainBytes uint64
+	// InObjective counts the measured requests that succeeded within the workload's objective.
+	InObjective uint64
+	// Bound is an upper bound of ObjectiveShare that the capacity of all endpoints sets; see Scenario.capacityBound.
+	Bound float64
 	// AllRequests counts the requests of the whole run; ProbesPerRequest divides by it.
 	AllRequests uint64
 	// PeakNodeProbes is the largest number of probe messages, replies included, that one node caused in one
@@ -51,7 +57,10 @@
 	r := Result{
 		Scenario: s.Name, Policy: c.Policy, Workload: w.Name, Seed: c.Seed, duration: c.Duration, measureFrom: from,
 		short: newHistogram(), long: newHistogram(), headOfLine: newHistogram(),
-		Capacity: w.capacity(len(w.Domains), s.LongShare) * (c.Duration - from).Seconds(),
+		Capacity: w.capacity(w.endpoints(), s.LongShare) * (c.Duration - from).Seconds(),
+	}
+	if w.Objective > 0 {
+		r.Bound = s.capacityBound(w, c.Duration, from)
 	}
 	for range c.Duration / seriesStep {
 		r.series = append(r.series, newHistogram())
@@ -79,6 +88,9 @@
 	r.Requests++
 	if ok {
 		r.Succeeded++
+		if objective := req.callerNode.sim.workload.Objective; objective > 0 && latency <= objective {
+			r.InObjective++
+		}
 	} else {
 		r.Failed++
 	}
@@ -147,14 +159,27 @@
 	return float64(r.CrossRegionProbeBytes) / r.duration.Seconds()
 }
 
+// ObjectiveShare returns the fraction of the requests that succeeded within the workload's objective; 0 if it has none.
+func (r *Result) ObjectiveShare() float64 { return float64(r.InObjective) / float64(r.Requests) }
+
+// DomainBytesPerRequest returns the payload between failure domains per request.
+func (r *Result) DomainBytesPerRequest() float64 {
+	return float64(r.DomainBytes) / float64(r.AllRequests)
+}
+
 // Row returns the result as a line of key=value pairs.
 func (r *Result) Row() string {
-	return fmt.Sprintf("scenario=%s policy=%s workload=%s p50_ms=%.2f p99_ms=%.2f short_hol_p99_ms=%.2f "+
+	row := fmt.Sprintf("scenario=%s policy=%s workload=%s p50_ms=%.2f p99_ms=%.2f short_hol_p99_ms=%.2f "+
 		"goodput_ratio=%.3f probe_msgs_per_request=%.3f link_control_bytes_per_s=%.0f failed=%d "+
 		"requests=%d retries=%d long_p99_ms=%.0f seed=%d",
 		r.Scenario, r.Policy, r.Workload, r.P50MS(), r.P99MS(), r.ShortHOLP99MS(),
 		r.GoodputRatio(), r.ProbesPerRequest(), r.CrossRegionBytesPerSecond(), r.Failed,
 		r.Requests, r.Retries, r.LongP99MS(), r.Seed)
+	if r.Bound > 0 {
+		row += fmt.Sprintf(" in_objective=%.4f bound=%.4f domain_bytes_per_request=%.0f",
+			r.ObjectiveShare(), r.Bound, r.DomainBytesPerRequest())
+	}
+	return row
 }
 
 // TableHeader is the Markdown table header for the lines of TableRow. Times are in milliseconds.
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -6,8 +6,9 @@
 // (Config.Duration) and a time since the start of the run.
 type Scenario struct {
 	Name string
-	// Load returns the offered load of a region at a time, as a multiple of the capacity of its endpoints.
-	Load func(run, at time.Duration, region int) float64
+	// Load returns the offered load of a failure domain at a time, as a multiple of the capacity of all endpoints divided by the
+	// number of failure domains.
+	Load func(run, at time.Duration, domain int) float64
 	// LongShare is the share of long requests (archive pulls).
 	LongShare float64
 	// Slowdown returns the factor on the service time of an endpoint; nil means 1.
@@ -22,6 +23,16 @@
 	// MeasureFrom is the fraction of the run after which requests are measured, but not before the end of
 	// warmup.
 	MeasureFrom float64
+	// Workload is the only workload of the scenario; nil means that it runs with each of Workloads.
+	Workload *Workload
+}
+
+// Workloads returns the workloads that the scenario runs with.
+func (s *Scenario) Workloads() []Workload {
+	if s.Workload != nil {
+		return []Workload{*s.Workload}
+	}
+	return Workloads()
 }
 
 // Parameters of the scenarios. Values named From, To or Join are fractions of the run, shares are fractions of
@@ -59,6 +70,7 @@
 		{Name: "cold_start", Load: constantLoad(0.4), JoinAt: coldJoin, Slowdown: coldStart, MeasureFrom: coldJoin},
 		{Name: "overload", Load: constantLoad(2)},
 		{Name: "region_cut", Load: skewedLoad, Partitioned: regionPartition},
+		unevenScenario(),
 	}
 }
 
@@ -73,8 +85,8 @@
 }
 
 // skewedLoad exceeds the capacity of the first region, which therefore needs the second one.
-func skewedLoad(_, _ time.Duration, region int) float64 {
-	if region == 0 {
+func skewedLoad(_, _ time.Duration, domain int) float64 {
+	if domain < 2 {
 		return 1.1
 	}
 	return 0.4
--- a/internal/measure/simulation.go
+++ b/internal/measure/simulation.go
@@ -40,13 +40,16 @@
 	workload         Workload
 	isDandelionspoke bool // use gate admission, load reports, probes, ejection and the retry budget
 
-	loop        *eventLoop
-	seedSource  *rand.Rand
-	bundle      *bundle.Bundle
-	gates       []gate
-	callerNodes []*callerNode
-	members     []*wire.Member
-	routes      []route
+	loop       *eventLoop
+	seedSource *rand.Rand
+	bundle     *bundle.Bundle
+	// gates and endpointDomains hold, for each endpoint, its gate and the index of its failure domain.
+	gates           []gate
+	endpointDomains []int
+	endpointIndexes map[string]int // by endpoint ID
+	callerNodes     []*callerNode
+	members         []*wire.Member
+	routes          []route
 	// capacityPerCallerNode is the total capacity, in requests per second, divided by the number of caller nodes.
 	capacityPerCallerNode float64
 
@@ -73,18 +76,26 @@
 func drainTime(w Workload) time.Duration { return w.LongTimeout + time.Second }
 
 func newSimulation(scenario Scenario, w Workload, c Config) *simulation {
+	if scenario.Workload != nil {
+		w = *scenario.Workload
+	}
 	s := &simulation{
 		config: c, scenario: scenario, workload: w, isDandelionspoke: c.Policy == balance.Dandelionspoke,
-		loop: newEventLoop(), seedSource: rand.New(rand.NewPCG(c.Seed, rngStream)), bundle: w.bundle(), routes: routes(scenario.LongShare),
+		endpointIndexes: map[string]int{},
+		loop:            newEventLoop(), seedSource: rand.New(rand.NewPCG(c.Seed, rngStream)), bundle: w.bundle(), routes: routes(scenario.LongShare),
 	}
 	s.result = newResult(scenario, w, c)
-	s.capacityPerCallerNode = w.capacity(len(w.Domains), scenario.LongShare) / float64(len(w.Domains)*callerNodesPerDomain)
-	for i := range w.Domains {
-		s.gates = append(s.gates, s.newGate(newBackend(s, i)))
-	}
+	s.capacityPerCallerNode = w.capacity(w.endpoints(), scenario.LongShare) / float64(len(w.Domains)*callerNodesPerDomain)
 	for i, d := range w.Domains {
-		for range callerNodesPerDomain {
-			s.callerNodes = append(s.callerNodes, newCallerNode(s, i, regionIndex(w, d)))
+		for range d.endpoints() {
+			s.endpointIndexes[endpointID(len(s.gates))] = len(s.gates)
+			s.endpointDomains = append(s.endpointDomains, i)
+			s.gates = append(s.gates, s.newGate(newBackend(s, len(s.gates))))
+		}
+	}
+	for i := range w.Domains {
+		for k := range callerNodesPerDomain {
+			s.callerNodes = append(s.callerNodes, newCallerNode(s, i, k))
 		}
 	}
 	s.joinEndpoints()
@@ -99,13 +110,6 @@
 	return &fifoGate{backend: b}
 }
 
-func regionIndex(w Workload, d Domain) int {
-	if d.Region == w.Domains[0].Region {
-		return 0
-	}
-	return 1
-}
-
 func (s *simulation) newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(s.seedSource.Uint64(), s.seedSource.Uint64()))
 }
@@ -113,7 +117,7 @@
 // joinEndpoints adds all endpoints to the snapshots of the caller nodes, the late endpoint at the scenario's
 // JoinAt.
 func (s *simulation) joinEndpoints() {
-	initial := len(s.workload.Domains)
+	initial := len(s.gates)
 	if s.scenario.JoinAt > 0 {
 		initial--
 		s.loop.after(fractionOf(s.config.Duration, s.scenario.JoinAt), func() { s.joinEndpoint(lateEndpoint) })
@@ -124,7 +128,7 @@
 }
 
 func (s *simulation) joinEndpoint(i int) {
-	d := s.workload.Domains[i]
+	d := s.workload.Domains[s.endpointDomains[i]]
 	s.members = append(s.members, &wire.Member{
 		NodeId: fmt.Sprint("node-", i), FailureDomain: d.Name, Region: d.Region,
 		Incarnation: uint64(membership.NewIncarnation(s.loop.time())),
@@ -139,8 +143,7 @@
 
 func endpointID(i int) string { return fmt.Sprint("endpoint-", i) }
 
-// endpointIndex returns the index of an endpoint, which is also that of its failure domain.
-func (s *simulation) endpointIndex(e *table.Endpoint) int { return int(e.ID[len(e.ID)-1] - '0') }
+func (s *simulation) endpointIndex(e *table.Endpoint) int { return s.endpointIndexes[e.ID] }
 
 // schedulePartition simulates the reaction of membership to a partition: the caller nodes suspect the nodes of
 // the other region suspectDelay after it starts, and clear them suspectDelay after it heals.
@@ -179,8 +182,16 @@
 	return s.workload.Domains[from].Region != s.workload.Domains[to].Region
 }
 
+// countBytes counts the payload of a message between two failure domains, by their indexes.
+func (s *simulation) countBytes(from, to, bytes int) {
+	if from != to {
+		s.result.DomainBytes += uint64(bytes)
+	}
+}
+
 func (s *simulation) countProbe(from, to, bytes int) {
 	if !s.arrivalsEnded {
+		s.countBytes(from, to, bytes)
 		s.result.addProbe(bytes, s.crossesRegions(from, to))
 	}
 }
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -12,7 +12,7 @@
 type Workload struct {
 	Name    string
 	Domains []Domain
-	// Slots and Connections are those of one endpoint. Each failure domain has one endpoint.
+	// Slots and Connections are those of one endpoint. Each failure domain has Domain.Endpoints endpoints.
 	Slots, Connections int
 	// One-way delays between a caller and its ingress, between failure domains of a region, and between
 	// regions.
@@ -21,10 +21,27 @@
 	ShortMean time.Duration
 	// ShortTimeout and LongTimeout are the timeouts that callers set for short and long requests.
 	ShortTimeout, LongTimeout time.Duration
+	// Objective is the latency at the caller within which requests should succeed; 0 if there is none.
+	Objective time.Duration
+	// SubsetSize is the bundle's subset_size; 0 means its default.
+	SubsetSize int
 }
 
 // Domain is a failure domain in a region.
-type Domain struct{ Name, Region string }
+type Domain struct {
+	Name, Region string
+	Endpoints    int // 0 means 1
+}
+
+func (d Domain) endpoints() int { return max(d.Endpoints, 1) }
+
+func (w *Workload) endpoints() int {
+	n := 0
+	for _, d := range w.Domains {
+		n += d.endpoints()
+	}
+	return n
+}
 
 const (
 	// callerNodesPerDomain is the number of caller nodes in each failure domain.
@@ -39,6 +56,8 @@
 	// longServiceFactor is the mean service time of long requests as a multiple of ShortMean.
 	longServiceFactor = 50
 	serviceKey        = "measured"
+	// Payload of a request, of the response of a backend server, and of a refusal.
+	requestBytes, responseBytes, refusalBytes = 1 << 10, 8 << 10, 200
 )
 
 // Interference by other VMs on shared machines: short periods of slower service, in every scenario.
@@ -54,7 +73,7 @@
 		{
 			Name: "nordlys",
 			Domains: []Domain{
-				{"oslo-a", "ostlandet"}, {"oslo-b", "ostlandet"}, {"bergen-a", "vestlandet"}, {"bergen-b", "vestlandet"},
+				{Name: "oslo-a", Region: "ostlandet"}, {Name: "oslo-b", Region: "ostlandet"}, {Name: "bergen-a", Region: "vestlandet"}, {Name: "bergen-b", Region: "vestlandet"},
 			},
 			Slots: 12, Connections: 200,
 			CallerDelay: time.Millisecond, DomainDelay: 1500 * time.Microsecond, RegionDelay: 20 * time.Millisecond,
@@ -63,7 +82,7 @@
 		{
 			Name: "prairie",
 			Domains: []Domain{
-				{"regina-a", "saskatchewan"}, {"saskatoon-b", "saskatchewan"}, {"winnipeg-a", "manitoba"}, {"brandon-b", "manitoba"},
+				{Name: "regina-a", Region: "saskatchewan"}, {Name: "saskatoon-b", Region: "saskatchewan"}, {Name: "winnipeg-a", Region: "manitoba"}, {Name: "brandon-b", Region: "manitoba"},
 			},
 			Slots: 16, Connections: 250,
 			CallerDelay: 8 * time.Millisecond, DomainDelay: time.Millisecond, RegionDelay: 20 * time.Millisecond,
@@ -137,6 +156,7 @@
 		Version:  1,
 		Services: map[string]bundle.Service{serviceKey: {Slots: w.Slots, Connections: w.Connections}},
 	}
+	b.Policy.SubsetSize = w.SubsetSize
 	b.SetDefaults()
 	return b
 }
