Wait longer at a gate before moving, if the bundle asks

In scenario uneven, 30 % of the requests are refused as busy twice: a gate of 12 full slots with a service time of 20 ms expects a wait of 1.7 ms, above the 1 ms that a request accepts while it may move. The third choice then accepts any wait and often finds a server that a neighbour slows: half of the late requests.

policy.placement_wait in the bundle sets the wait that a short request accepts, at most a fifth of the route's objective, and lets three instead of two gates refuse it. 0, the default, is the former behaviour. No messages or state are added.

The scenario now follows the product: 12 slots, 6 nodes per failure domain, subsets of 24, servers that report their slowness, two moves to other gates. It states a second bound, in which requests can't leave a server once they run.

TestProbesStayWithinBudget computes the budget from the workload's number of nodes, which the scenario sets to 6 per failure domain.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -133,6 +133,10 @@
 	SlotShare float64 `toml:"slot_share"`
 	// LoadProbesPerSecond limits the rate at which a gate probes its backend server's load; 0 disables these probes.
 	LoadProbesPerSecond float64 `toml:"load_probes_per_second"`
+	// PlacementWait is the expected wait that a short request accepts at a gate while it may still move to another one, at
+	// most a part of the route's objective; 0 means 1 ms. With a value above 0, three instead of two gates may refuse a
+	// request as busy before it accepts any wait.
+	PlacementWait Duration `toml:"placement_wait"`
 }
 
 // Duration is a time.Duration written as text, such as "250ms".
--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -93,6 +93,7 @@
 	checkRange(v, parent, "max_response_keep_bytes", p.MaxResponseKeepBytes, 0, 1<<20)
 	v.checkDuration(parent, "attempt_memory", p.AttemptMemory, time.Second, maxDuration)
 	checkRange(v, parent, "load_probes_per_second", p.LoadProbesPerSecond, 0, maxRate)
+	v.checkDuration(parent, "placement_wait", p.PlacementWait, 0, time.Second)
 	checkRange(v, parent, "slot_share", p.SlotShare, 0.1, 1)
 }
 
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -122,7 +122,7 @@
 	q.attemptsSent, q.lastEndpoint = state.startedAttempts, ep
 	in.logChoice(ctx, q, state, ep)
 	ctx, state.running[state.startedAttempts] = context.WithCancel(ctx)
-	number, maxWait := state.startedAttempts, state.maxWait(q)
+	number, maxWait := state.startedAttempts, state.maxWait(q, in.policy(q))
 	send := func() {
 		resp, err := in.sendAttempt(ctx, q, ep, maxWait)
 		state.results <- attemptResult{number, resp, err}
@@ -135,11 +135,11 @@
 }
 
 // maxWait returns the longest expected wait that the next attempt accepts; 0 accepts any.
-func (state *attemptState) maxWait(q *request) time.Duration {
+func (state *attemptState) maxWait(q *request, p retry.Policy) time.Duration {
 	if state.acceptAnyWait || q.long && q.route.Objective == 0 {
 		return 0
 	}
-	return retry.MaxPlacementWait
+	return p.PlacementLimit(q.route.Objective.D())
 }
 
 // allowsConcurrentAttempts reports whether a second attempt may start while the first one runs.
@@ -177,9 +177,6 @@
 }
 
 const (
-	// maxBusyMoves is the number of gates that may refuse a request as busy. The next attempt accepts any wait at the
-	// best endpoint.
-	maxBusyMoves = 2
 	// suspectPollInterval is the interval between checks whether the endpoint's node is suspect.
 	suspectPollInterval = 200 * time.Millisecond
 	// maxConcurrentAttempts bounds the concurrent attempts of one request.
@@ -351,7 +348,7 @@
 	if in.policy(q).Move(failed, state.moves) {
 		state.moves++
 		state.countedAttempts--
-		state.acceptAnyWait = e.Reason != verdict.Busy && e.Reason != verdict.SlowStart || state.moves >= maxBusyMoves
+		state.acceptAnyWait = e.Reason != verdict.Busy && e.Reason != verdict.SlowStart || state.moves >= in.policy(q).BusyMoves()
 		if state.acceptAnyWait && e.Reason == verdict.Busy {
 			// All endpoints tried are busy. They become candidates again, since their refusals reported their load.
 			state.excluded = state.excludedBeforeMoves
--- a/internal/measure/caller.go
+++ b/internal/measure/caller.go
@@ -70,7 +70,12 @@
 			usable = append(usable, m)
 		}
 	}
-	c.snapshot = system.BuildSnapshot(1, self, usable, c.sim.bundle, c.snapshot, c.sim.loop.time(), nil)
+	c.snapshot = system.BuildSnapshot(1, self, usable, c.sim.bundle, c.snapshot, c.sim.loop.time(), subset)
+}
+
+// subset selects the endpoints that a caller node uses, as the node program does.
+func subset(self system.Self, _ string, candidates []*table.Endpoint, size int) []*table.Endpoint {
+	return balance.Subset(self.NodeID, candidates, size)
 }
 
 func (c *callerNode) service() *table.Service { return c.snapshot.Service(serviceKey) }
@@ -101,6 +106,7 @@
 	timeout := s.workload.timeout(route)
 	r := &request{callerNode: c, route: route, arrived: s.loop.now, deadline: s.loop.now + int64(timeout)}
 	s.pending++
+	s.sampleBound(r)
 	if c.retries != nil {
 		c.retries.RecordFirstAttempt()
 	}
@@ -126,7 +132,7 @@
 	r.tried = append(r.tried, e)
 	a := &attempt{request: r, endpoint: e, sentAt: l.now, long: long, remaining: time.Duration(r.deadline - l.now)}
 	if c.sim.isDandelionspoke && !long && !r.refusedBusy {
-		a.maxWait = retry.MaxPlacementWait
+		a.maxWait = retry.PolicyOf(c.sim.bundle.Policy).PlacementLimit(c.sim.workload.Objective)
 	}
 	r.current = a
 	c.attemptsSinceProbe++
--- a/internal/measure/cmd/measure/main.go
+++ b/internal/measure/cmd/measure/main.go
@@ -17,15 +17,16 @@
 )
 
 type options struct {
-	Scenario []string      `help:"Scenarios to run; all by default."`
-	Workload []string      `help:"Workloads to run; all by default."`
-	Policy   []string      `help:"Policies to run; all by default."`
-	Duration time.Duration `default:"30s" help:"Virtual time of each run."`
-	Seed     uint64        `default:"1" help:"Seed of the random number generators."`
-	Scope    string        `default:"all" enum:"region,all" help:"Endpoints that the baseline policies use: all, or only those in the caller node's region."`
-	Parallel int           `default:"3" help:"Maximum number of concurrent runs."`
-	Format   string        `default:"row" enum:"row,markdown" help:"row: lines of key=value pairs; markdown: a table."`
-	Plots    string        `help:"Directory for plots of latency over time; no plots by default."`
+	Scenario      []string        `help:"Scenarios to run; all by default."`
+	Workload      []string        `help:"Workloads to run; all by default."`
+	Policy        []string        `help:"Policies to run; all by default."`
+	Duration      time.Duration   `default:"30s" help:"Virtual time of each run."`
+	Seed          uint64          `default:"1" help:"Seed of the random number generators."`
+	Scope         string          `default:"all" enum:"region,all" help:"Endpoints that the baseline policies use: all, or only those in the caller node's region."`
+	PlacementWait []time.Duration `default:"0s" help:"Values of the bundle's placement_wait; policy dandelionspoke runs once with each."`
+	Parallel      int             `default:"3" help:"Maximum number of concurrent runs."`
+	Format        string          `default:"row" enum:"row,markdown" help:"row: lines of key=value pairs; markdown: a table."`
+	Plots         string          `help:"Directory for plots of latency over time; no plots by default."`
 }
 
 // parallel returns the number of concurrent runs, at least 1 and at most the number of processors.
@@ -35,6 +36,7 @@
 	scenario measure.Scenario
 	workload measure.Workload
 	policy   string
+	wait     time.Duration
 }
 
 func selected(names []string, name string) bool {
@@ -46,8 +48,15 @@
 	for _, s := range measure.Scenarios() {
 		for _, w := range s.Workloads() {
 			for _, p := range balance.PolicyNames() {
-				if selected(o.Scenario, s.Name) && selected(o.Workload, w.Name) && selected(o.Policy, p) {
-					jobs = append(jobs, job{s, w, p})
+				if !selected(o.Scenario, s.Name) || !selected(o.Workload, w.Name) || !selected(o.Policy, p) {
+					continue
+				}
+				if p != balance.Dandelionspoke {
+					jobs = append(jobs, job{s, w, p, 0})
+					continue
+				}
+				for _, wait := range o.PlacementWait {
+					jobs = append(jobs, job{s, w, p, wait})
 				}
 			}
 		}
@@ -67,6 +76,7 @@
 			started := time.Now()
 			results[i] = measure.Run(j.scenario, j.workload, measure.Config{
 				Policy: j.policy, Duration: o.Duration, Seed: o.Seed, LocalRegionOnly: o.Scope == "region",
+				PlacementWait: j.wait,
 			})
 			slog.Info("run finished", "scenario", j.scenario.Name, "workload", j.workload.Name, "policy", j.policy,
 				"requests", results[i].Requests, "took", time.Since(started).Round(time.Millisecond))
--- a/internal/measure/doc.go
+++ b/internal/measure/doc.go
@@ -16,5 +16,9 @@
 //
 //	go run ./internal/measure/cmd/measure --scenario swing --workload nordlys --policy p2c --policy dandelionspoke
 //
+// Scenario uneven compares the placement waits of the bundle in one run:
+//
+//	go run ./internal/measure/cmd/measure --scenario uneven --policy p2c --policy dandelionspoke --placement-wait 0s,15ms
+//
 // To run all of them: bash scripts/measure. docs/measurements.md has the results.
 package measure
--- a/internal/measure/gate.go
+++ b/internal/measure/gate.go
@@ -70,13 +70,30 @@
 	}
 }
 
-func (g *admissionGate) load() *wire.Load { return g.queue.Load() }
+// load returns the load report, with the service time at the reported slowness, as the gate does.
+func (g *admissionGate) load() *wire.Load {
+	l := g.queue.Load()
+	if slowness := g.slowness(); slowness > 1 {
+		l.ServiceTimeUs = uint32(float64(l.ServiceTimeUs) * slowness)
+	}
+	return l
+}
+
+// slowness returns the slowness that the backend server reports, 0 if it reports none.
+func (g *admissionGate) slowness() float64 {
+	s := g.backend.sim
+	if !s.scenario.ReportsSlowness {
+		return 0
+	}
+	return s.scenario.slowdown(s.config.Duration, s.loop.elapsed(), g.backend.index)
+}
 
 func (g *admissionGate) offer(a *attempt) {
 	now := g.backend.sim.loop.time()
 	r := a.request.route
 	ticket, outcome := g.queue.Offer(now, admission.Request{
 		Route: r.name, Long: r.declaredLong, Priority: r.priority, Deadline: now.Add(a.remaining), MaxWait: a.maxWait,
+		Slowness: g.slowness(),
 	})
 	g.applyDecisions(outcome.Decisions)
 	switch outcome.State {
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -95,7 +95,7 @@
 				if r.ProbeMessages == 0 {
 					t.Fatal("no probes sent")
 				}
-				nodes := float64(len(w.Domains) * callerNodesPerDomain)
+				nodes := float64(len(w.Domains) * w.callerNodes())
 				seconds := (testDuration + burst).Seconds()
 				if total := policy.ProbesPerSecond * nodes * seconds; float64(r.ProbeMessages) > total {
 					t.Errorf("%d probe messages, budget %.0f", r.ProbeMessages, total)
--- a/internal/measure/request.go
+++ b/internal/measure/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dandelionspoke/internal/balance"
+	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 )
 
@@ -17,7 +18,9 @@
 	tried       []*table.Endpoint
 	current     *attempt
 	done        bool
-	refusedBusy bool // set after a busy refusal; later attempts then accept any wait
+	inBound     bool // see Result.InBound
+	moves       int  // busy refusals
+	refusedBusy bool // set after the last permitted a busy refusal; later attempts then accept any wait
 	// headOfLineWait is the time that its attempts waited while a long request held a slot of the endpoint.
 	headOfLineWait time.Duration
 }
@@ -36,11 +39,16 @@
 }
 
 // dropLastAttempt discounts an attempt that was refused as busy. Its endpoint remains a candidate because
-// the refusal carried its exact load, which the next choice takes into account.
+// the refusal carried its exact load, which the next choice takes into account. With IngressMoves, it becomes a candidate
+// again only when the next attempt accepts any wait.
 func (r *request) dropLastAttempt() {
-	r.refusedBusy = true
+	s := r.callerNode.sim
+	r.moves++
 	r.attempts--
-	r.tried = r.tried[:len(r.tried)-1]
+	r.refusedBusy = !s.scenario.IngressMoves || r.moves >= retry.PolicyOf(s.bundle.Policy).BusyMoves()
+	if r.refusedBusy {
+		r.tried = r.tried[:max(len(r.tried)-r.moves, 0)]
+	}
 }
 
 // excludedMask returns a bitmask of the endpoints of svc that were already tried.
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -25,8 +25,13 @@
 	DomainBytes uint64
 	// InObjective counts the measured requests that succeeded within the workload's objective.
 	InObjective uint64
-	// Bound is an upper bound of ObjectiveShare that the capacity of all endpoints sets; see Scenario.capacityBound.
-	Bound float64
+	// CapacityBound is an upper bound of ObjectiveShare that the capacity of all endpoints together sets; see
+	// Scenario.capacityBound.
+	CapacityBound float64
+	// InBound counts the measured requests that would succeed within the objective if each started at once, at the node
+	// itself, on a backend server that is not slow at the time; see simulation.sampleBound.
+	InBound       uint64
+	placementWait time.Duration
 	// AllRequests counts the requests of the whole run; ProbesPerRequest divides by it.
 	AllRequests uint64
 	// PeakNodeProbes is the largest number of probe messages, replies included, that one node caused in one
@@ -55,12 +60,12 @@
 func newResult(s Scenario, w Workload, c Config) Result {
 	from := max(warmup, fractionOf(c.Duration, s.MeasureFrom))
 	r := Result{
-		Scenario: s.Name, Policy: c.Policy, Workload: w.Name, Seed: c.Seed, duration: c.Duration, measureFrom: from,
+		Scenario: s.Name, Policy: c.Policy, Workload: w.Name, Seed: c.Seed, duration: c.Duration, placementWait: c.PlacementWait, measureFrom: from,
 		short: newHistogram(), long: newHistogram(), headOfLine: newHistogram(),
 		Capacity: w.capacity(w.endpoints(), s.LongShare) * (c.Duration - from).Seconds(),
 	}
 	if w.Objective > 0 {
-		r.Bound = s.capacityBound(w, c.Duration, from)
+		r.CapacityBound = s.capacityBound(w, c.Duration, from)
 	}
 	for range c.Duration / seriesStep {
 		r.series = append(r.series, newHistogram())
@@ -86,6 +91,9 @@
 
 func (r *Result) observe(latency time.Duration, ok bool, req *request) {
 	r.Requests++
+	if req.inBound {
+		r.InBound++
+	}
 	if ok {
 		r.Succeeded++
 		if objective := req.callerNode.sim.workload.Objective; objective > 0 && latency <= objective {
@@ -162,6 +170,11 @@
 // ObjectiveShare returns the fraction of the requests that succeeded within the workload's objective; 0 if it has none.
 func (r *Result) ObjectiveShare() float64 { return float64(r.InObjective) / float64(r.Requests) }
 
+// Bound returns an upper bound of ObjectiveShare: the smaller of CapacityBound and the share of InBound.
+func (r *Result) Bound() float64 {
+	return min(r.CapacityBound, float64(r.InBound)/float64(r.Requests))
+}
+
 // DomainBytesPerRequest returns the payload between failure domains per request.
 func (r *Result) DomainBytesPerRequest() float64 {
 	return float64(r.DomainBytes) / float64(r.AllRequests)
@@ -175,9 +188,9 @@
 		r.Scenario, r.Policy, r.Workload, r.P50MS(), r.P99MS(), r.ShortHOLP99MS(),
 		r.GoodputRatio(), r.ProbesPerRequest(), r.CrossRegionBytesPerSecond(), r.Failed,
 		r.Requests, r.Retries, r.LongP99MS(), r.Seed)
-	if r.Bound > 0 {
-		row += fmt.Sprintf(" in_objective=%.4f bound=%.4f domain_bytes_per_request=%.0f",
-			r.ObjectiveShare(), r.Bound, r.DomainBytesPerRequest())
+	if r.CapacityBound > 0 {
+		row += fmt.Sprintf(" in_objective=%.5f bound=%.5f capacity_bound=%.5f domain_bytes_per_request=%.0f placement_wait=%v",
+			r.ObjectiveShare(), r.Bound(), r.CapacityBound, r.DomainBytesPerRequest(), r.placementWait)
 	}
 	return row
 }
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -23,6 +23,11 @@
 	// MeasureFrom is the fraction of the run after which requests are measured, but not before the end of
 	// warmup.
 	MeasureFrom float64
+	// ReportsSlowness means that the backend servers report Slowdown to their gates.
+	ReportsSlowness bool
+	// IngressMoves means that requests move between busy gates by the rules of the ingress. Otherwise, as when the results
+	// of the older scenarios were recorded, they move once and may return to the same gate.
+	IngressMoves bool
 	// Workload is the only workload of the scenario; nil means that it runs with each of Workloads.
 	Workload *Workload
 }
--- a/internal/measure/simulation.go
+++ b/internal/measure/simulation.go
@@ -31,6 +31,8 @@
 	// LocalRegionOnly restricts the baselines to endpoints in the caller node's region. Otherwise they also
 	// choose endpoints of the other region at random, and RegionDelay dominates their latency.
 	LocalRegionOnly bool
+	// PlacementWait is the bundle's policy.placement_wait.
+	PlacementWait time.Duration
 }
 
 // simulation is the state of one run.
@@ -45,6 +47,7 @@
 	bundle     *bundle.Bundle
 	// gates and endpointDomains hold, for each endpoint, its gate and the index of its failure domain.
 	gates           []gate
+	backends        []*backend
 	endpointDomains []int
 	endpointIndexes map[string]int // by endpoint ID
 	callerNodes     []*callerNode
@@ -53,6 +56,7 @@
 	// capacityPerCallerNode is the total capacity, in requests per second, divided by the number of caller nodes.
 	capacityPerCallerNode float64
 
+	boundRand     *rand.Rand // for sampleBound; nil if the workload has no objective
 	result        Result
 	retryCount    uint64
 	pending       int  // requests that have not completed
@@ -84,20 +88,25 @@
 		endpointIndexes: map[string]int{},
 		loop:            newEventLoop(), seedSource: rand.New(rand.NewPCG(c.Seed, rngStream)), bundle: w.bundle(), routes: routes(scenario.LongShare),
 	}
+	s.bundle.Policy.PlacementWait = bundle.Duration(c.PlacementWait)
 	s.result = newResult(scenario, w, c)
-	s.capacityPerCallerNode = w.capacity(w.endpoints(), scenario.LongShare) / float64(len(w.Domains)*callerNodesPerDomain)
+	s.capacityPerCallerNode = w.capacity(w.endpoints(), scenario.LongShare) / float64(len(w.Domains)*w.callerNodes())
 	for i, d := range w.Domains {
 		for range d.endpoints() {
 			s.endpointIndexes[endpointID(len(s.gates))] = len(s.gates)
 			s.endpointDomains = append(s.endpointDomains, i)
-			s.gates = append(s.gates, s.newGate(newBackend(s, len(s.gates))))
+			s.backends = append(s.backends, newBackend(s, len(s.gates)))
+			s.gates = append(s.gates, s.newGate(s.backends[len(s.gates)]))
 		}
 	}
 	for i := range w.Domains {
-		for k := range callerNodesPerDomain {
+		for k := range w.callerNodes() {
 			s.callerNodes = append(s.callerNodes, newCallerNode(s, i, k))
 		}
 	}
+	if w.Objective > 0 {
+		s.boundRand = s.newRand()
+	}
 	s.joinEndpoints()
 	s.schedulePartition()
 	return s
--- a/internal/measure/uneven.go
+++ b/internal/measure/uneven.go
@@ -9,7 +9,7 @@
 // Parameters of the scenario uneven. Demand moves in waves over the failure domains, endpoints are unevenly placed, and
 // neighbours slow a quarter of the backend servers for a part of each period.
 const (
-	unevenMeanLoad  = 0.65 // the sum over the failure domains peaks at 0.89
+	unevenMeanLoad  = 0.65 // the sum over the failure domains peaks at 0.89; neighbours leave 0.94 of the capacity
 	unevenSwing     = 0.55 // of the mean
 	unevenPeriod    = 15 * time.Second
 	unevenPhaseStep = 0.08 // of the period, from one failure domain to the next
@@ -25,7 +25,7 @@
 func unevenScenario() Scenario {
 	endpoints := []int{11, 13, 13, 11, 10, 9}
 	w := Workload{
-		Name: "uneven", Slots: 4, Connections: 200,
+		Name: "uneven", Slots: 12, CallerNodes: 6, Connections: 200,
 		CallerDelay: time.Millisecond, DomainDelay: 500 * time.Microsecond, RegionDelay: 12 * time.Millisecond,
 		ShortMean: 20 * time.Millisecond, ShortTimeout: 400 * time.Millisecond, LongTimeout: 10 * time.Second,
 		Objective: 100 * time.Millisecond,
@@ -34,7 +34,7 @@
 		region := i / 2
 		w.Domains = append(w.Domains, Domain{Name: fmt.Sprintf("region-%d-%c", region, 'a'+i%2), Region: fmt.Sprint("region-", region), Endpoints: n})
 	}
-	return Scenario{Name: "uneven", Load: unevenLoad, Slowdown: neighbours, Workload: &w}
+	return Scenario{Name: "uneven", Load: unevenLoad, Slowdown: neighbours, ReportsSlowness: true, IngressMoves: true, Workload: &w}
 }
 
 func unevenLoad(_, at time.Duration, domain int) float64 {
@@ -55,11 +55,10 @@
 
 // capacityBound returns an upper bound of the share of requests within their objective in a run: the demand that all endpoints
 // together can serve. In each step they serve at most their capacity, and demand that exceeds it waits for at most the
-// objective. The service time of a request is taken as its mean, so that the tail of the service times is no part of the
-// bound. Interference that every scenario has is part of the capacity.
+// objective without the mean service time. Interference that every scenario has is part of the capacity.
 func (s *Scenario) capacityBound(w Workload, run, from time.Duration) float64 {
 	perSlot := w.capacity(1, s.LongShare)
-	maxBacklog := w.Objective.Seconds() * perSlot * float64(w.endpoints())
+	maxBacklog := (w.Objective - w.ShortMean).Seconds() * perSlot * float64(w.endpoints())
 	offered, lost, backlog := 0.0, 0.0, 0.0
 	for at := time.Duration(0); at < run; at += boundStep {
 		demand, capacity := 0.0, 0.0
@@ -79,6 +78,21 @@
 	return 1 - lost/offered
 }
 
+// sampleBound sets r.inBound for a service time of its own. A request can't move once it runs, so it is late if the slow
+// period of a neighbour begins soon after its start, or its service time is far above the mean.
+func (s *simulation) sampleBound(r *request) {
+	if s.boundRand == nil {
+		return
+	}
+	at := s.loop.elapsed()
+	i := s.boundRand.IntN(len(s.backends))
+	for s.scenario.slowdown(s.config.Duration, at, i) > 1 {
+		i = (i + 1) % len(s.backends)
+	}
+	end := s.backends[i].speed.finishTime(at, s.workload.serviceTime(r.route, s.boundRand))
+	r.inBound = end-at+2*s.workload.CallerDelay <= s.workload.Objective
+}
+
 func (s *Scenario) slowdown(run, at time.Duration, endpoint int) float64 {
 	if s.Slowdown == nil {
 		return 1
--- a/internal/measure/workload.go
+++ b/internal/measure/workload.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -23,8 +24,8 @@
 	ShortTimeout, LongTimeout time.Duration
 	// Objective is the latency at the caller within which requests should succeed; 0 if there is none.
 	Objective time.Duration
-	// SubsetSize is the bundle's subset_size; 0 means its default.
-	SubsetSize int
+	// CallerNodes is the number of caller nodes in each failure domain; 0 means callerNodesPerDomain.
+	CallerNodes int
 }
 
 // Domain is a failure domain in a region.
@@ -33,6 +34,8 @@
 	Endpoints    int // 0 means 1
 }
 
+func (w *Workload) callerNodes() int { return cmp.Or(w.CallerNodes, callerNodesPerDomain) }
+
 func (d Domain) endpoints() int { return max(d.Endpoints, 1) }
 
 func (w *Workload) endpoints() int {
@@ -44,7 +47,7 @@
 }
 
 const (
-	// callerNodesPerDomain is the number of caller nodes in each failure domain.
+	// callerNodesPerDomain is the usual number of caller nodes in each failure domain.
 	callerNodesPerDomain = 3
 	// localDelay is the one-way delay within a failure domain.
 	localDelay = 250 * time.Microsecond
@@ -156,7 +159,6 @@
 		Version:  1,
 		Services: map[string]bundle.Service{serviceKey: {Slots: w.Slots, Connections: w.Connections}},
 	}
-	b.Policy.SubsetSize = w.SubsetSize
 	b.SetDefaults()
 	return b
 }
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -17,9 +17,6 @@
 	// doubles with each attempt up to maxBackoff.
 	baseBackoff = time.Millisecond
 	maxBackoff  = 50 * time.Millisecond
-	// MaxPlacementWait is the longest expected queueing time that a short request accepts at a gate while it
-	// may still move to another endpoint. Moving it to another endpoint of the region takes about as long.
-	MaxPlacementWait = time.Millisecond
 	// minHedgeDelay prevents hedges of fast services from being triggered by latency jitter.
 	minHedgeDelay = time.Millisecond
 )
@@ -83,10 +80,14 @@
 type Policy struct {
 	// MaxAttempts is the limit of attempts for one request, including the first.
 	MaxAttempts int
+	// PlacementWait is the bundle's setting; 0 means MaxPlacementWait.
+	PlacementWait time.Duration
 }
 
 // PolicyOf returns the retry policy that the policy section of a bundle sets.
-func PolicyOf(p bundle.Policy) Policy { return Policy{MaxAttempts: p.MaxAttempts} }
+func PolicyOf(p bundle.Policy) Policy {
+	return Policy{MaxAttempts: p.MaxAttempts, PlacementWait: p.PlacementWait.D()}
+}
 
 // Spender is a budget of additional attempts.
 type Spender interface {
