--- a/internal/measure/request.go
+++ b/internal/measure/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dandelionspoke/internal/balance"
+	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 )
 
@@ -17,7 +18,9 @@
 	tried       []*table.Endpoint
 	current     *attempt
 	done        bool
-	refusedBusy bool // set after a busy refusal; later attempts then accept any wait
+	inBound     bool // see Result.InBound
+	moves       int  // busy refusals
+	refusedBusy bool // set after the last permitted a busy refusal; later attempts then accept any wait
 	// headOfLineWait is the time that its attempts waited while a long request held a slot of the endpoint.
 	headOfLineWait time.Duration
 }
@@ -36,11 +39,16 @@
 }
 
 // dropLastAttempt discounts an attempt that was refused as busy. Its endpoint remains a candidate because
-// the refusal carried its exact load, which the next choice takes into account.
+// the refusal carried its exact load, which the next choice takes into account. With IngressMoves, it becomes a candidate
+// again only when the next attempt accepts any wait.
 func (r *request) dropLastAttempt() {
-	r.refusedBusy = true
+	s := r.callerNode.sim
+	r.moves++
 	r.attempts--
-	r.tried = r.tried[:len(r.tried)-1]
+	r.refusedBusy = !s.scenario.IngressMoves || r.moves >= retry.PolicyOf(s.bundle.Policy).BusyMoves()
+	if r.refusedBusy {
+		r.tried = r.tried[:max(len(r.tried)-r.moves, 0)]
+	}
 }
 
 // excludedMask returns a bitmask of the endpoints of svc that were already tried.
@@ -83,10 +91,21 @@
 	balance.ObserveResult(a.endpoint.Stats, now, time.Duration(now-a.sentAt), outcome, a.long)
 }
 
+// domain returns the index of the failure domain of the endpoint.
+func (a *attempt) domain() int {
+	s := a.request.callerNode.sim
+	return s.endpointDomains[s.endpointIndex(a.endpoint)]
+}
+
 // reply sends a response to the caller node.
 func (a *attempt) reply(resp response) {
 	c := a.request.callerNode
-	c.sim.send(c.sim.endpointIndex(a.endpoint), c.domain, func() { c.handleResponse(a, resp) })
+	bytes := responseBytes
+	if resp.refused != "" {
+		bytes = refusalBytes
+	}
+	c.sim.countBytes(a.domain(), c.domain, bytes)
+	c.sim.send(a.domain(), c.domain, func() { c.handleResponse(a, resp) })
 }
 
 // startWait and endWait are called when the wait for a slot begins and ends.
