--- a/internal/node/counted_test.go
+++ b/internal/node/counted_test.go
@@ -133,3 +133,39 @@
 		t.Errorf("the next update is due after %v, want %v", view.next.Sub(now), fleetInterval)
 	}
 }
+
+// Guards against a restarted node that is refused a part in the rate limits for seconds although its neighbour tells it that
+// the others count it.
+func TestNodeThatANeighbourCountsTakesPartAtOnce(t *testing.T) {
+	start := func(id string, seeds ...string) *Node {
+		s := settings.LoopbackDefaults()
+		s.NodeID, s.Seeds = id, seeds
+		s.RateLimit = settings.RateLimit{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20}
+		n, err := New(Options{Settings: s})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = n.Close() })
+		return n
+	}
+	entitledAfter := func(n *Node) time.Duration {
+		started := time.Now()
+		for !n.limits.Dump(steady.Now(), 0).Entitled && time.Since(started) < 10*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		return time.Since(started)
+	}
+	neighbour := start("neighbour").Addrs().Peer
+	first := start("node", neighbour)
+	if took := entitledAfter(first); took < ratelimit.ParticipationDelay/2 {
+		t.Errorf("a new node takes part after %v", took)
+	}
+	time.Sleep(time.Second)
+	_ = first.Close()
+	if took := entitledAfter(start("node", neighbour)); took > ratelimit.ParticipationDelay/2 {
+		t.Errorf("a restarted node takes part after %v", took)
+	}
+}
