Order writes to other regions by priority only where callers compete

Change: writes go by priority only while the bundle in force has accounts or allowed regions.

Result: TestWritesGoInOrderOfArrivalUnlessPrioritized; without the condition, a write of a lower priority goes last.

--- a/internal/bundle/accounts.go
+++ b/internal/bundle/accounts.go
@@ -98,6 +98,12 @@
 	}
 }
 
+// HasContendedCapacity reports whether the bundle has accounts or allowed regions: its callers compete for capacity, also for
+// that of the link between regions.
+func (b *Bundle) HasContendedCapacity() bool {
+	return len(b.Accounts) > 0 || slices.ContainsFunc(b.Routes, func(r Route) bool { return len(r.AllowedRegions) > 0 })
+}
+
 // checkRegions adds an error for each name in allowed_regions that no node can have as its region.
 func (v *validator) checkRegions(parent string, regions []string) {
 	for i, region := range regions {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -24,6 +24,7 @@
 // Budget limits the rate at which a node sends to other regions. It is safe for concurrent use.
 type Budget struct {
 	total, bulk queue
+	prioritized atomic.Bool
 	// ShortBytes and LongBytes count the bytes permitted for short and long requests, WaitNanos the nanoseconds that
 	// calls of Wait took.
 	ShortBytes, LongBytes, WaitNanos atomic.Int64
@@ -45,11 +46,16 @@
 	b.bulk.setLimit(rate.Limit(bytesPerSecond * p.LinkBulkShare))
 }
 
+// SetPrioritized controls whether the writes of more urgent requests go first. Otherwise all go in the order of arrival.
+func (b *Budget) SetPrioritized(prioritized bool) { b.prioritized.Store(prioritized) }
+
 // Wait blocks until n bytes may be sent, or returns an error when ctx ends. The bytes of long requests are first charged
 // to the bulk share, so that short requests never wait behind more than one chunk of them. Among waiting writes, those of
-// more urgent requests go first: priority is that of the request, from 0 (highest).
+// more urgent requests go first if SetPrioritized asks for it: priority is that of the request, from 0 (highest).
 func (b *Budget) Wait(ctx context.Context, n int, long bool, priority int) error {
-	priority = min(max(priority, 0), bundle.MaxPriority)
+	if priority = min(max(priority, 0), bundle.MaxPriority); !b.prioritized.Load() {
+		priority = 0
+	}
 	started := time.Now()
 	defer func() { b.WaitNanos.Add(int64(time.Since(started))) }()
 	count := &b.ShortBytes
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -61,6 +61,7 @@
 		const chunk = 32 << 10
 		policy := bundle.Policy{LinkBitsPerSecond: 4e6, LinkBulkShare: 0.5}
 		b := link.NewBudget(policy)
+		b.SetPrioritized(true)
 		oneChunk := time.Duration(chunk / (policy.LinkBitsPerSecond / 8) * float64(time.Second))
 		var wg sync.WaitGroup
 		var lastBody atomic.Int64
@@ -135,3 +136,31 @@
 		}
 	})
 }
+
+// Guards against writes that go by priority although the bundle does not ask for it.
+func TestWritesGoInOrderOfArrivalUnlessPrioritized(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := link.NewBudget(bundle.Policy{LinkBitsPerSecond: 8e5, LinkBulkShare: 0.5})
+		if err := b.Wait(t.Context(), 96<<10, false, 1); err != nil {
+			t.Fatal(err)
+		}
+		var mu sync.Mutex
+		var order []int
+		var wg sync.WaitGroup
+		for priority := bundle.MaxPriority; priority >= 0; priority-- {
+			wg.Go(func() {
+				if err := b.Wait(t.Context(), 4<<10, false, priority); err != nil {
+					t.Error(err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				order = append(order, bundle.MaxPriority-priority)
+			})
+			synctest.Wait()
+		}
+		wg.Wait()
+		if !slices.IsSorted(order) {
+			t.Errorf("order of arrival %v", order)
+		}
+	})
+}
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -54,6 +54,7 @@
 	n.applyRetryBudget(b.Policy)
 	n.quarantine.SetPolicy(b.Policy.QuarantineDeaths, b.Policy.QuarantineFor.D())
 	n.linkBudget.SetPolicy(b.Policy)
+	n.linkBudget.SetPrioritized(b.HasContendedCapacity())
 	n.bundles.inForce.Store(b)
 	n.applyRateLimits(b)
 	n.applyGateLimits()
