--- a/cmd/dandelionspoke/fleet_test.go
+++ b/cmd/dandelionspoke/fleet_test.go
@@ -48,8 +48,13 @@
 	nodes         []*process
 	settingsFiles []string
 	backends      []*process
+	places        []place  // of the nodes; by default all nodes are in one region
+	extraSettings string   // added to the settings of each node
+	backendFlags  []string // added to the flags of each backend server
 }
 
+type place struct{ region, domain string }
+
 // startFleet starts a store, rolls out a bundle, starts n nodes with one backend server each and waits until every
 // ingress responds with 200.
 func startFleet(t *testing.T, n int) *fleet {
@@ -77,15 +82,26 @@
 }
 
 func (f *fleet) rolloutBundle() {
+	f.t.Helper()
+	f.generateKeys()
+	f.rollout(bundleText, 0)
+}
+
+func (f *fleet) generateKeys() {
 	f.t.Helper()
 	for i, name := range []string{"ann", "bo"} {
 		f.publicKeys[i] = strings.TrimSpace(mustRun(f.t, "bundle", "keygen", name, "--out", f.path(name+".key")))
 	}
-	file := f.write("bundle.toml", bundleText)
+}
+
+// rollout signs a bundle and replaces the version that is in force, 0 if there is none.
+func (f *fleet) rollout(text string, inForce int) {
+	f.t.Helper()
+	file := f.write("bundle.toml", text)
 	mustRun(f.t, "check", file)
 	mustRun(f.t, "bundle", "sign", file, "--key", f.path("ann.key"), "--out", f.path("bundle.signed"))
 	mustRun(f.t, "bundle", "approve", f.path("bundle.signed"), "--key", f.path("bo.key"), "--trusted", f.path("ann.key.pub"))
-	mustRun(f.t, "bundle", "rollout", f.path("bundle.signed"), "--store", f.store.fields["store"], "--expect-version", "0",
+	mustRun(f.t, "bundle", "rollout", f.path("bundle.signed"), "--store", f.store.fields["store"], "--expect-version", strconv.Itoa(inForce),
 		"--trusted", f.path("ann.key.pub"), "--trusted", f.path("bo.key.pub"))
 }
 
@@ -132,9 +148,9 @@
 	node := startProcess(f.t, "node", "--settings", f.settingsFiles[i])
 	a := node.fields
 	f.nodes = append(f.nodes, node)
-	f.backends = append(f.backends, startProcess(f.t, "backend",
+	f.backends = append(f.backends, startProcess(f.t, append([]string{"backend",
 		"--id", fmt.Sprintf("katalog-%d", i), "--service", "katalog", "--slots", "8", "--connections", "50",
-		"--announce", a["announce"], "--ingress", a["ingress"]))
+		"--announce", a["announce"], "--ingress", a["ingress"]}, f.backendFlags...)...))
 }
 
 func (f *fleet) writeSettings(i int, ingress, peer, udp, admin, announce string) string {
@@ -142,9 +158,13 @@
 	for _, n := range f.nodes {
 		seeds = append(seeds, strconv.Quote(n.fields["peer"]))
 	}
+	at := place{"ostlandet", fmt.Sprintf("oslo-%c", 'a'+i%2)}
+	if len(f.places) > 0 {
+		at = f.places[i]
+	}
 	text := fmt.Sprintf(`node_id = "node-%d"
-region = "ostlandet"
-failure_domain = "oslo-%c"
+region = %q
+failure_domain = %q
 seeds = [%s]
 drain_timeout = "20s"
 [ingress]
@@ -164,8 +184,8 @@
 [bundle]
 trusted_keys = [%q]
 approver_keys = [%q]
-`, i, 'a'+i%2, strings.Join(seeds, ", "), ingress, peer, udp, admin, announce, f.store.fields["store"], f.publicKeys[0], f.publicKeys[1])
-	return f.write(fmt.Sprintf("node-%d.toml", i), text)
+`, i, at.region, at.domain, strings.Join(seeds, ", "), ingress, peer, udp, admin, announce, f.store.fields["store"], f.publicKeys[0], f.publicKeys[1])
+	return f.write(fmt.Sprintf("node-%d.toml", i), text+f.extraSettings)
 }
 
 // readyTimeout limits the time until a started node responds to requests with 200.
--- a/cmd/dandelionspoke/soak_test.go
+++ b/cmd/dandelionspoke/soak_test.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -14,15 +12,11 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"dandelionspoke/internal/backendtest"
-	"dandelionspoke/internal/verdict"
 )
 
 const (
-	soakNodes   = 4
-	soakCallers = 8
-	// soakFaults is the number of faults per seed, soakConcurrentFaults the maximum number of concurrent ones.
+	soakNodes = 4
+	// soakFaults is the minimum number of faults per seed, soakConcurrentFaults the maximum number of concurrent ones.
 	soakFaults           = 8
 	soakConcurrentFaults = 2
 	// soakRecoveryTimeout limits the time after the last fault until every node responds with 200 again.
@@ -57,7 +51,8 @@
 }
 
 // Guards against wrong bodies, duplicate runs, false not-run verdicts and lasting failures under several faults at a
-// time: processes are killed, terminated and restarted, paused and reloaded; connections drop or delay data or are reset.
+// time: processes are killed, terminated and restarted, paused and reloaded; connections drop or delay data or are reset. Meanwhile a key is withdrawn, a rate limit lowered, a
+// failure domain evacuated and the store restored from a copy (soakoperator_test.go); checks are in soakchecks_test.go.
 func TestSoak(t *testing.T) {
 	for _, seed := range soakSeeds(t) {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { newSoak(t, seed).run() })
@@ -68,24 +63,35 @@
 type soak struct {
 	*fleet
 	rng         *rand.Rand // draws the faults
+	operatorRng *rand.Rand // draws what the operator does
 	peerProxies []*proxy   // in front of the peer listener of each node
 	storeProxy  *proxy
 	stopped     atomic.Bool
 	nodeMu      []sync.Mutex // held while a fault acts on the node
 
+	storeURL          string // without the proxy
 	mu                sync.Mutex
-	faults            []string
+	faults            []*soakFault
+	sent              map[string]sentRequest // by request ID, of each caller's first attempt
 	notRunIDs         []string
+	responses         map[string]int // by account and status
 	wrongResponses    []string
 	completeResponses int
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{fleet: &fleet{t: t, dir: t.TempDir()}, rng: rand.New(rand.NewPCG(seed, seed)), nodeMu: make([]sync.Mutex, soakNodes)}
+	s := &soak{
+		fleet: &fleet{t: t, dir: t.TempDir(), places: soakPlaces, extraSettings: soakSettings},
+		rng:   rand.New(rand.NewPCG(seed, seed)), operatorRng: rand.New(rand.NewPCG(seed, seed+1)),
+		nodeMu: make([]sync.Mutex, soakNodes), sent: map[string]sentRequest{}, responses: map[string]int{},
+	}
+	s.backendFlags = []string{"--cold-factor", "1", "--state-cold", "--arrivals", s.path(arrivalsFile)}
 	s.store = startProcess(t, "store")
-	s.rolloutBundle()
+	s.storeURL = s.store.fields["store"]
+	s.generateKeys()
+	s.rollout(soakBundle(1, hotRate, true), 0)
 	s.storeProxy = newProxy(t)
-	s.storeProxy.setTarget(strings.TrimPrefix(s.store.fields["store"], "http://"))
+	s.storeProxy.setTarget(strings.TrimPrefix(s.storeURL, "http://"))
 	s.store.fields["store"] = "http://" + s.storeProxy.addr()
 	for i := range soakNodes {
 		p := newProxy(t)
@@ -109,7 +115,8 @@
 	}
 	listen := fmt.Sprintf("[peer]\nlisten = %q\n", node.fields["peer"])
 	s.settingsFiles[i] = s.write(fmt.Sprintf("node-%d.toml", i),
-		strings.Replace(string(text), listen, listen+fmt.Sprintf("advertise = %q\n", p.addr()), 1))
+		strings.NewReplacer(listen, listen+fmt.Sprintf("advertise = %q\n", p.addr()),
+			"[store]\n", fmt.Sprintf("[store]\nregion = %q\n", soakPlaces[0].region)).Replace(string(text)))
 	// A node reads its advertised address only at its start.
 	s.restart(i)
 	node = s.nodes[i]
@@ -118,9 +125,10 @@
 
 func (s *soak) run() {
 	var callers, injectors sync.WaitGroup
-	for c := range soakCallers {
+	for _, c := range soakCallers {
 		callers.Go(func() { s.runCaller(c) })
 	}
+	var operatorDone atomic.Bool
 	faults := make(chan func())
 	for range soakConcurrentFaults {
 		injectors.Go(func() {
@@ -129,18 +137,20 @@
 			}
 		})
 	}
-	for range soakFaults {
-		faults <- s.nextFault()
-	}
-	close(faults)
+	injectors.Go(func() {
+		for n := 0; n < soakFaults || !operatorDone.Load(); n++ {
+			faults <- s.nextFault()
+		}
+		close(faults)
+	})
+	history := s.runOperator()
+	operatorDone.Store(true)
 	injectors.Wait()
 	s.checkRecovery()
+	s.checkRestartKeepsKeyWithdrawn()
 	s.stopped.Store(true)
 	callers.Wait()
-	s.checkRuns()
-	if s.t.Failed() {
-		s.t.Logf("faults:\n%s", strings.Join(s.faults, "\n"))
-	}
+	s.check(history)
 }
 
 // nextFault returns the next fault. All random numbers are drawn here, so that a seed always gives the same series.
@@ -155,6 +165,7 @@
 		{"terminate node", func() { s.replaceNode(i, syscall.SIGTERM) }},
 		{"pause node", func() { s.pause(s.nodes[i], duration) }},
 		{"pause backend server", func() { s.pause(s.backends[i], duration) }},
+		{"kill backend server", func() { s.replaceBackend(i, duration) }},
 		{"pause store", func() { s.pause(s.store, duration) }},
 		{"reload node", func() { s.nodes[i].signal(syscall.SIGHUP) }},
 		{"reset sessions", func() { s.peerProxies[i].reset() }},
@@ -166,9 +177,8 @@
 	return func() {
 		s.nodeMu[i].Lock()
 		defer s.nodeMu[i].Unlock()
-		s.mu.Lock()
-		s.faults = append(s.faults, fmt.Sprintf("%s %s %d for %s", time.Now().Format("05.000"), kind.name, i, duration))
-		s.mu.Unlock()
+		end := s.beginFault(kind.name, i)
+		defer end()
 		kind.run()
 	}
 }
@@ -188,6 +198,17 @@
 	p.signal(syscall.SIGCONT)
 }
 
+// replaceBackend kills a backend server and starts another one in its place, which is cold.
+func (s *soak) replaceBackend(i int, downtime time.Duration) {
+	s.backends[i].signal(syscall.SIGKILL)
+	s.backends[i].wait()
+	time.Sleep(downtime)
+	node := s.nodes[i].fields
+	s.backends[i] = startProcess(s.t, append([]string{"backend", "--id", endpointID(i), "--service", "katalog", "--slots", "8",
+		"--connections", "50", "--announce", node["announce"], "--ingress", node["ingress"], "--cold-start", soakSlowStart.String()},
+		s.backendFlags...)...)
+}
+
 func (s *soak) replaceNode(i int, sig syscall.Signal) {
 	s.nodes[i].signal(sig)
 	s.nodes[i].wait()
@@ -198,57 +219,6 @@
 	s.mu.Unlock()
 }
 
-func (s *soak) ingressAddr(n int) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.nodes[n%soakNodes].fields["ingress"]
-}
-
-// runCaller sends orders and reads in turn until the end of the run, over persistent connections.
-func (s *soak) runCaller(c int) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2}
-	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport, Timeout: soakRequestTimeout}
-	for n := 0; !s.stopped.Load(); n++ {
-		id := fmt.Sprintf("s%d-%d", c, n)
-		method, path := http.MethodGet, "/katalog/items"
-		if n%2 == 0 {
-			method, path = http.MethodPost, "/katalog/orders"
-		}
-		req := newRequest(context.Background(), s.t, method, s.ingressAddr(c+n), path, id, 3000, "body")
-		req.Header.Set(backendtest.WorkHeader, "5ms")
-		req.GetBody = nil // keeps net/http from retrying the request itself
-		resp, err := client.Do(req)
-		if err != nil {
-			time.Sleep(10 * time.Millisecond) // a refused or broken connection has no verdict to check
-			continue
-		}
-		s.readResponse(resp, id)
-	}
-}
-
-func (s *soak) readResponse(resp *http.Response, id string) {
-	defer resp.Body.Close()
-	switch {
-	case resp.Header.Get(verdict.Header) == verdict.NotRun.String():
-		s.mu.Lock()
-		s.notRunIDs = append(s.notRunIDs, id)
-		s.mu.Unlock()
-	case resp.StatusCode == http.StatusOK:
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			return // visibly truncated, for example by a killed node
-		}
-		err = backendtest.Verify(strings.NewReader(string(body)), id, 3000)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.completeResponses++
-		if err != nil {
-			s.wrongResponses = append(s.wrongResponses, fmt.Sprintf("%s: complete response with a wrong body: %v", id, err))
-		}
-	}
-}
-
 // checkRecovery waits after the last fault until every node responds with 200.
 func (s *soak) checkRecovery() {
 	deadline := time.Now().Add(soakRecoveryTimeout)
@@ -269,33 +239,3 @@
 		}
 	}
 }
-
-// checkRuns reports wrong responses, orders that ran more than once and requests that ran although refused as not run.
-func (s *soak) checkRuns() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, response := range s.wrongResponses {
-		s.t.Error(response)
-	}
-	runs := s.runs()
-	for id, r := range runs {
-		if _, n, _ := strings.Cut(id, "-"); n != "" && isOrder(n) && r.Started > 1 {
-			s.t.Errorf("order %s was started %d times", id, r.Started)
-		}
-	}
-	for _, id := range s.notRunIDs {
-		if r, ran := runs[id]; ran && r.Started > 0 {
-			s.t.Errorf("%s was refused as not run, but ran", id)
-		}
-	}
-	if s.completeResponses == 0 {
-		s.t.Error("no request got a complete response")
-	}
-	s.t.Logf("complete responses %d, refused as not run %d, faults %d", s.completeResponses, len(s.notRunIDs), len(s.faults))
-}
-
-// isOrder reports whether a caller's request with this number is an order: runCaller sends one for each even number.
-func isOrder(number string) bool {
-	n, err := strconv.Atoi(number)
-	return err == nil && n%2 == 0
-}
--- a/internal/backendtest/announce.go
+++ b/internal/backendtest/announce.go
@@ -20,6 +20,8 @@
 	Connections int    `json:"connections"`
 	HealthPath  string `json:"health_path"`
 	LoadPath    string `json:"load_path"`
+	// SlowStartMs is the remaining slow start in milliseconds, or nil if the server does not state it.
+	SlowStartMs *int64 `json:"slow_start_ms,omitempty"`
 }
 
 // announceInterval is the time between announcements; announceTimeout bounds each message to the node.
@@ -52,11 +54,11 @@
 	if inst.announceStopped.Load() {
 		return true
 	}
-	return s.send(ctx, http.MethodPut, "/v1/backend", s.announcement())
+	return s.send(ctx, http.MethodPut, "/v1/backend", s.announcement(inst))
 }
 
-func (s *Server) announcement() []byte {
-	data, err := json.Marshal(Announcement{
+func (s *Server) announcement(inst *instance) []byte {
+	a := Announcement{
 		ID:          s.opts.ID,
 		Service:     s.opts.Service,
 		Address:     s.Addr(),
@@ -64,13 +66,24 @@
 		Connections: s.opts.Connections,
 		HealthPath:  HealthPath,
 		LoadPath:    LoadPath,
-	})
+	}
+	if s.opts.StateSlowStart {
+		ms := s.slowStartMs(inst)
+		a.SlowStartMs = &ms
+	}
+	data, err := json.Marshal(a)
 	if err != nil {
 		panic(err) // cannot happen: every field of Announcement can be encoded
 	}
 	return data
 }
 
+// slowStartMs returns the remaining slow start in milliseconds, rounded up.
+func (s *Server) slowStartMs(inst *instance) int64 {
+	remaining := max(0, s.opts.ColdStart-time.Since(inst.started))
+	return int64((remaining + time.Millisecond - 1) / time.Millisecond)
+}
+
 func (s *Server) announceDrain(ctx context.Context) {
 	s.announceMu.Lock()
 	defer s.announceMu.Unlock()
--- a/internal/backendtest/handler.go
+++ b/internal/backendtest/handler.go
@@ -18,6 +18,8 @@
 	deadlineHeader      = "Dandelionspoke-Deadline-Ms"
 	attemptIDHeader     = "Dandelionspoke-Attempt-Id" // repeated in the response
 	contextHeaderPrefix = "Dandelionspoke-"
+	accountHeader       = "Dandelionspoke-Account"
+	slowStartHeader     = "Dandelionspoke-Slow-Start-Ms"
 	// backendRefusalHeader marks a 503 response with which the server states that it did not run the request.
 	backendRefusalHeader = "Dandelionspoke-Backend-Refused"
 )
@@ -59,6 +61,7 @@
 	defer s.release(inst)
 	id := r.Header.Get(RequestIDHeader)
 	s.opts.Log.start(id, !idempotent(r))
+	s.writeArrival(inst, r, id)
 	if s.shouldCrash(r) {
 		s.Crash()
 		panic(http.ErrAbortHandler)
--- a/internal/backendtest/load.go
+++ b/internal/backendtest/load.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -75,6 +76,9 @@
 	factor := math.Float64frombits(s.faults.loadFactor.Load())
 	load.InFlight = int(float64(load.InFlight) * factor)
 	load.Queued = int(float64(load.Queued) * factor)
+	if s.opts.StateSlowStart {
+		w.Header().Set(slowStartHeader, strconv.FormatInt(s.slowStartMs(inst), 10))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(load)
 }
--- a/internal/backendtest/options.go
+++ b/internal/backendtest/options.go
@@ -3,6 +3,7 @@
 package backendtest
 
 import (
+	"io"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -86,6 +87,10 @@
 	Announce string
 	// Ingress is the ip:port of the node's ingress, for calls to other services. If it is empty, the server makes no calls.
 	Ingress string
+	// StateSlowStart makes the server state the remaining time of its slow start, which is ColdStart after its start.
+	StateSlowStart bool
+	// Arrivals receives a line of JSON, an Arrival, for each request that starts to run. If it is nil, none are written.
+	Arrivals io.Writer
 	// Log records the runs. Several servers may share one; if it is nil, the server creates its own.
 	Log *RunLog
 	// Seed seeds the random service times and injected failures.
--- a/internal/backendtest/server_test.go
+++ b/internal/backendtest/server_test.go
@@ -302,7 +302,7 @@
 	if err := s.Drain(context.Background()); err != nil {
 		t.Fatal(err)
 	}
-	want := Announcement{"e1", "katalog", s.Addr(), 7, 9, HealthPath, LoadPath}
+	want := Announcement{"e1", "katalog", s.Addr(), 7, 9, HealthPath, LoadPath, nil}
 	mu.Lock()
 	defer mu.Unlock()
 	if last != want {
--- a/internal/objectstoretest/restore.go
+++ b/internal/objectstoretest/restore.go
@@ -14,6 +14,25 @@
 	deleted  map[string]int64
 }
 
+// Paths to which a POST keeps a copy of the state, and restores the copy kept last.
+const (
+	CopyPath    = "/objectstoretest/copy"
+	RestorePath = "/objectstoretest/restore"
+)
+
+func (s *Store) keepCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = s.copyLocked()
+}
+
+// restoreKept restores the copy kept last, or the empty state if there is none.
+func (s *Store) restoreKept() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restoreLocked(s.kept)
+}
+
 // Copy returns a copy of the current state, for Restore.
 func (s *Store) Copy() Copy {
 	s.mu.Lock()
--- a/internal/objectstoretest/server.go
+++ b/internal/objectstoretest/server.go
@@ -28,6 +28,10 @@
 		s.serveList(w, r)
 	case r.URL.Path == objectstore.WatchPath && r.Method == http.MethodGet:
 		s.serveWatch(w, r)
+	case r.URL.Path == CopyPath && r.Method == http.MethodPost:
+		s.keepCopy()
+	case r.URL.Path == RestorePath && r.Method == http.MethodPost:
+		s.restoreKept()
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	}
--- a/internal/objectstoretest/store.go
+++ b/internal/objectstoretest/store.go
@@ -28,6 +28,7 @@
 	counts       Counts
 	countsSince  time.Time
 	faults       faults
+	kept         Copy // by a POST to CopyPath
 }
 
 var (
@@ -43,6 +44,7 @@
 		changed:      make(chan struct{}),
 		watchesEnded: make(chan struct{}),
 		countsSince:  time.Now(),
+		kept:         Copy{objects: map[string]objectstore.Object{}, deleted: map[string]int64{}},
 	}
 }
 
