--- a/cmd/dandelionspoke/soakcallers_test.go
+++ b/cmd/dandelionspoke/soakcallers_test.go
@@ -31,17 +31,23 @@
 )
 
 // soakCallers have names without a hyphen, which ends the name in request IDs.
-var soakCallers = []soakCaller{
+var soakCallers = append([]soakCaller{
 	{"hot0", hotAccount, "key-hot", true},
 	{"hot1", hotAccount, "key-hot", false},
 	{"hot2", hotAccount, "key-hot", false},
 	{"calm0", "calm", "key-calm", true},
-	{"calm1", "calm", "key-calm", false},
-	{"calm2", "calm", "key-calm", false},
 	{withdrawnCaller, "rotating", withdrawnKey, false},
 	{"kept", "rotating", "key-kept", false},
 	{"regional0", regionalAccount, "key-regional", true},
 	{"open0", "", "", false},
+}, calmCallers()...)
+
+// calmCallers returns enough callers to send more to each backend server than its slow start permits.
+func calmCallers() (callers []soakCaller) {
+	for i := range 10 {
+		callers = append(callers, soakCaller{fmt.Sprintf("calm%d", i+1), "calm", "key-calm", false})
+	}
+	return callers
 }
 
 // sentRequest describes the first attempt of a request.
