--- a/cmd/dandelionspoke/process_test.go
+++ b/cmd/dandelionspoke/process_test.go
@@ -139,6 +139,19 @@
 	}
 	if p.t.Failed() {
 		p.t.Logf("%s: stderr:\n%s", p.name, tail(p.stderr.String()))
+		p.keepLog()
+	}
+}
+
+// keepLog writes the whole log to a file in the directory SOAK_LOGS if that is set, to trace a failed seed.
+func (p *process) keepLog() {
+	dir := os.Getenv("SOAK_LOGS")
+	if dir == "" {
+		return
+	}
+	name := strings.NewReplacer("/", "_", " ", "_").Replace(fmt.Sprintf("%s-%d-%s", p.t.Name(), p.cmd.Process.Pid, filepath.Base(p.name)))
+	if err := os.WriteFile(filepath.Join(dir, name+".log"), []byte(p.name+"\n"+p.stderr.String()), 0o600); err != nil {
+		p.t.Log(err)
 	}
 }
 
--- a/cmd/dandelionspoke/soakcallers_test.go
+++ b/cmd/dandelionspoke/soakcallers_test.go
@@ -21,12 +21,13 @@
 }
 
 const (
-	hotAccount        = "hot"
-	regionalAccount   = "regional"
-	withdrawnCaller   = "withdrawn"
-	withdrawnKey      = "key-withdrawn"
-	forgedAccount     = "forged"
-	rateLimitedPause  = 10 * time.Millisecond
+	hotAccount      = "hot"
+	regionalAccount = "regional"
+	withdrawnCaller = "withdrawn"
+	withdrawnKey    = "key-withdrawn"
+	forgedAccount   = "forged"
+	// retryPause is the time between a response other than 200 and the caller's next request.
+	retryPause        = 10 * time.Millisecond
 	soakResponseBytes = 3000
 )
 
@@ -74,15 +75,21 @@
 		s.mu.Lock()
 		s.sent[id] = sentRequest{c, time.Now(), order}
 		s.mu.Unlock()
-		s.send(client, c, id, n, order, true)
+		notRun := s.send(client, c, id, n, order)
 		if c.keyed && order {
-			s.send(client, c, id, n+1, order, false)
+			// The verdict of a repeat does not cover the first attempt.
+			notRun = s.send(client, c, id, n+1, order) && notRun
+		}
+		if notRun {
+			s.mu.Lock()
+			s.notRunIDs = append(s.notRunIDs, id)
+			s.mu.Unlock()
 		}
 	}
 }
 
-// send sends one request to the ingress of node n and records the response.
-func (s *soak) send(client *http.Client, c soakCaller, id string, n int, order, first bool) {
+// send sends one request to the ingress of node n, records the response, and reports whether it was refused as not run.
+func (s *soak) send(client *http.Client, c soakCaller, id string, n int, order bool) (notRun bool) {
 	method, path := http.MethodGet, "/katalog/items/"+id
 	if order {
 		method, path = http.MethodPost, "/katalog/orders"
@@ -103,16 +110,17 @@
 	req.GetBody = nil // keeps net/http from retrying the request itself
 	resp, err := client.Do(req)
 	if err != nil {
-		time.Sleep(rateLimitedPause) // a refused or broken connection has no verdict to check
-		return
+		time.Sleep(retryPause) // a refused or broken connection has no verdict to check
+		return false
 	}
-	s.readResponse(resp, c, id, first)
+	s.readResponse(resp, c, id)
 	if resp.StatusCode != http.StatusOK {
-		time.Sleep(rateLimitedPause)
+		time.Sleep(retryPause)
 	}
+	return resp.Header.Get(verdict.Header) == verdict.NotRun.String()
 }
 
-func (s *soak) readResponse(resp *http.Response, c soakCaller, id string, first bool) {
+func (s *soak) readResponse(resp *http.Response, c soakCaller, id string) {
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
@@ -121,12 +129,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.responses[c.name+" "+strconv.Itoa(resp.StatusCode)]++
-	switch {
-	case resp.Header.Get(verdict.Header) == verdict.NotRun.String():
-		if first { // the verdict of a repeat does not cover the first attempt
-			s.notRunIDs = append(s.notRunIDs, id)
-		}
-	case resp.StatusCode == http.StatusOK:
+	if resp.StatusCode == http.StatusOK {
 		s.completeResponses++
 		if err := backendtest.Verify(strings.NewReader(string(body)), id, soakResponseBytes); err != nil {
 			s.wrongResponses = append(s.wrongResponses, fmt.Sprintf("%s: complete response with a wrong body: %v", id, err))
--- a/cmd/dandelionspoke/soakchecks_test.go
+++ b/cmd/dandelionspoke/soakchecks_test.go
@@ -134,8 +134,7 @@
 		}
 	}
 	for _, id := range s.notRunIDs {
-		// A repeat with the same idempotency key may have run after the first attempt was refused.
-		if sent := s.sent[id]; len(runs[id]) > 0 && !(sent.caller.keyed && sent.order) {
+		if len(runs[id]) > 0 {
 			s.errorf("%s was refused as not run, but ran: %v", id, runs[id])
 		}
 	}
