--- a/cmd/dandelionspoke/process_test.go
+++ b/cmd/dandelionspoke/process_test.go
@@ -39,10 +39,10 @@
 
 // process is a running dandelionspoke command.
 type process struct {
-	t      *testing.T
-	name   string
-	cmd    *exec.Cmd
-	stderr lockedBuffer
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	log  lockedBuffer // standard error, and standard output after the msg=listening line
 	// fields are the key=value pairs of the msg=listening line that the command prints.
 	fields    map[string]string
 	listening chan string // receives that line
@@ -87,7 +87,7 @@
 		t: t, name: strings.Join(args, " "), cmd: exec.Command(binary, args...),
 		listening: make(chan string, 1), exited: make(chan struct{}),
 	}
-	p.cmd.Stderr = &p.stderr
+	p.cmd.Stderr = &p.log
 	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -101,6 +101,8 @@
 		for lines.Scan() {
 			if strings.HasPrefix(lines.Text(), "msg=listening ") {
 				p.listening <- lines.Text()
+			} else {
+				fmt.Fprintln(&p.log, lines.Text()) // a node logs to standard output
 			}
 		}
 		_ = p.cmd.Wait()
@@ -115,9 +117,9 @@
 	case line := <-p.listening:
 		p.fields = parseFields(line)
 	case <-p.exited:
-		p.t.Fatalf("%s exited before it listened: %s", p.name, p.stderr.String())
+		p.t.Fatalf("%s exited before it listened: %s", p.name, p.log.String())
 	case <-time.After(processTimeout):
-		p.t.Fatalf("%s does not listen within the timeout: %s", p.name, p.stderr.String())
+		p.t.Fatalf("%s does not listen within the timeout: %s", p.name, p.log.String())
 	}
 }
 
@@ -138,7 +140,7 @@
 		<-p.exited
 	}
 	if p.t.Failed() {
-		p.t.Logf("%s: stderr:\n%s", p.name, tail(p.stderr.String()))
+		p.t.Logf("%s: log:\n%s", p.name, tail(p.log.String()))
 		p.keepLog()
 	}
 }
@@ -150,7 +152,7 @@
 		return
 	}
 	name := strings.NewReplacer("/", "_", " ", "_").Replace(fmt.Sprintf("%s-%d-%s", p.t.Name(), p.cmd.Process.Pid, filepath.Base(p.name)))
-	if err := os.WriteFile(filepath.Join(dir, name+".log"), []byte(p.name+"\n"+p.stderr.String()), 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(dir, name+".log"), []byte(p.name+"\n"+p.log.String()), 0o600); err != nil {
 		p.t.Log(err)
 	}
 }
@@ -174,7 +176,7 @@
 	select {
 	case <-p.exited:
 	case <-time.After(processTimeout):
-		p.t.Fatalf("%s does not exit within the timeout: %s", p.name, p.stderr.String())
+		p.t.Fatalf("%s does not exit within the timeout: %s", p.name, p.log.String())
 	}
 	return p.cmd.ProcessState.ExitCode()
 }
