Ask peers before a restored store for the evacuations at a start

A node that started just after the store was restored from a copy took its list, which lacked an evacuation that the readers had yet to write again, as the truth: its gate opened although its domain was evacuated.

--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -12,6 +12,7 @@
 	"dandelionspoke/internal/admin"
 	"dandelionspoke/internal/evacuation"
 	"dandelionspoke/internal/gate"
+	"dandelionspoke/internal/objectstore"
 	"dandelionspoke/internal/sleep"
 )
 
@@ -89,9 +90,7 @@
 // readEvacuations reads the set from the store until it is known from there or another node.
 func (n *Node) readEvacuations() {
 	for wait := firstReadRetryInterval; !n.evacuationsKnown(); wait = min(2*wait, maxDepartureRetryInterval) {
-		if err := n.refreshEvacuations(n.ctx); err == nil {
-			return
-		} else if n.ctx.Err() == nil {
+		if err := n.refreshEvacuations(n.ctx); err != nil && n.ctx.Err() == nil {
 			n.logger.Info("failed to read evacuations", "event", "store_read_failed", "error", err)
 		}
 		if !sleep.For(n.ctx, wait) {
@@ -104,16 +103,35 @@
 func (n *Node) refreshEvacuations(ctx context.Context) error {
 	listing, _, err := evacuation.List(ctx, n.store, n.isKnownDomain)
 	if err == nil {
-		n.engine.SetEvacuations(evacuation.Observe(n.engine.Evacuations(), listing))
+		n.adoptEvacuations(evacuation.Observe(n.engine.Evacuations(), listing))
 	}
 	return err
 }
 
+// adoptEvacuations merges a set that was read from the store. A store that was restored from a copy may lack evacuations
+// which other nodes have yet to write again, so that a starting node then waits up to restoreSourceWait for one of them.
+func (n *Node) adoptEvacuations(set evacuation.Set) {
+	if !n.evacuationsKnown() && n.storeWasRestored() && n.uptime() < restoreSourceWait {
+		return
+	}
+	n.engine.SetEvacuations(set)
+}
+
+// storeWasRestored reports whether the store states that it has ever been restored from a copy.
+func (n *Node) storeWasRestored() bool {
+	stater, ok := n.store.(objectstore.GenerationStater)
+	if !ok {
+		return false
+	}
+	generation, known, _ := stater.Generation()
+	return known && generation > 0
+}
+
 // newEvacuationReader returns the task of a store reader that keeps the set up to date.
 func (n *Node) newEvacuationReader() *evacuation.Reader {
 	return &evacuation.Reader{
 		Store: n.store, Interval: time.Duration(evacuationListShare * float64(n.settings.Evacuation.Within)),
-		Known: n.engine.Evacuations, Adopt: n.engine.SetEvacuations, Preferred: n.isKnownDomain, Log: n.logger,
+		Known: n.engine.Evacuations, Adopt: n.adoptEvacuations, Preferred: n.isKnownDomain, Log: n.logger,
 	}
 }
 
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -187,3 +188,44 @@
 		t.Errorf("end: status %d, %s", status, here(f.nodes[0]))
 	}
 }
+
+// cutOffStore is the access of a node whose calls about evacuations fail from some time on.
+type cutOffStore struct {
+	*objectstoretest.Store
+	cut *atomic.Bool
+}
+
+// ListAt implements objectstore.PositionLister.
+func (s cutOffStore) ListAt(ctx context.Context, prefix string) ([]objectstore.Object, objectstore.Position, error) {
+	if s.cut.Load() {
+		return nil, objectstore.Position{}, objectstore.ErrUnavailable
+	}
+	return s.Store.ListAt(ctx, prefix)
+}
+
+// Guards against a restarted node that forwards requests because the store, which has just been restored from a copy, lacks
+// the evacuation that the other nodes know and have yet to write again.
+func TestRestartAfterARestoreOfTheStore(t *testing.T) {
+	var cut atomic.Bool
+	f := newEvacuationFleet(t, 2, func(_ int, s objectstore.Store) objectstore.Store {
+		return cutOffStore{s.(*objectstoretest.Store), &cut}
+	})
+	copied := f.store.Copy()
+	f.evacuate("local-a")
+	f.waitFor(evacuateWithin, "evacuated", func() bool { return here(f.nodes[0]) == "evacuated" && here(f.nodes[1]) == "none" })
+	f.waitFor(evacuateWithin, "known everywhere", func() bool {
+		return slices.Contains(f.nodes[1].Evacuations().Domains, "local-a")
+	})
+	cut.Store(true)
+	f.store.Restore(copied)
+	f.addNodeWithStore(2, f.store)
+	restarted := f.nodes[2]
+	for started := time.Now(); time.Since(started) < 700*time.Millisecond; time.Sleep(time.Millisecond) {
+		if here(restarted) == "none" {
+			t.Fatalf("the gate is open after %v: %+v; others %+v %+v", time.Since(started), restarted.Evacuations(), f.nodes[0].Evacuations(), f.nodes[1].Evacuations())
+		}
+	}
+	if got := here(restarted); got != "evacuated" {
+		t.Errorf("state %q, want evacuated", got)
+	}
+}
