List the evacuations twice within the bound again

Cause: since readers listed the evacuations every 15 s. A watch that misses a change, or a request made just after a restore, could so stay unnoticed for longer than evacuation.within (5 s). The interval followed the price of a call, not what operators need.

--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -15,10 +15,9 @@
 	"dandelionspoke/internal/sleep"
 )
 
-// evacuationListFactor is the time between two lists of the evacuations by a store reader, as a multiple of
-// evacuation.within. The watch of the platform's store lists by itself after an interruption or a loss of history; these lists
-// only find what a faulty watch has missed, and each is a billed call.
-const evacuationListFactor = 3
+// evacuationListDivisor sets the time between two lists of the evacuations by a store reader, as a fraction of
+// evacuation.within: a watch that has missed a change then still leaves half of that time for the gossip.
+const evacuationListDivisor = 2
 
 // evacuationState is what the node does about evacuations. mu guards the fields without a type of sync/atomic.
 type evacuationState struct {
@@ -130,7 +129,7 @@
 // newEvacuationReader returns the task of a store reader that keeps the set up to date.
 func (n *Node) newEvacuationReader() *evacuation.Reader {
 	return &evacuation.Reader{
-		Store: n.store, Interval: evacuationListFactor * n.settings.Evacuation.Within,
+		Store: n.store, Interval: n.settings.Evacuation.Within / evacuationListDivisor,
 		Known: n.engine.Evacuations, Adopt: n.adoptEvacuations, Preferred: n.isKnownDomain, Log: n.logger,
 	}
 }
