Use the product's words for the confirmation of keys, and call the administration API in one place

Cause: the setting accounts.fail_closed had the platform's name, and the commands dump and evacuate each sent their request in the same lines.

Change: the setting is accounts.require_confirmation; callAdmin serves both commands.

--- a/cmd/dandelionspoke/soakoperator_test.go
+++ b/cmd/dandelionspoke/soakoperator_test.go
@@ -22,7 +22,7 @@
 	soakRampSlack       = 8 // requests
 	soakSlowStart       = 3 * time.Second
 	soakEvacuateWithin  = 5 * time.Second
-	// soakApplyWithin is the time within which a bundle is in force: accounts.revocation, with 0 for fail_closed.
+	// soakApplyWithin is the time within which a bundle is in force: accounts.revocation, which holds only with accounts.require_confirmation.
 	soakApplyWithin = 5 * time.Second
 	hotRate         = 20 // requests/s and requests of burst
 	hotRateLowered  = 8
--- a/internal/cli/dump.go
+++ b/internal/cli/dump.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,22 +22,11 @@
 func (c *dumpCommand) Run(o output) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address+dumpPath, nil)
+	resp, err := callAdmin(ctx, http.MethodGet, c.Address, dumpPath, c.Token)
 	if err != nil {
-		return err
-	}
-	if c.Token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.Token)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
+		return errors.Wrap(err, "dump")
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorTextBytes))
-		return errors.Newf("dump of %s: %s: %s", c.Address, resp.Status, strings.TrimSpace(string(text)))
-	}
 	_, err = io.Copy(o.stdout, resp.Body)
 	return err
 }
--- a/internal/cli/evacuate.go
+++ b/internal/cli/evacuate.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,21 +64,9 @@
 	if c.End {
 		method = http.MethodDelete
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Admin+evacuationsPath+url.PathEscape(c.Domain), nil)
+	resp, err := callAdmin(ctx, method, c.Admin, evacuationsPath+url.PathEscape(c.Domain), c.Token)
 	if err != nil {
 		return err
 	}
-	if c.Token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.Token)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorTextBytes))
-		return errors.Newf("%s: %s: %s", c.Admin, resp.Status, strings.TrimSpace(string(text)))
-	}
-	return nil
+	return resp.Body.Close()
 }
--- a/internal/node/accounts.go
+++ b/internal/node/accounts.go
@@ -27,7 +27,7 @@
 func (n *Node) accountState() accountState {
 	index := n.accountIndex()
 	state := accountState{Accounts: index.Accounts(), Keys: index.Keys()}
-	if age, confirmed := n.confirmation.Age(time.Now()); confirmed && n.settings.Accounts.FailClosed {
+	if age, confirmed := n.confirmation.Age(time.Now()); confirmed && n.settings.Accounts.RequireConfirmation {
 		ms := age.Milliseconds()
 		state.ConfirmedAgeMs = &ms
 	}
--- a/internal/node/accounts_test.go
+++ b/internal/node/accounts_test.go
@@ -162,7 +162,7 @@
 // The second node has no access to the store and must learn of the confirmation and its end from the first.
 func TestUnconfirmedBundleRefusesKeys(t *testing.T) {
 	f := startAccountFleet(t, func(s *settings.Settings) {
-		s.Accounts = settings.Accounts{FailClosed: true, Revocation: time.Second}
+		s.Accounts = settings.Accounts{RequireConfirmation: true, Revocation: time.Second}
 	})
 	f.rollout(accountBundle(1))
 	f.awaitServing()
--- a/internal/node/confirm.go
+++ b/internal/node/confirm.go
@@ -17,7 +17,7 @@
 // bundleConfirmed returns the function that tells the ingress whether the bundle may be used for requests with a key; nil if
 // it always may.
 func (n *Node) bundleConfirmed() func() bool {
-	if !n.settings.Accounts.FailClosed {
+	if !n.settings.Accounts.RequireConfirmation {
 		return nil
 	}
 	return func() bool { return n.confirmation.Within(time.Now(), n.settings.Accounts.Revocation) }
@@ -25,7 +25,7 @@
 
 // configureReader makes a reader of the store confirm the bundle, if keys depend on it.
 func (n *Node) configureReader(r *rollout.Reader) {
-	if n.settings.Accounts.FailClosed {
+	if n.settings.Accounts.RequireConfirmation {
 		r.OnConfirmed, r.ConfirmInterval = n.confirmation.RecordRead, account.ConfirmInterval(n.settings.Accounts.Revocation)
 	}
 }
@@ -106,7 +106,7 @@
 func (n *Node) bundleReply(request *wire.BundleRequest) (*wire.BundleReply, error) {
 	age, confirmed := n.confirmation.Age(time.Now())
 	reply, err := n.bundleProvider.Reply(request)
-	if err != nil || !confirmed || !n.settings.Accounts.FailClosed {
+	if err != nil || !confirmed || !n.settings.Accounts.RequireConfirmation {
 		return reply, err
 	}
 	// The age is rounded up, and one that does not fit is not stated.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -242,7 +242,7 @@
 	if n.settings.Backend.PortCheck > 0 {
 		n.background(n.checkHealth)
 	}
-	if n.settings.Accounts.FailClosed {
+	if n.settings.Accounts.RequireConfirmation {
 		n.background(n.confirmBundle)
 	}
 	if n.store != nil {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -76,7 +76,7 @@
 		{Name: "retry.floor", Allowed: "a number from 0 to 1000000", Default: "the bundle's policy", set: numberSetter(0, 1e6, func(s *Settings) *float64 { return &s.Retry.Floor })},
 		{Name: "retry.window", Allowed: "a duration from \"1s\" to \"10m\"", Default: "the bundle's policy", set: durationSetter(time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Retry.Window })},
 
-		{Name: "accounts.fail_closed", Allowed: "true or false", Default: "false", set: booleanSetter(func(s *Settings) *bool { return &s.Accounts.FailClosed })},
+		{Name: "accounts.require_confirmation", Allowed: "true or false", Default: "false", set: booleanSetter(func(s *Settings) *bool { return &s.Accounts.RequireConfirmation })},
 		{Name: "accounts.revocation", Allowed: "a duration from \"1s\" to \"10m\"", Default: "5s", set: durationSetter(time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Accounts.Revocation })},
 		{Name: "rate_limit.window", Allowed: "a duration from \"1s\" to \"10m\"", Default: "no rate limits", set: durationSetter(time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.RateLimit.Window })},
 		{Name: "rate_limit.tolerance", Allowed: "a number from 0 to 10", Default: "0", set: numberSetter(0, 10, func(s *Settings) *float64 { return &s.RateLimit.Tolerance })},
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -92,7 +92,7 @@
 floor = 56
 window = "10s"
 [accounts]
-fail_closed = true
+require_confirmation = true
 revocation = "3s"
 [bundle]
 unsigned = true
@@ -125,7 +125,7 @@
 		Health:       Health{Listen: "10.0.0.7:8302"},
 		Metrics:      Metrics{Listen: "10.0.0.7:9100"},
 		Retry:        Retry{Share: 0.2, Floor: 56, Window: 10 * time.Second},
-		Accounts:     Accounts{FailClosed: true, Revocation: 3 * time.Second},
+		Accounts:     Accounts{RequireConfirmation: true, Revocation: 3 * time.Second},
 	}
 	if !got.Bundle.Unsigned {
 		t.Error("bundle.unsigned is not stored")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,10 +52,10 @@
 
 // Accounts configures the selection of client accounts by key.
 type Accounts struct {
-	// FailClosed refuses requests with a key at a node that could not confirm for Revocation that its bundle is the latest.
+	// RequireConfirmation refuses requests with a key at a node that could not confirm for Revocation that its bundle is the latest.
 	// Otherwise the node uses the bundle that it has.
-	FailClosed bool
-	// Revocation is the time within which a withdrawn key stops working. It has an effect only with FailClosed.
+	RequireConfirmation bool
+	// Revocation is the time within which a withdrawn key stops working. It has an effect only with RequireConfirmation.
 	Revocation time.Duration
 }
 
