End the hold of unverified keys for all shards together after a restore of the store

Cause: an owner that cannot vouch for a shard holds keys without a claim for 5 s, counted from its first read of that shard after the restore. With 64 shards and random keys, some shard was read first after seconds, and its keys were then held for another 5 s; so for two minutes. The store's outage, which the count from the first read takes into account, ends for all shards at once.

Change: the hold counts from the first read of any shard after the notice.

Result: TestHoldEndsForAllShardsTogether fails before (new-0 is held) and passes after.

--- a/internal/claim/memory.go
+++ b/internal/claim/memory.go
@@ -12,7 +12,7 @@
 	// vouchTime is the time for which an owner must have been the only one of a shard for its knowledge of the shard to count
 	// as complete. It exceeds the age of the copies from which a store is restored.
 	vouchTime = 30 * time.Second
-	// unverifiedHold is the time after the restore was noticed in which keys without a claim are held as may-have-run in a
+	// unverifiedHold is the time after the store was reached again in which keys without a claim are held as may-have-run in a
 	// shard that this owner cannot vouch for. Meanwhile its other owners notice the restore and store their claims again.
 	unverifiedHold = 5 * time.Second
 	// maxGenerationAge is the age of the latest response of the store up to which a cached table may be written on: an
--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -17,6 +17,8 @@
 	current   uint64
 	known     bool
 	noticedAt time.Time // when the generation was found to have risen; zero for never
+	// reachedAt is the time of the first read of a shard after noticedAt; zero before it.
+	reachedAt time.Time
 }
 
 func newStoreGeneration(s objectstore.Store) *storeGeneration {
@@ -38,7 +40,7 @@
 	defer g.mu.Unlock()
 	risen = g.known && stated > g.current
 	if risen {
-		g.noticedAt = now
+		g.noticedAt, g.reachedAt = now, time.Time{}
 	}
 	g.current, g.known = max(g.current, stated), true
 	return g.current, risen, now.Sub(at) <= maxGenerationAge
@@ -51,6 +53,16 @@
 	return g.noticedAt
 }
 
+// reached records a read of a shard, and returns the time of the first one since the store was found to have been restored.
+func (g *storeGeneration) reached(now time.Time) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.reachedAt.IsZero() {
+		g.reachedAt = now
+	}
+	return g.reachedAt
+}
+
 // maxOwnWrites is the number of own writes of a shard by which writes of others are recognised. It covers some seconds at the
 // highest write rate of a node.
 const maxOwnWrites = 256
@@ -63,8 +75,10 @@
 	knownAt, foreignAt time.Time
 	ownWrites          []string // tokens of the latest own writes, at most maxOwnWrites
 	// noticedAt is the notice of the latest restore that the shard has taken into account, and restoredAt the time of the
-	// first read after it, from which restoreWindow and unverifiedHold count: the store may be away in between.
-	noticedAt, restoredAt time.Time
+	// first read after it, from which restoreWindow counts: the store may be away in between. unverifiedHold counts from
+	// reachedAt, the first read of any shard after the notice, since the other owners can reach the store from then on. Counted
+	// from each shard's own first read, new keys of shards that are used late would be held again and again.
+	noticedAt, restoredAt, reachedAt time.Time
 	// lost holds the records that were known before, in addition to memory.
 	lost    map[string]record
 	vouched bool // the knowledge of the shard was complete at noticedAt
@@ -100,6 +114,7 @@
 func (s *shard) noteRestore(now time.Time, generation uint64, previous *table) {
 	r := &s.restore
 	r.restoredAt, r.vouched, r.lost = now, s.vouches(r.noticedAt), nil
+	r.reachedAt = s.claimer.shared.generation.reached(now)
 	if previous != nil {
 		r.lost = previous.records
 	}
@@ -155,7 +170,7 @@
 // the seconds that the store has lost.
 func (s *shard) holdsUnverified(now time.Time) bool {
 	r := &s.restore
-	return !r.restoredAt.IsZero() && !r.vouched && now.Sub(r.restoredAt) < unverifiedHold
+	return !r.restoredAt.IsZero() && !r.vouched && now.Sub(r.reachedAt) < unverifiedHold
 }
 
 // completeLost stores the outcome of an attempt whose claim the store has lost.
--- a/internal/claim/restore_test.go
+++ b/internal/claim/restore_test.go
@@ -93,6 +93,27 @@
 	})
 }
 
+// Guards against new keys that are held long after a restore because no key of their shard was claimed before.
+func TestHoldEndsForAllShardsTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectstoretest.New()
+		net := newNetwork(store, 2, 2, 64, 0)
+		defer net.close()
+		acquireAndComplete(t, net.claimers[0].For("ordre"), "before", "kept")
+		other := net.claimers[1].For("ordre")
+		acquireAndComplete(t, other, "first", "kept")
+		store.Restore(store.Copy())
+		wantHeld(t, other, "not verified", verdict.MayHaveRun)
+		time.Sleep(unverifiedHold)
+		for i := range 100 {
+			key := fmt.Sprint("new-", i)
+			if r, err := other.Acquire(t.Context(), key, []byte("digest"), []byte("first")); err != nil || r.Kind != Run {
+				t.Fatalf("%s: %+v, error %v", key, r, err)
+			}
+		}
+	})
+}
+
 // Guards against the loss of claims when the store is away for long right after a node has noticed the restore.
 func TestClaimsAreKeptIfTheStoreIsAwayAfterARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
