--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -32,6 +32,8 @@
 	Store  objectstore.Store
 	// Bundles is the location and encoding of the bundle in force in the store.
 	Bundles rollout.Source
+	// Configure sets the settings that the platform passes outside the settings file; nil sets none.
+	Configure func(*settings.Settings)
 }
 
 // Constructor returns the adapter of a node with the given settings. service returns the name of the service of
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,6 +127,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.adapter.Configure != nil {
+		n.adapter.Configure(&n.settings)
+	}
 	if n.store == nil {
 		n.store = n.adapter.Store
 	}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -9,6 +9,9 @@
 // Reload applies the settings that can change while the node runs: backend.service and retry. The log level can change
 // as well, but is set by the caller. Reload reports whether any other setting differs, which requires a restart.
 func (n *Node) Reload(s settings.Settings) (needsRestart bool) {
+	if n.adapter.Configure != nil {
+		n.adapter.Configure(&s)
+	}
 	service, retry := s.Backend.Service, s.Retry
 	n.serviceName.Store(&service)
 	n.retrySettings.Store(&retry)
