--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -145,7 +145,7 @@
 		return 0
 	}
 	limit := p.PlacementLimit(q.route.Objective.D())
-	if q.regions != nil && ep.Locality == table.OtherRegion {
+	if q.isRestricted() && ep.Locality == table.OtherRegion {
 		return max(limit, otherRegionPlacementWait)
 	}
 	return limit
--- a/internal/ratelimit/pool.go
+++ b/internal/ratelimit/pool.go
@@ -210,17 +210,22 @@
 	return min(rate, pa.demand/demandTime.Seconds())
 }
 
+// requested returns the settled state of the account that an entry of a request names, or nil if it has none here.
+func (p *pool) requested(now int64, amount *wire.TokenAmount, accounts map[string]*account, share float64) *poolAccount {
+	a := accounts[amount.GetAccount()]
+	if a == nil {
+		return nil
+	}
+	return p.settle(now, a, share)
+}
+
 // exchange handles a deposit with returns and requests, and returns the reply.
 func (p *pool) exchange(now int64, r *wire.TokenRequest, accounts map[string]*account, hasRemote bool) *wire.TokenGrant {
 	p.deposit(now, time.Duration(r.GetDepositMs())*time.Millisecond, int(r.GetFleetSize()))
 	reply := &wire.TokenGrant{Seq: r.GetSeq(), Instance: r.GetInstance()}
 	share := p.share(now)
 	for _, amount := range r.GetAmounts() {
-		a := accounts[amount.GetAccount()]
-		if a == nil {
-			continue
-		}
-		pa := p.settle(now, a, share)
+		pa := p.requested(now, amount, accounts, share)
 		if pa == nil {
 			continue
 		}
@@ -233,7 +238,7 @@
 			continue
 		}
 		reply.Amounts = append(reply.Amounts, &wire.TokenAmount{
-			Account: a.name, GrantedMilli: uint32(granted * milli), WaitMs: p.wait(now, pa, requested, granted, share, hasRemote),
+			Account: pa.account.name, GrantedMilli: uint32(granted * milli), WaitMs: p.wait(now, pa, requested, granted, share, hasRemote),
 		})
 	}
 	return reply
--- a/internal/ratelimit/transfer.go
+++ b/internal/ratelimit/transfer.go
@@ -130,22 +130,18 @@
 	reply := &wire.TokenGrant{Seq: r.GetSeq(), Instance: r.GetInstance()}
 	share := p.share(now)
 	for _, amount := range r.GetAmounts() {
-		a := accounts[amount.GetAccount()]
-		if a == nil {
-			continue
-		}
-		pa := p.settle(now, a, share)
+		pa := p.requested(now, amount, accounts, share)
 		if pa == nil {
 			continue
 		}
-		spare := pa.stock - pa.addDemand(now, 0, a.rate())*reserveTime.Seconds()
+		spare := pa.stock - pa.addDemand(now, 0, pa.account.rate())*reserveTime.Seconds()
 		granted := math.Floor(min(spare, float64(amount.GetRequestedMilli())/milli))
 		if granted < 1 {
 			continue
 		}
 		pa.stock -= granted
 		pa.lend(now, from, granted)
-		reply.Amounts = append(reply.Amounts, &wire.TokenAmount{Account: a.name, GrantedMilli: uint32(granted * milli)})
+		reply.Amounts = append(reply.Amounts, &wire.TokenAmount{Account: pa.account.name, GrantedMilli: uint32(granted * milli)})
 	}
 	return reply
 }
