Show that requests with long bodies reach a backend server after their clients have left

Cause: a connection is not read while the start of a long body waits, so that its close is not seen.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -13,7 +13,9 @@
 type scenario func(r *recorder, f *fleet, trouble bool) (held bool, err error)
 
 var scenarios = map[string]scenario{
-	"early-answer": earlyAnswer,
+	"early-answer":     earlyAnswer,
+	"crashing-request": crashingRequest,
+	"clients-leave":    clientsLeave,
 }
 
 // Exit codes of a case.
