Show that a path stays refused after all backend servers of a service crashed at once

Cause: requests that are at several crashing backend servers enter the quarantine, and only a response clears them.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -16,6 +16,7 @@
 	"early-answer":     earlyAnswer,
 	"crashing-request": crashingRequest,
 	"clients-leave":    clientsLeave,
+	"all-crash":        allCrash,
 }
 
 // Exit codes of a case.
