Show that a planned stop cuts off answers when the client has sent a second request

Cause: a draining node closes the connection of a caller while bytes of a later request are unread, which resets it and drops the rest of the answer.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,6 +17,7 @@
 	"crashing-request": crashingRequest,
 	"clients-leave":    clientsLeave,
 	"all-crash":        allCrash,
+	"planned-stop":     plannedStop,
 }
 
 // Exit codes of a case.
