Show that a departed backend server is in use again after a store outage and a restart of all nodes

Cause: a departure is acknowledged before it is stored, and starting nodes take one read of the store for all departures. Change: a script in review/10, in place of that of requests whose clients have left. The stand-ins are a module of their own.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,8 +1,9 @@
 #!/bin/bash
-# Clients leave while their requests with long bodies wait for a busy backend server. Exits with 1 if more than a few of
-# these requests reach it over half a second later, 0 if not, and 2 if the case could not run. TROUBLE=0: no client leaves.
+# A backend server deregisters while the store is down, all nodes are killed at once before the store is back, and a heartbeat
+# that was sent before arrives late. Exits with 1 if requests reach the backend server later than drain_ms after the
+# acknowledgement, 0 if not, and 2 if the case could not run. TROUBLE=0: the store is up and no node is killed.
 set -u
 cd "$(dirname "$0")/../.."
 export TROUBLE="${TROUBLE:-1}"
 [ -x target/dandelionspoke ] && [ -x target/review-standin-2 ] || exit 2
-exec timeout --signal=KILL 110 target/review-standin-2 clients-leave "$PWD/target/dandelionspoke" "$PWD" review/10/record.txt
+exec timeout --signal=KILL 100 target/review-standin-2 departed-server "$PWD/target/dandelionspoke" "$PWD" review/10/record.txt
--- a/review/standin2/endpoint.go
+++ b/review/standin2/endpoint.go
@@ -23,8 +23,9 @@
 	serve func(e *endpoint, c net.Conn, in *bufio.Reader, r *http.Request) bool
 
 	listener net.Listener
-	done     chan struct{}
+	done     chan struct{} // closed when no more heartbeats are sent
 	mu       sync.Mutex
+	sequence int // of the latest heartbeat
 	conns    map[net.Conn]bool
 	running  int
 }
@@ -47,9 +48,9 @@
 }
 
 func (e *endpoint) sendHeartbeats() {
-	for sequence := 1; ; sequence++ {
+	for {
 		wait := heartbeatInterval
-		if !e.machine.heartbeat(e.id, e.born, sequence, "ready") {
+		if !e.machine.heartbeat(e.id, e.born, e.nextSequence(), "ready") {
 			wait = 200 * time.Millisecond
 		}
 		select {
@@ -60,6 +61,13 @@
 	}
 }
 
+func (e *endpoint) nextSequence() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	return e.sequence
+}
+
 func (e *endpoint) accept() {
 	for {
 		c, err := e.listener.Accept()
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -249,3 +249,16 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode/100 == 2
 }
+
+// deregister sends the deregistration of a backend server to the node on its machine and reports whether it was acknowledged.
+func (m *machine) deregister(id string, born int64) bool {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	body := fmt.Sprintf(`{"born":%d}`, born)
+	resp, err := client.Post("http://"+m.control+"/rpc?call=instances.deregister&of="+id, "application/json", strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode/100 == 2
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -15,7 +15,7 @@
 var scenarios = map[string]scenario{
 	"early-answer":     earlyAnswer,
 	"crashing-request": crashingRequest,
-	"clients-leave":    clientsLeave,
+	"departed-server":  departedServer,
 	"all-crash":        allCrash,
 	"planned-stop":     plannedStop,
 }
--- a/review/standin2/restart.go
+++ b/review/standin2/restart.go
@@ -71,7 +71,7 @@
 	items, homes := newTally(), newTally()
 	for i, m := range f.machines[:2] {
 		clients.Go(func() {
-			repeat(done, func(n int) {
+			repeat(done, restartEvery, func(n int) {
 				id := fmt.Sprintf("item-%d-%d", i, n)
 				status := get(m.outbound, restartHost, "/item/"+id, id, restartTimeout)
 				mu.Lock()
@@ -80,7 +80,7 @@
 			})
 		})
 		clients.Go(func() {
-			repeat(done, func(n int) {
+			repeat(done, restartEvery, func(n int) {
 				status := get(m.outbound, restartHost, "/home/", fmt.Sprintf("home-%d-%d", i, n), restartTimeout)
 				mu.Lock()
 				defer mu.Unlock()
@@ -120,11 +120,11 @@
 	return homeShare >= minAddedShare*itemShare, nil
 }
 
-// repeat calls send in goroutines of their own each restartEvery until done is closed, and waits for them.
-func repeat(done chan struct{}, send func(n int)) {
+// repeat calls send in goroutines of their own at an interval until done is closed, and waits for them.
+func repeat(done chan struct{}, every time.Duration, send func(n int)) {
 	var requests sync.WaitGroup
 	defer requests.Wait()
-	ticker := time.NewTicker(restartEvery)
+	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -17,6 +17,7 @@
 	address string
 
 	mu      sync.Mutex
+	down    bool          // answers 503
 	changed chan struct{} // closed at the next change
 	rev     int64
 	objects map[string]*object // by kind/name
@@ -54,6 +55,13 @@
 	return s, nil
 }
 
+// setDown makes the store answer 503 to nodes while it is down.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 // put writes an object unconditionally, as the operator does.
 func (s *store) put(kind, name string, spec any) error {
 	encoded, err := json.Marshal(spec)
@@ -91,7 +99,12 @@
 	if err != nil {
 		return
 	}
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
 	switch {
+	case down:
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
 	case r.Method == http.MethodGet && name == "":
@@ -142,8 +155,12 @@
 				events = append(events, e)
 			}
 		}
-		asOf, changed := s.rev, s.changed
+		asOf, changed, down := s.rev, s.changed, s.down
 		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if len(events) > 0 || expired {
 			reply(w, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
 			return
