Confirm backend servers from before the start of a node by a second heartbeat

Cause: a node that has just started took one heartbeat for a sign of life. A delayed one may have been sent before a departure that neither the store nor another node knows any more. Evidence: the node logs departure_not_stored, after its restart departures_restored known=true, and then heartbeat outcome=accepted for the process that had left.

Ruled out: acknowledging only what the store has. The server exits without an acknowledgement as well, and other nodes that hold a copy are killed at the same moment.

Change: a process that started before the node is confirmed by a second heartbeat at the distance at which live servers send them. One that arrives within 1.1 s of the start announces its server at once, and the server is withdrawn 2.7 s after the start without a second one, so that live servers do not wait. Reported drains take the same path.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -92,6 +92,9 @@
 	Stale Outcome = "stale"
 	// Held means that the heartbeat is applied when EndRestore is called, unless its process has left.
 	Held Outcome = "held"
+	// Unconfirmed means that the heartbeat was ignored because its process may have left before the node started. A further
+	// heartbeat confirms the process.
+	Unconfirmed Outcome = "unconfirmed"
 )
 
 // serverState is the last known state of the backend server.
@@ -147,6 +150,8 @@
 	restoring bool
 	held      *Heartbeat // newest heartbeat received while restoring; guarded by changeMu
 	heldAt    time.Time  // receipt of held; guarded by changeMu
+	// confirmation is that of the newest process from before the start of the node. Guarded by changeMu.
+	confirmation confirmation
 }
 
 // Departure identifies a process of a backend server that has announced that it leaves.
@@ -185,13 +190,16 @@
 	delete(r.departed, oldest)
 }
 
-// StartRestore makes the registry hold heartbeats of active servers until EndRestore is called: the node has just started,
-// and a delayed heartbeat may come from a process whose departure an earlier process of the node has acknowledged. Heartbeats
-// without an incarnation are not held, since nothing tells a delayed one.
-func (r *Registry) StartRestore() {
+// StartRestore makes the registry hold heartbeats of active servers until EndRestore is called: the node has started at the
+// given time, and a delayed heartbeat may come from a process whose departure an earlier process of the node has
+// acknowledged. A process from before the start must also be confirmed by a second heartbeat, before it is announced or, if
+// its first one arrives within firstHeartbeatTime, until EndProvisional is called. Heartbeats without an incarnation are neither held
+// nor confirmed, since nothing tells a delayed one.
+func (r *Registry) StartRestore(nodeStart time.Time) {
 	r.changeMu.Lock()
 	defer r.changeMu.Unlock()
 	r.restoring = true
+	r.confirmation.nodeStart = nodeStart
 }
 
 // AddDepartures adds departures that earlier processes of the node have acknowledged. It withdraws the current backend
@@ -209,12 +217,12 @@
 }
 
 // EndRestore ends the hold. known tells whether all departures have been added; the newest heartbeat held is then applied.
-// Otherwise it is dropped, since it may have been delayed.
+// Otherwise it is dropped unless its process is confirmed, since it may have been delayed.
 func (r *Registry) EndRestore(now time.Time, known bool) {
 	r.changeMu.Lock()
 	defer r.changeMu.Unlock()
 	r.restoring = false
-	if r.held != nil && known {
+	if r.held != nil && (known || r.confirmation.isConfirmed(r.held.ID, r.held.Incarnation)) {
 		r.applyLocked(*r.held, now, r.heldAt)
 	}
 	r.held = nil
@@ -272,6 +280,7 @@
 		heartbeat.Incarnation == h.Incarnation && heartbeat.Sequence < h.Sequence) {
 		return Stale
 	}
+	r.confirmation.observe(heartbeat, now)
 	r.held, r.heldAt = &heartbeat, now
 	return Held
 }
@@ -285,6 +294,10 @@
 	if outcome == Stale {
 		return outcome
 	}
+	r.confirmation.observe(heartbeat, received)
+	if !r.isAnnounced(heartbeat) && !r.confirmation.permits(heartbeat, received) {
+		return Unconfirmed
+	}
 	r.lastHeartbeat = now
 	r.setState(next, outcome == Accepted)
 	if heartbeat.SlowStart != nil && r.OnSlowStart != nil {
@@ -293,6 +306,12 @@
 	return outcome
 }
 
+// isAnnounced reports whether the process that sent a heartbeat is the announced one. changeMu must be held.
+func (r *Registry) isAnnounced(h Heartbeat) bool {
+	s := r.state
+	return s.current != nil && s.current.ID == h.ID && s.incarnation == h.Incarnation
+}
+
 // Deregister deregisters the backend server with this ID: it withdraws the server and ignores later heartbeats of its
 // process. incarnation is that of the process, or 0 if the deregistration doesn't state it; the deregistration then applies
 // to every process that has started before now. Deregister reports whether that server was announced. It returns after
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -83,7 +83,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := &Registry{}
-			r.StartRestore()
+			r.StartRestore(now)
 			test.steps(r)
 			if got := currentID(r); got != test.want {
 				t.Errorf("announced %q, want %q", got, test.want)
@@ -129,3 +129,60 @@
 		t.Errorf("%d departures in memory", len(r.departed))
 	}
 }
+
+// Guards against a node that takes a heartbeat for a sign of life although it may have been sent before a departure that
+// nobody remembers, and against live servers that wait for their second heartbeat after every start of their node.
+func TestProcessesFromBeforeTheStartAreConfirmed(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const before, after = 900_000, 1_000_001 // start times of processes
+	type beat struct {
+		at       time.Duration
+		born     int64
+		sequence uint64
+		draining bool
+	}
+	ms := time.Millisecond
+	tests := map[string]struct {
+		beats []beat
+		at    time.Duration
+		want  string
+	}{
+		"live, right away":                        {[]beat{{300 * ms, before, 7, false}}, 310 * ms, "a"},
+		"live, right away, second":                {[]beat{{300 * ms, before, 7, false}, {1800 * ms, before, 8, false}}, 2800 * ms, "a"},
+		"live, quick retries":                     {[]beat{{300 * ms, before, 7, false}, {500 * ms, before, 8, false}, {2000 * ms, before, 9, false}}, 2800 * ms, "a"},
+		"live, second after the provisional time": {[]beat{{1000 * ms, before, 7, false}, {3000 * ms, before, 8, false}}, 3100 * ms, "a"},
+		"live, first one late":                    {[]beat{{1400 * ms, before, 7, false}, {2900 * ms, before, 8, false}}, 3000 * ms, "a"},
+		"right away, alone":                       {[]beat{{300 * ms, before, 7, false}}, 2800 * ms, ""},
+		"late, alone":                             {[]beat{{1400 * ms, before, 7, false}}, 1500 * ms, ""},
+		"late, repeated":                          {[]beat{{4000 * ms, before, 7, false}, {5000 * ms, before, 7, false}}, 5000 * ms, ""},
+		"late, out of order":                      {[]beat{{4000 * ms, before, 7, false}, {5000 * ms, before, 6, false}}, 5000 * ms, ""},
+		"late, in a bunch":                        {[]beat{{4000 * ms, before, 7, false}, {4010 * ms, before, 8, false}, {4100 * ms, before, 9, false}}, 5000 * ms, ""},
+		"late, apart":                             {[]beat{{4000 * ms, before, 7, false}, {7000 * ms, before, 8, false}}, 7000 * ms, ""},
+		"late, then a new process with its id":    {[]beat{{4000 * ms, before, 7, false}, {4500 * ms, after, 1, false}}, 4500 * ms, "a"},
+		"late, after a new process":               {[]beat{{4000 * ms, after, 1, false}, {4500 * ms, before, 7, false}, {6000 * ms, before, 8, false}}, 6000 * ms, "a"},
+		"draining":                                {[]beat{{4000 * ms, before, 7, true}}, 4000 * ms, "a draining"},
+		"late, then draining, then late":          {[]beat{{300 * ms, before, 6, false}, {700 * ms, before, 9, true}, {2100 * ms, before, 8, false}}, 3000 * ms, "a draining"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &Registry{}
+			r.StartRestore(start)
+			r.EndRestore(start.Add(100*ms), true)
+			provisional := true
+			endProvisional := func(now time.Duration) {
+				if provisional && now >= ProvisionalTime {
+					provisional = false
+					r.EndProvisional()
+				}
+			}
+			for _, b := range test.beats {
+				endProvisional(b.at)
+				r.HandleHeartbeat(heartbeat("a", b.born, b.sequence, b.draining), start.Add(b.at))
+			}
+			endProvisional(test.at)
+			if got := currentID(r); got != test.want {
+				t.Errorf("announced %q, want %q", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/announce/slowstart_test.go
+++ b/internal/announce/slowstart_test.go
@@ -34,7 +34,7 @@
 		h.SlowStart = SlowStartOf(&ms)
 		r.HandleHeartbeat(h, at)
 	}
-	r.StartRestore()
+	r.StartRestore(now)
 	send(10, 1, 3000, now)
 	r.EndRestore(now.Add(2*time.Second), true)
 	send(10, 3, 0, now.Add(3*time.Second))
--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -204,6 +204,13 @@
 	n.registry.EndRestore(time.Now(), known)
 }
 
+// endProvisional withdraws a backend server that was announced by a heartbeat right after the start, and sent no further one.
+func (n *Node) endProvisional() {
+	if sleep.For(n.ctx, announce.ProvisionalTime-n.uptime()) && n.registry.EndProvisional() {
+		n.logger.Warn("backend server sends no further heartbeat", "event", "backend_unconfirmed", "after", n.uptime())
+	}
+}
+
 // departuresKnown reports whether heartbeats may be applied. The store and the other nodes may each lack the latest
 // departure, so that both are asked where they can be reached.
 func (n *Node) departuresKnown() bool {
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -83,9 +83,13 @@
 }
 
 func (f *departureFleet) heartbeat(i int, incarnation int64, sequence uint64) announce.Outcome {
+	return f.send(i, incarnation, sequence, false)
+}
+
+func (f *departureFleet) send(i int, incarnation int64, sequence uint64, draining bool) announce.Outcome {
 	return f.nodes[i].registry.HandleHeartbeat(announce.Heartbeat{
 		Announcement: announce.Announcement{ID: "katalog-1", Service: "katalog", Address: "127.0.0.1:1"},
-		Incarnation:  incarnation, Sequence: sequence,
+		Incarnation:  incarnation, Sequence: sequence, Draining: draining,
 	}, time.Now())
 }
 
@@ -167,3 +171,59 @@
 		})
 	}
 }
+
+// Guards against delayed heartbeats that announce a backend server again after its departure was acknowledged while the store
+// was away and all nodes were killed, so that neither the store nor another node knows it.
+func TestLateHeartbeatsAfterAForgottenDeparture(t *testing.T) {
+	const (
+		born = 1000
+		// inTouch is the time after its start from which a node counts as undisturbed (contact_ms).
+		inTouch = 3 * time.Second
+	)
+	tests := map[string]struct {
+		drains   bool            // the server reports that it drains, and does not deregister
+		arrivals []time.Duration // after the start of the node
+	}{
+		"alone":                     {arrivals: []time.Duration{2 * time.Second}},
+		"alone, of a drain":         {drains: true, arrivals: []time.Duration{2 * time.Second}},
+		"alone, right away":         {arrivals: []time.Duration{300 * time.Millisecond}},
+		"right away, of a drain":    {drains: true, arrivals: []time.Duration{300 * time.Millisecond}},
+		"in a bunch":                {arrivals: []time.Duration{2 * time.Second, 2050 * time.Millisecond, 2100 * time.Millisecond}},
+		"some right away, one late": {arrivals: []time.Duration{300 * time.Millisecond, 400 * time.Millisecond, 3500 * time.Millisecond}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			arrivals := test.arrivals
+			f := newDepartureFleet(t, 3)
+			f.waitFor("the server is announced", func() bool {
+				f.heartbeat(0, born, 1)
+				return f.current(0) == "katalog-1"
+			})
+			f.store.SetDown(true)
+			if test.drains {
+				f.send(0, born, 100, true)
+			} else {
+				f.nodes[0].registry.Deregister("katalog-1", born, time.Now())
+			}
+			for i := range f.nodes {
+				f.kill(i)
+			}
+			f.store.SetDown(false)
+			for i := range f.nodes {
+				f.start(i)
+			}
+			started := f.nodes[0].createdAt
+			for sequence := uint64(2); time.Since(started) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+				if len(arrivals) > 0 && time.Since(started) >= arrivals[0] {
+					f.heartbeat(0, born, sequence)
+					sequence++
+					arrivals = arrivals[1:]
+				}
+				if id := f.current(0); id != "" && time.Since(started) > inTouch {
+					t.Fatalf("%s is announced %v after the start", id, time.Since(started))
+				}
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,7 @@
 	n.registry.OnDeparture = n.onDeparture
 	n.registry.OnSlowStart = n.gate.StateSlowStart
 	n.gate.SetSlowStart(n.settings.SlowStart)
-	n.registry.StartRestore()
+	n.registry.StartRestore(n.createdAt)
 	n.holdForEvacuations()
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget, ServiceBudgets: n.serviceBudgets,
@@ -239,6 +239,7 @@
 	n.background(n.runMaintenance)
 	n.background(n.join)
 	n.background(n.awaitDepartures)
+	n.background(n.endProvisional)
 	if n.limits != nil {
 		n.background(n.runRateLimits)
 	}
