Let single requests in quarantine run as trials, claimed in the store

Cause: a crash counts against each request that was at the server, a popular path was at all of them, and only a response ends the count. A request in quarantine is refused everywhere, so that none could come. Evidence: backend_died with the path's fingerprint at all four servers, then request_end reason=quarantined attempts=0 at the nodes that take the requests.

Ruled out: weights by the number of requests in flight, which would let a request that crashes servers beside forty others crash many more; trials counted by each node or by gossip, which nodes that are cut off or restart would repeat.

Change: up to three requests run as trials, 1 s, 8 s and 64 s after the last crash or trial. A trial is a conditional write of quarantine/requests, which also keeps the requests in quarantine over a restart of all nodes. A trial is neither retried nor hedged, and a backend server runs one at a time. Gossip after a crash names the requests of that crash, a full table drops entries with fewer crashes, and refusals carry the crash to the ingress. Callers get the time until the next trial.

--- a/internal/faulttest/isolation_test.go
+++ b/internal/faulttest/isolation_test.go
@@ -64,3 +64,34 @@
 	}
 	h.checkRecovery()
 }
+
+// Guards against a path that stays refused at all nodes because all backend servers crashed while they ran requests for it.
+func TestPopularPathAfterAllServersCrashed(t *testing.T) {
+	h := start(t, Options{Size: 4, Domains: 2})
+	var running sync.WaitGroup
+	for i := range 16 {
+		o := Operation{ID: fmt.Sprint("before-", i), Method: "GET", Path: "/item/popular", ReplyBytes: 10, Work: time.Second}
+		running.Go(func() { h.callers.Send(t.Context(), h.Members[i%4], o) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, m := range h.Members {
+		m.Backend.Crash()
+	}
+	running.Wait()
+	for _, m := range h.Members {
+		restartBackend(h, m)
+	}
+	returned, answered := time.Now(), 0
+	for i := 0; answered < 20; i++ {
+		o := Operation{ID: fmt.Sprint("after-", i), Method: "GET", Path: "/item/popular", ReplyBytes: 10}
+		r := h.callers.Send(t.Context(), h.Members[i%4], o)
+		if answered++; r.Outcome != Answered {
+			answered = 0
+		}
+		if time.Since(returned) > 10*time.Second {
+			t.Fatalf("refused 10 s after the return of the backend servers: %v", r)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Logf("served %v after the return of the backend servers", time.Since(returned).Round(10*time.Millisecond))
+}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -187,6 +187,9 @@
 	}
 	c.gate.Counters.Crashes.Add(1)
 	report(*backend, fingerprints)
+	if c.gate.QuarantineEntries != nil {
+		c.crashEntries = c.gate.QuarantineEntries(fingerprints)
+	}
 }
 
 // fingerprints returns the fingerprints of the request that are known.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -68,6 +68,8 @@
 	// OnCrash is called with the backend server and the fingerprints of a request during which the server stopped
 	// listening. Set it before the first request; nil disables the report.
 	OnCrash func(backend Backend, fingerprints [][]byte)
+	// QuarantineEntries returns the entries of fingerprints after OnCrash, which a refusal passes to the ingress. May be nil.
+	QuarantineEntries func(fingerprints [][]byte) []*wire.QuarantineEntry
 	// OnPause is called after a pause of the process. It must not block. Set it before the first request; may be nil.
 	OnPause func()
 	// WriteLimiter returns the write limiter for responses to a node in the given region, or nil for no limit. long and
@@ -95,8 +97,11 @@
 	slowness             *slownessTracker
 	pauses               pauseDetector
 	inFlight             sync.WaitGroup
-	decisionTimer        *time.Timer // nil until a request has been queued
-	pollScheduled        bool        // pollLoad will run within loadPollInterval
+	// trialRunning is set while a trial of a request in quarantine is admitted. Two at a time could not be told apart if the
+	// backend server crashed.
+	trialRunning  atomic.Bool
+	decisionTimer *time.Timer // nil until a request has been queued
+	pollScheduled bool        // pollLoad will run within loadPollInterval
 }
 
 // New returns a gate without a backend server. instance identifies this process of the node.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -91,6 +91,42 @@
 	waitFor(t, "backend server stopped", func() bool { return running.Load() == 0 })
 }
 
+// Guards against trials of requests in quarantine that are refused, and against two at a time, which would both be suspects if
+// the backend server crashed.
+func TestTrialsRunOneAtATime(t *testing.T) {
+	release := make(chan struct{})
+	var running atomic.Int32
+	g := newGate(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { running.Add(1); <-release }))
+	g.IsQuarantined = func(f []byte) bool { return string(f) != "sound" }
+	send := func(id uint64, fingerprint string) *peer.Conn {
+		head := requestHead(id)
+		head.Fingerprint, head.QuarantineTrial = []byte(fingerprint), true
+		conn := serveAttempt(t, g, head)
+		if err := conn.Write(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}}); err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	first := send(1, "a")
+	waitFor(t, "the trial runs", func() bool { return running.Load() == 1 })
+	if f, err := send(2, "b").Read(); err != nil || f.GetRefusal().GetReason() != string(verdict.Busy) {
+		t.Errorf("second trial: %v, %v", f, err)
+	}
+	sound := send(3, "sound")
+	waitFor(t, "a request that is no longer in quarantine runs", func() bool { return running.Load() == 2 })
+	close(release)
+	expectResponse := func(conn *peer.Conn) {
+		t.Helper()
+		if f, err := conn.Read(); err != nil || f.GetResponse() == nil {
+			t.Errorf("got %v, %v; want a response", f, err)
+		}
+	}
+	expectResponse(first)
+	expectResponse(sound)
+	waitFor(t, "the trial has ended", func() bool { return !g.trialRunning.Load() })
+	expectResponse(send(4, "b"))
+}
+
 // Guards against running requests that the gate must refuse, and against refusals without the verdict not-run.
 func TestRefusals(t *testing.T) {
 	var runs atomic.Int32
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -37,7 +37,9 @@
 	// have received the request.
 	ticket               admission.Ticket
 	holdsSlot, forwarded bool
-	registered           bool // the attempt history holds a record of the attempt that is still running
+	registered           bool                    // the attempt history holds a record of the attempt that is still running
+	crashEntries         []*wire.QuarantineEntry // of the request, if it has crashed the backend server
+	holdsTrial           bool                    // gate.trialRunning is set for the attempt
 	// reserved is set while the ramp of the backend server holds a place for the request; it ends when the request is sent.
 	reserved bool
 }
@@ -76,6 +78,7 @@
 	deadline, _ := ctx.Deadline()
 	// Closing the body unblocks readRequest when the backend server no longer reads it.
 	defer c.body.Close()
+	defer c.releaseTrial()
 	c.recorder = newResponseRecorder(c.head.Idempotent, c.gate.responseKeepLimit())
 	// Reading in the background detects a caller that disconnects while the request waits for a slot.
 	go c.readRequest()
@@ -165,18 +168,33 @@
 	return g.maxResponseKeepBytes
 }
 
-// checkRequest refuses requests for another endpoint or service, and requests in quarantine.
+// checkRequest refuses requests for another endpoint or service, and requests in quarantine that are no trials.
 func (c *call) checkRequest() error {
 	backend := c.gate.Backend()
 	if backend != nil && (backend.ID != c.head.Endpoint || backend.Service != c.head.Service) {
 		return verdict.New(verdict.NotRun, verdict.WrongGate, "endpoint %s is not beside this node", c.head.Endpoint)
 	}
-	if q := c.gate.IsQuarantined; q != nil && slices.ContainsFunc(c.fingerprints(), q) {
+	if q := c.gate.IsQuarantined; q == nil || !slices.ContainsFunc(c.fingerprints(), q) {
+		return nil
+	}
+	if !c.head.QuarantineTrial {
 		return verdict.New(verdict.NotRun, verdict.Quarantined, "the request has crashed backend servers")
 	}
+	if !c.gate.trialRunning.CompareAndSwap(false, true) {
+		return verdict.New(verdict.NotRun, verdict.Busy, "another trial of a request in quarantine is running")
+	}
+	c.holdsTrial = true
 	return nil
 }
 
+// releaseTrial lets the next trial run, if the attempt is one.
+func (c *call) releaseTrial() {
+	if c.holdsTrial {
+		c.holdsTrial = false
+		c.gate.trialRunning.Store(false)
+	}
+}
+
 // readRequest copies the chunks of the request body to c.body, and cancels the request when the ingress closes the
 // stream early.
 func (c *call) readRequest() {
@@ -248,7 +266,7 @@
 }
 
 func (c *call) sendRefusal(e *verdict.Error, load *wire.Load) {
-	refusal := &wire.Refusal{Verdict: e.Verdict.Wire(), Reason: string(e.Reason), Detail: e.Detail, Load: load, WaitMs: waitMillis(e.Wait)}
+	refusal := &wire.Refusal{Verdict: e.Verdict.Wire(), Reason: string(e.Reason), Detail: e.Detail, Load: load, WaitMs: waitMillis(e.Wait), Quarantine: c.crashEntries}
 	_ = c.conn.Write(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: refusal}})
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -100,6 +100,7 @@
 		head.HasObjective = true
 		head.ObjectiveMs = uint32(max(time.Until(q.startedAt.Add(objective)).Milliseconds(), 0))
 	}
+	head.QuarantineTrial = q.trial
 	setAccount(q, head)
 	return head
 }
@@ -147,6 +148,9 @@
 // refusalError records the refusal of a gate and returns its verdict as an error.
 func (in *Ingress) refusalError(ctx context.Context, resp *response, r *wire.Refusal) error {
 	resp.conn.Remote().RecordGeneration(r.GetLoad().GetGeneration())
+	if len(r.GetQuarantine()) > 0 && in.MergeQuarantine != nil {
+		in.MergeQuarantine(r.GetQuarantine())
+	}
 	v := verdict.FromWire(r.Verdict)
 	outcome := balance.Failed
 	switch {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/verdict"
+	"dandelionspoke/internal/wire"
 
 	"github.com/cockroachdb/errors"
 )
@@ -58,6 +59,12 @@
 	MaxBodyBytes int64
 	// IsQuarantined reports whether a fingerprint is refused. If nil, none is.
 	IsQuarantined func(fingerprint []byte) bool
+	// MergeQuarantine is called with the entries of a request that has crashed a backend server. May be nil.
+	MergeQuarantine func([]*wire.QuarantineEntry)
+	// ClaimTrial reports whether a request that is refused may run as a trial, and otherwise the time until a trial is due, or 0
+	// if none is. ReturnTrial takes back a trial that no backend server has run. If nil, there are no trials.
+	ClaimTrial  func(ctx context.Context, fingerprints ...[]byte) (ok bool, wait time.Duration)
+	ReturnTrial func(fingerprints ...[]byte)
 	// OnRequest is called with the service of each request, so that outdated load reports are refreshed. May be nil.
 	OnRequest func(service string)
 	// OnSuccess is called with the fingerprints of each request whose response was relayed completely. May be nil.
@@ -194,9 +201,37 @@
 	if latest := in.latestDeadline.Load(); latest != nil && q.deadline.After(*latest) {
 		return verdict.New(verdict.NotRun, verdict.Draining, "the node ends before the deadline of the request")
 	}
-	if in.IsQuarantined != nil && (in.IsQuarantined(q.fingerprint) || in.IsQuarantined(q.callerFingerprint)) {
-		return verdict.New(verdict.NotRun, verdict.Quarantined, "the request has crashed backend servers")
+	if err := in.checkQuarantine(ctx, q); err != nil {
+		return err
+	}
+	err := in.serveAdmitted(ctx, w, q)
+	if q.trial && err != nil && verdict.Of(err) == verdict.NotRun {
+		in.ReturnTrial(q.fingerprint, q.callerFingerprint)
+	}
+	return err
+}
+
+func (in *Ingress) isQuarantined(q *request) bool {
+	return in.IsQuarantined != nil && (in.IsQuarantined(q.fingerprint) || in.IsQuarantined(q.callerFingerprint))
+}
+
+// checkQuarantine refuses a request in quarantine, unless it becomes a trial.
+func (in *Ingress) checkQuarantine(ctx context.Context, q *request) error {
+	if !in.isQuarantined(q) {
+		return nil
+	}
+	refusal := &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.Quarantined, Detail: "the request has crashed backend servers"}
+	if in.ClaimTrial != nil {
+		q.trial, refusal.Wait = in.ClaimTrial(ctx, q.fingerprint, q.callerFingerprint)
 	}
+	if q.trial {
+		return nil
+	}
+	return refusal
+}
+
+// serveAdmitted runs a request that may run, and relays its response.
+func (in *Ingress) serveAdmitted(ctx context.Context, w http.ResponseWriter, q *request) error {
 	if q.idempotencyKey != "" && !q.idempotent {
 		return in.serveKeyed(ctx, w, q)
 	}
@@ -283,7 +318,7 @@
 	if e.Verdict == verdict.NotRun && e.Reason.Status() == http.StatusTooManyRequests {
 		return e.Wait
 	}
-	if e.Verdict != verdict.NotRun || e.Reason.Status() < http.StatusInternalServerError || e.Reason == verdict.Quarantined {
+	if e.Verdict != verdict.NotRun || e.Reason.Status() < http.StatusInternalServerError || e.Reason == verdict.Quarantined && e.Wait == 0 {
 		return 0
 	}
 	return min(max(e.Wait, minRetryAfter), maxRetryAfter)
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -56,8 +56,9 @@
 // maxHeldClaimWait, so that a repeat that arrives while the first request runs gets that request's response.
 func (in *Ingress) acquireClaim(ctx context.Context, q *request, claims claim.KeyClaimer) (claim.Result, error) {
 	waitEnd := time.Now().Add(min(maxHeldClaimWait, time.Until(q.deadline)/2))
+	fingerprint := q.claimFingerprint()
 	for wait := minClaimPollInterval; ; wait = min(2*wait, maxClaimPollInterval) {
-		result, err := claims.Acquire(ctx, q.claimKey(), q.fingerprint, newAttemptID())
+		result, err := claims.Acquire(ctx, q.claimKey(), fingerprint, newAttemptID())
 		undecided := err == nil && result.Kind == claim.Held && result.Verdict == verdict.MayHaveRun
 		if !undecided || time.Now().Add(wait).After(waitEnd) {
 			return result, err
--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -312,3 +312,35 @@
 	_, _ = io.Copy(dst, src)
 	dst.Close()
 }
+
+// Guards against requests in quarantine that never run as a trial, against refusals of trials that use them up, and against callers
+// that are not told when to return.
+func TestTrialOfARequestInQuarantine(t *testing.T) {
+	p := newRequestPath(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), nil)
+	quarantined := func([]byte) bool { return true }
+	p.ingress.IsQuarantined, p.gate.IsQuarantined = quarantined, quarantined
+	var returned atomic.Int32
+	trial := true
+	p.ingress.ClaimTrial = func(context.Context, ...[]byte) (bool, time.Duration) { return trial, 300 * time.Millisecond }
+	p.ingress.ReturnTrial = func(...[]byte) { returned.Add(1) }
+	get := func() (int, string) {
+		t.Helper()
+		resp, err := http.Get(p.caller.URL + "/home")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode, resp.Header.Get("Retry-After")
+	}
+	if status, _ := get(); status != http.StatusOK || returned.Load() != 0 {
+		t.Errorf("trial: status %d, %d trials returned", status, returned.Load())
+	}
+	p.gate.SetBackendDown(true)
+	if status, _ := get(); status != http.StatusServiceUnavailable || returned.Load() != 1 {
+		t.Errorf("trial that did not run: status %d, %d trials returned; want one", status, returned.Load())
+	}
+	trial = false
+	if status, retryAfter := get(); status != http.StatusServiceUnavailable || retryAfter == "" {
+		t.Errorf("without a trial: status %d, Retry-After %q", status, retryAfter)
+	}
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -58,8 +58,10 @@
 	fingerprint  []byte
 	// callerFingerprint is the fingerprint of the caller's requests; nil when the caller is not known.
 	callerFingerprint []byte
-	caller            string
-	headers           []*wire.Header
+	// trial is set if the request is in quarantine and has claimed a trial.
+	trial   bool
+	caller  string
+	headers []*wire.Header
 	// credential is the caller's key until selectAccount has used it. It must not be logged.
 	credential string
 	// account and accountName are those of the client account; zero without one.
@@ -122,8 +124,6 @@
 	if q.httpRequest.ContentLength > limit {
 		return verdict.New(verdict.NotRun, verdict.BodyTooLarge, "body of %d bytes, limit %d", q.httpRequest.ContentLength, limit)
 	}
-	// The Host header is not part of the fingerprint: a repeat through another node may have that node's address there.
-	digest := retry.NewDigest(q.httpRequest.Method, q.scopedToAccount(q.route.Service+" "+q.httpRequest.URL.RequestURI()))
 	if q.httpRequest.Body != nil && q.httpRequest.Body != http.NoBody {
 		body := http.MaxBytesReader(w, q.httpRequest.Body, limit)
 		_ = http.NewResponseController(w).SetReadDeadline(q.deadline)
@@ -136,12 +136,7 @@
 			q.bodyRest = body
 		}
 	}
-	_, _ = digest.Write(q.bodyPrefix)
-	if q.bodyRest != nil {
-		// The remainder of a large body has not arrived yet; only the total length enters the fingerprint.
-		_, _ = digest.Write(strconv.AppendInt(nil, q.httpRequest.ContentLength, 10))
-	}
-	fingerprint := digest.Sum()
+	fingerprint := q.digest(q.route.Service)
 	q.fingerprint = fingerprint.Bytes()
 	if q.caller != "" {
 		q.callerFingerprint = retry.CallerFingerprint(fingerprint, q.caller).Bytes()
@@ -149,6 +144,20 @@
 	return nil
 }
 
+// claimFingerprint returns the fingerprint that a claim stores. It includes the service, to which the claim belongs.
+func (q *request) claimFingerprint() []byte { return q.digest(q.route.Service).Bytes() }
+
+// digest returns the fingerprint of the request within a scope.
+func (q *request) digest(scope string) retry.Fingerprint {
+	digest := retry.NewDigest(q.httpRequest.Method, q.scopedToAccount(scope+" "+q.httpRequest.URL.RequestURI()))
+	_, _ = digest.Write(q.bodyPrefix)
+	if q.bodyRest != nil {
+		// The remainder of a large body has not arrived yet; only the total length enters the fingerprint.
+		_, _ = digest.Write(strconv.AppendInt(nil, q.httpRequest.ContentLength, 10))
+	}
+	return digest.Sum()
+}
+
 func bodyError(ctx context.Context, err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -153,7 +153,7 @@
 
 // allowsConcurrentAttempts reports whether a second attempt may start while the first one runs.
 func (q *request) allowsConcurrentAttempts() bool {
-	return q.idempotent && q.bodyRest == nil && q.depth == 0
+	return q.idempotent && q.bodyRest == nil && q.depth == 0 && !q.trial
 }
 
 // awaitResult returns the first result. While it waits, it may start a hedge, or another attempt when membership
@@ -350,6 +350,10 @@
 		in.logFailedAttempt(ctx, q, state, e, "closing")
 		return false
 	}
+	if e.Verdict != verdict.NotRun && (q.trial || in.isQuarantined(q)) {
+		in.logFailedAttempt(ctx, q, state, e, string(verdict.Quarantined))
+		return false
+	}
 	failed := retry.Attempt{
 		Idempotent: q.idempotent, Keyed: q.idempotencyKey != "", Number: state.countedAttempts, Moves: state.moves, Depth: q.depth, Verdict: e.Verdict,
 		Reason: e.Reason, Remaining: time.Until(q.deadline), Streamed: q.bodyRestUsed,
--- a/internal/membership/quarantine.go
+++ b/internal/membership/quarantine.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -36,15 +37,15 @@
 	return &quarantine{entries: map[string]*trackedEntry{}, unsent: map[string]*trackedEntry{}}
 }
 
-// add merges an entry: it keeps the later expiry, the higher crash count, and the victims and cleared victims of both
-// entries. It reports whether anything changed.
+// add merges an entry: it keeps the later expiry, the higher counts of crashes and trials, and the victims and cleared victims of
+// both entries. It reports whether anything changed.
 func (q *quarantine) add(now time.Time, e *wire.QuarantineEntry) bool {
 	if !validQuarantine(now, e) {
 		return false
 	}
 	key := string(e.Fingerprint)
 	current := q.entries[key]
-	if current == nil && len(q.entries) >= maxQuarantineEntries {
+	if current == nil && len(q.entries) >= maxQuarantineEntries && !q.evictBelow(e) {
 		return false
 	}
 	merged := proto.CloneOf(e)
@@ -55,6 +56,7 @@
 	merged.Deaths = max(e.Deaths, previous.Deaths)
 	merged.ExpiresUnixMs = max(e.ExpiresUnixMs, previous.ExpiresUnixMs)
 	merged.Victims, merged.ClearedVictims = mergeVictims(e, previous)
+	merged.Trials, merged.ClearedTrials = max(e.Trials, previous.Trials), max(e.ClearedTrials, previous.ClearedTrials)
 	merged.Cleared = len(merged.Victims) > 0 && len(merged.ClearedVictims) == len(merged.Victims)
 	if current != nil && proto.Equal(merged, current.entry) {
 		return false
@@ -64,6 +66,28 @@
 	return true
 }
 
+// countingVictims returns the number of victims of an entry that still count.
+func countingVictims(e *wire.QuarantineEntry) int { return len(e.GetVictims()) - len(clearedOf(e)) }
+
+// evictBelow removes the entry with the fewest victims that still count, the first to expire among these, to make room for e.
+// It reports whether it did; an entry with as many victims as e stays.
+func (q *quarantine) evictBelow(e *wire.QuarantineEntry) bool {
+	lowestKey, lowest := "", (*wire.QuarantineEntry)(nil)
+	for key, tracked := range q.entries {
+		candidate := tracked.entry
+		if lowest == nil || cmp.Or(cmp.Compare(countingVictims(candidate), countingVictims(lowest)),
+			cmp.Compare(candidate.ExpiresUnixMs, lowest.ExpiresUnixMs), cmp.Compare(key, lowestKey)) < 0 {
+			lowestKey, lowest = key, candidate
+		}
+	}
+	if countingVictims(lowest) > countingVictims(e) || countingVictims(lowest) == countingVictims(e) && lowest.ExpiresUnixMs >= e.ExpiresUnixMs {
+		return false
+	}
+	delete(q.entries, lowestKey)
+	delete(q.unsent, lowestKey)
+	return true
+}
+
 // mergeVictims returns the victims of both entries, limited to maxVictims, and those of them that either entry has cleared. After
 // two nodes have each seen one crash caused by the same request, both must hold both victims. The result does not depend
 // on the order of the entries, since nodes would otherwise send each other their versions forever. Victims that still count
--- a/internal/membership/quarantine_test.go
+++ b/internal/membership/quarantine_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,6 +26,7 @@
 			}
 		}
 		e.Cleared = len(e.Victims) > 0 && len(e.Victims) == len(e.ClearedVictims)
+		e.Trials, e.ClearedTrials = rapid.Uint32Range(0, 3).Draw(t, label+"trials"), rapid.Uint32Range(0, 3).Draw(t, label+"clearedTrials")
 		return e
 	}
 	rapid.Check(t, func(t *rapid.T) {
@@ -63,3 +65,24 @@
 		t.Errorf("after a further crash: %v", e)
 	}
 }
+
+// Guards against a request that crashes backend servers and of which the other nodes don't learn, because many requests were in
+// flight at earlier crashes.
+func TestFullQuarantineTakesRequestsWithMoreCrashes(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	entry := func(name string, victims ...uint64) *wire.QuarantineEntry {
+		return &wire.QuarantineEntry{
+			Fingerprint: []byte(name), ExpiresUnixMs: uint64(now.Add(time.Minute).UnixMilli()), Deaths: uint32(len(victims)), Victims: victims,
+		}
+	}
+	q := newQuarantine()
+	for i := range maxQuarantineEntries {
+		q.add(now, entry(fmt.Sprint("other ", i), 1))
+	}
+	if q.add(now, entry("another", 1)) {
+		t.Error("an entry with as many crashes replaced another")
+	}
+	if !q.add(now, entry("crashing", 1, 2)) || q.entries["crashing"] == nil || len(q.entries) != maxQuarantineEntries {
+		t.Errorf("an entry with two crashes was not taken; %d entries", len(q.entries))
+	}
+}
--- a/internal/membershiptest/fleet.go
+++ b/internal/membershiptest/fleet.go
@@ -72,9 +72,11 @@
 	Down              bool
 	Group             int
 	QuarantineReports int
-	BundleInForceAt   time.Time // when the newest bundle came into force
-	fleet             *Fleet
-	id                string
+	// OnQuarantined is called with new and changed quarantine entries. It may be nil.
+	OnQuarantined   func([]*wire.QuarantineEntry)
+	BundleInForceAt time.Time // when the newest bundle came into force
+	fleet           *Fleet
+	id              string
 }
 
 type event struct {
@@ -228,6 +230,9 @@
 	h.fleet.schedule(h.fleet.options.Tick, h.tick)
 }
 
+// After calls run when the virtual clock has advanced by d.
+func (f *Fleet) After(d time.Duration, run func()) { f.schedule(d, run) }
+
 func (f *Fleet) schedule(d time.Duration, run func()) {
 	f.lastEvent++
 	heap.Push(&f.events, event{at: f.Now.Add(d), number: f.lastEvent, run: run})
@@ -335,7 +340,12 @@
 func (h *Host) EvacuationsChanged(evacuation.Set) {}
 
 // Quarantined implements membership.Output.
-func (h *Host) Quarantined(entries []*wire.QuarantineEntry) { h.QuarantineReports += len(entries) }
+func (h *Host) Quarantined(entries []*wire.QuarantineEntry) {
+	h.QuarantineReports += len(entries)
+	if h.OnQuarantined != nil {
+		h.OnQuarantined(entries)
+	}
+}
 
 // Changed implements membership.Output.
 func (h *Host) Changed(_, _ *wire.Member) {}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -105,7 +105,7 @@
 		"gate_attempt_queries": g.Queries.Load(), "gate_crashes": g.Crashes.Load(), "gate_pauses": g.Pauses.Load(), "gate_panics": g.Panics.Load(), "ingress_panics": in.Panics.Load(), "gate_load_probes": g.LoadProbes.Load(), "gate_attempts_remembered": int64(n.gate.Attempts()),
 		"gate_in_flight": int64(load.InFlight), "gate_queued_short": int64(load.QueuedShort), "gate_queued_long": int64(load.QueuedLong),
 		"retry_budget_spent": int64(budget.Spent), "retry_budget_denied": int64(budget.Denied),
-		"quarantine_known": int64(known), "quarantine_refused": int64(refused),
+		"quarantine_known": int64(known), "quarantine_refused": int64(refused), "quarantine_trials": n.trials.claimed.Load(),
 		"link_short_bytes": n.linkBudget.ShortBytes.Load(), "link_long_bytes": n.linkBudget.LongBytes.Load(),
 		"link_wait_us":  n.linkBudget.WaitNanos.Load() / int64(time.Microsecond),
 		"peer_sessions": int64(n.peerPool.Len()), "peer_malformed": n.peerServer.Malformed.Load(),
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +13,6 @@
 	"dandelionspoke/internal/gate"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/recovery"
-	"dandelionspoke/internal/retry"
 	"dandelionspoke/internal/sleep"
 	"dandelionspoke/internal/steady"
 	"dandelionspoke/internal/system"
@@ -47,7 +45,7 @@
 		GateLoad:        n.gate.Load,
 		OnReport:        n.onProbeReport,
 		OnNewerBundle:   func(version uint64, peerAddr string) { go n.fetchBundle(version, peerAddr) },
-		OnQuarantine:    func(entries []*wire.QuarantineEntry) { n.quarantine.Merge(entries, time.Now()) },
+		OnQuarantine:    n.mergeQuarantine,
 		OnOwnDepartures: n.onOwnDepartures,
 		OnEvacuations:   n.onEvacuations,
 		SyncWith:        n.syncWith,
@@ -183,43 +181,6 @@
 	n.gate.SetLimits(service.LimitedTo(a.Slots, a.Connections, b.Policy.SlotShare), b.Policy)
 }
 
-func (n *Node) isQuarantined(fingerprint []byte) bool {
-	f, ok := retry.ParseFingerprint(fingerprint)
-	return ok && n.quarantine.Refuses(f, time.Now())
-}
-
-func (n *Node) onBackendCrash(backend gate.Backend, fingerprints [][]byte) {
-	now := time.Now()
-	victim := backend.ID + "@" + strconv.FormatInt(backend.Incarnation, 10)
-	for _, b := range fingerprints {
-		f, ok := retry.ParseFingerprint(b)
-		if !ok {
-			continue
-		}
-		quarantined := n.quarantine.RecordCrash(f, victim, now)
-		n.logger.Warn("backend server crashed while running a request", "event", "backend_died", "endpoint", backend.ID,
-			"incarnation", backend.Incarnation, "fingerprint", f, "quarantined", quarantined)
-	}
-	n.engine.AddQuarantine(n.quarantine.Entries(now, maxQuarantineGossip)...)
-}
-
-// onRequestSuccess clears a request that was suspected of crashing backend servers.
-func (n *Node) onRequestSuccess(fingerprints ...[]byte) {
-	cleared := false
-	for _, b := range fingerprints {
-		if f, ok := retry.ParseFingerprint(b); ok && n.quarantine.RecordSuccess(f) {
-			cleared = true
-		}
-	}
-	if cleared {
-		n.engine.AddQuarantine(n.quarantine.Entries(time.Now(), maxQuarantineGossip)...)
-	}
-}
-
-// maxQuarantineGossip limits the quarantine entries that are sent to other nodes after a crash, or after a suspected
-// request has succeeded. Those that expire last are sent.
-const maxQuarantineGossip = 8
-
 // ServePeer implements peer.Handler. It recovers panics, so that a request of another node ends only its own stream; the other
 // node then takes the exchange for broken.
 func (n *Node) ServePeer(ctx context.Context, conn *peer.Conn, first *wire.Frame) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -66,31 +67,36 @@
 	instance      uint64
 	createdAt     time.Time
 
-	snapshots      table.Publisher
-	peerPool       *peer.Pool
-	gate           *gate.Gate
-	ingress        *ingress.Ingress
-	registry       *announce.Registry
-	engine         *engine.Engine
-	peerServer     *peer.Server
-	quarantine     *retry.Quarantine
-	budget         *retry.Budget
-	serviceBudgets *retry.ServiceBudgets
-	linkBudget     *link.Budget
-	probePlanner   *balance.ProbePlanner
-	bundleProvider rollout.Provider
-	bundles        bundleState
-	counters       requestCounters
-	claimers       *claim.ClaimerSet // nil without direct access to the store
-	claimRouter    *claim.Router
-	isStoreReader  atomic.Bool // this node reads the store for its failure domain
-	joinAttempted  atomic.Bool // the first attempt to join other nodes has ended
-	departures     departureState
-	limits         *ratelimit.Limiter // rate limits of accounts; nil if the settings have no window for them
-	fleetList      fleetList
-	confirmation   account.Confirmation // of the bundle in force
-	evacuation     evacuationState
-	restored       restoreState
+	snapshots  table.Publisher
+	peerPool   *peer.Pool
+	gate       *gate.Gate
+	ingress    *ingress.Ingress
+	registry   *announce.Registry
+	engine     *engine.Engine
+	peerServer *peer.Server
+	quarantine *retry.Quarantine
+	trials     trialState
+	trialSeed  maphash.Seed
+	// quarantineWritePending is set while a write of the quarantine is scheduled, quarantineEnded while a response has ended one
+	// that the store may still hold.
+	quarantineWritePending, quarantineEnded atomic.Bool
+	budget                                  *retry.Budget
+	serviceBudgets                          *retry.ServiceBudgets
+	linkBudget                              *link.Budget
+	probePlanner                            *balance.ProbePlanner
+	bundleProvider                          rollout.Provider
+	bundles                                 bundleState
+	counters                                requestCounters
+	claimers                                *claim.ClaimerSet // nil without direct access to the store
+	claimRouter                             *claim.Router
+	isStoreReader                           atomic.Bool // this node reads the store for its failure domain
+	joinAttempted                           atomic.Bool // the first attempt to join other nodes has ended
+	departures                              departureState
+	limits                                  *ratelimit.Limiter // rate limits of accounts; nil if the settings have no window for them
+	fleetList                               fleetList
+	confirmation                            account.Confirmation // of the bundle in force
+	evacuation                              evacuationState
+	restored                                restoreState
 	// probePolicyVersion and probeRand are used only by the engine loop.
 	probePolicyVersion uint64
 	probeRand          *rand.Rand
@@ -118,7 +124,7 @@
 		return nil, err
 	}
 	n := &Node{
-		settings: o.Settings, logger: o.Logger, store: o.Store, instance: rand.Uint64(), createdAt: time.Now(),
+		settings: o.Settings, logger: o.Logger, store: o.Store, instance: rand.Uint64(), createdAt: time.Now(), trialSeed: maphash.MakeSeed(),
 		registry: &announce.Registry{}, logsDropped: o.LogsDropped, metrics: metrics.NewRegistry(),
 	}
 	n.serviceName.Store(&o.Settings.Backend.Service)
@@ -174,6 +180,7 @@
 	n.gate.QueueTime = n.metrics.Histogram("gate_queue_seconds")
 	n.gate.IsQuarantined = n.isQuarantined
 	n.gate.OnCrash = n.onBackendCrash
+	n.gate.QuarantineEntries = n.quarantineEntries
 	n.gate.WriteLimiter = n.writeLimiter
 	if n.settings.RateLimit.Window > 0 {
 		n.limits = ratelimit.New(n.instance)
@@ -188,7 +195,7 @@
 	n.ingress = ingress.New(ingress.Config{
 		Snapshots: &n.snapshots, Opener: n, Chooser: ingress.NewChooser(picker), Budget: n.budget, ServiceBudgets: n.serviceBudgets,
 		Logger: n.logger, Protocol: n.adapter.CallerProtocol, Latency: n.metrics.Histogram("ingress_request_seconds"), Region: n.settings.Region, MaxBodyBytes: n.settings.Ingress.MaxBodyBytes,
-		IsQuarantined: n.isQuarantined, OnRequest: n.onIngressRequest, OnSuccess: n.onRequestSuccess,
+		IsQuarantined: n.isQuarantined, MergeQuarantine: n.mergeQuarantine, ClaimTrial: n.claimTrial, ReturnTrial: n.returnTrial, OnRequest: n.onIngressRequest, OnSuccess: n.onRequestSuccess,
 		Limits:          n.limits,
 		ClaimsFor:       func(service string) claim.KeyClaimer { return n.claimRouter.For(service) },
 		BundleConfirmed: n.bundleConfirmed(),
@@ -254,6 +261,7 @@
 			n.background(n.readEvacuations)
 		}
 		n.background(n.readFirstBundle)
+		n.background(n.readQuarantine)
 		n.background(n.followStore)
 		n.background(n.followGeneration)
 	}
--- a/internal/node/restored.go
+++ b/internal/node/restored.go
@@ -136,6 +136,7 @@
 		n.background(func() { n.storeDeparture(d.Departure, d.At) })
 	}
 	if n.isStoreReader.Load() {
+		n.background(n.storeQuarantine)
 		n.rewriteBundle()
 	}
 }
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"hash"
 	"io"
 	"slices"
@@ -19,9 +20,12 @@
 // FingerprintSize is the length of a fingerprint in bytes.
 const FingerprintSize = 16
 
-// Fingerprint identifies requests that are equal in method, target and body.
+// Fingerprint identifies requests that are equal in method, host, target, client account and body.
 type Fingerprint [FingerprintSize]byte
 
+// String returns the fingerprint in hexadecimal, for logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
 // Bytes returns the fingerprint as it is sent in messages.
 func (f Fingerprint) Bytes() []byte { return f[:] }
 
@@ -40,7 +44,7 @@
 // into quarantine.
 type Digest struct{ h hash.Hash }
 
-// NewDigest starts the fingerprint of a request. target is the path with the query.
+// NewDigest starts the fingerprint of a request. target is the host and the path with the query.
 func NewDigest(method, target string) *Digest {
 	d := &Digest{sha256.New()}
 	d.writeField(method)
@@ -86,12 +90,25 @@
 	maxQuarantineEntries = 4096
 	// maxVictims bounds the crashed processes stored for one fingerprint.
 	maxVictims = 8
+	// maxRecordEntries bounds the entries of a record in the store.
+	maxRecordEntries = 256
 	// maxEntryLifetime bounds the expiry time of entries from other nodes.
 	maxEntryLifetime = 24 * time.Hour
 )
 
+// Trials of requests in quarantine.
+const (
+	// maxTrials is the number of trials that may follow the last response to a request.
+	maxTrials = 3
+	// firstTrialDelay is the time from the last crash to the first trial. It gives a response elsewhere the time to end the
+	// quarantine. Each further trial follows the one before, or its crash, after trialDelayFactor times the delay.
+	firstTrialDelay  = time.Second
+	trialDelayFactor = 8
+)
+
 // Quarantine counts the backend servers that crashed while they ran a request, and refuses the request
-// after too many crashes. It is safe for concurrent use.
+// after too many crashes. Single requests are let through as trials, since only a response can show that a request
+// crashes nothing. It is safe for concurrent use.
 type Quarantine struct {
 	mu         sync.Mutex
 	crashLimit int
@@ -105,7 +122,19 @@
 	victims         []uint64 // hashes of the backend server processes that crashed, the latest last
 	clearedVictims  []uint64 // those of victims that crashed before the latest response to the request
 	reportedCrashes uint32   // crash count from other nodes, which may list fewer processes
-	expires         time.Time
+	// trials counts the trials of all nodes, clearedTrials those before the latest response to the request.
+	trials, clearedTrials uint32
+	expires               time.Time
+}
+
+// trialDelay returns the time from the last crash or trial to the next trial, or false if no trial may follow.
+func (e *entry) trialDelay() (time.Duration, bool) {
+	delay := firstTrialDelay
+	used := e.trials - min(e.trials, e.clearedTrials)
+	for range used {
+		delay *= trialDelayFactor
+	}
+	return delay, used < maxTrials
 }
 
 // crashCount returns the number of distinct crashes since the latest response to the request: one that only ran at the
@@ -150,12 +179,84 @@
 	q.crashLimit, q.duration = max(crashLimit, 1), duration
 }
 
-// Refuses reports whether the request must not run.
+// Refuses reports whether the request must not run, unless it is a trial.
 func (q *Quarantine) Refuses(f Fingerprint, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.refusedEntry(f, now) != nil
+}
+
+// refusedEntry returns the entry of a request in quarantine, or nil for another request.
+func (q *Quarantine) refusedEntry(f Fingerprint, now time.Time) *entry {
 	e := q.entries[f]
-	return e != nil && now.Before(e.expires) && e.crashCount() >= q.crashLimit
+	if e == nil || !now.Before(e.expires) || e.crashCount() < q.crashLimit {
+		return nil
+	}
+	return e
+}
+
+// TrialWait returns the time until a trial of a request with these fingerprints is due; it is negative if one has been due
+// for that time. It returns false if no trial may follow.
+func (q *Quarantine) TrialWait(fingerprints []Fingerprint, now time.Time) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var due time.Time
+	for _, f := range fingerprints {
+		e := q.refusedEntry(f, now)
+		if e == nil {
+			continue
+		}
+		delay, ok := e.trialDelay()
+		if !ok {
+			return 0, false
+		}
+		lastRun := e.expires.Add(-q.duration)
+		if at := lastRun.Add(delay); at.After(due) {
+			due = at
+		}
+	}
+	return due.Sub(now), true
+}
+
+// PlanTrial returns the record to write in place of the given one, with a trial of a request with these fingerprints, or
+// false if none is due. The trial is claimed once that write has succeeded; the caller then calls Merge with the result.
+func (q *Quarantine) PlanTrial(record []*wire.QuarantineEntry, fingerprints []Fingerprint, now time.Time) ([]*wire.QuarantineEntry, bool) {
+	q.Merge(record, now)
+	if wait, ok := q.TrialWait(fingerprints, now); !ok || wait > 0 {
+		return nil, false
+	}
+	updates := q.EntriesOf(fingerprints, now)
+	for _, e := range updates {
+		e.Trials++
+		e.ExpiresUnixMs = max(e.ExpiresUnixMs, uint64(now.Add(q.policyDuration()).UnixMilli()))
+	}
+	return q.MergeRecord(record, updates, now), true
+}
+
+func (q *Quarantine) policyDuration() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.duration
+}
+
+// MergeRecord returns the entries of a record in the store and of updates that are in quarantine.
+func (q *Quarantine) MergeRecord(record, updates []*wire.QuarantineEntry, now time.Time) []*wire.QuarantineEntry {
+	q.mu.Lock()
+	merged := NewQuarantine(q.crashLimit, q.duration)
+	q.mu.Unlock()
+	merged.Merge(record, now)
+	merged.Merge(updates, now)
+	return merged.RefusedEntries(now)
+}
+
+// RefusedEntries returns the entries in quarantine, those that expire last first, at most maxRecordEntries.
+func (q *Quarantine) RefusedEntries(now time.Time) []*wire.QuarantineEntry {
+	return q.selectEntries(now, maxRecordEntries, func(f Fingerprint, _ *entry) bool { return q.refusedEntry(f, now) != nil })
+}
+
+// EntriesOf returns the entries of these fingerprints.
+func (q *Quarantine) EntriesOf(fingerprints []Fingerprint, now time.Time) []*wire.QuarantineEntry {
+	return q.selectEntries(now, len(fingerprints), func(f Fingerprint, _ *entry) bool { return slices.Contains(fingerprints, f) })
 }
 
 // RecordCrash records that a backend server crashed while it ran the request. victim identifies the process: a server that
@@ -183,12 +284,16 @@
 		return false
 	}
 	e.reportedCrashes = 0
+	e.clearedTrials = e.trials
 	for _, victim := range e.victims {
 		e.clear(victim)
 	}
 	return true
 }
 
+// IsEmpty reports whether no crash is known. It takes no lock.
+func (q *Quarantine) IsEmpty() bool { return q.entryCount.Load() == 0 }
+
 // Merge adds entries from other nodes. Malformed and expired entries are ignored, and an expiry time
 // beyond maxEntryLifetime is reduced to it.
 func (q *Quarantine) Merge(entries []*wire.QuarantineEntry, now time.Time) {
@@ -210,6 +315,7 @@
 		for _, victim := range m.GetClearedVictims() {
 			e.clear(victim)
 		}
+		e.trials, e.clearedTrials = max(e.trials, m.GetTrials()), max(e.clearedTrials, m.GetClearedTrials())
 		if expires.After(e.expires) {
 			e.expires = expires
 		}
@@ -218,20 +324,20 @@
 
 // Entries returns the entries to send to other nodes, those that expire last first, at most limit.
 func (q *Quarantine) Entries(now time.Time, limit int) []*wire.QuarantineEntry {
+	return q.selectEntries(now, limit, func(Fingerprint, *entry) bool { return true })
+}
+
+// selectEntries returns the entries that selected accepts, those that expire last first, at most limit. selected is called
+// with mu held.
+func (q *Quarantine) selectEntries(now time.Time, limit int, selected func(Fingerprint, *entry) bool) []*wire.QuarantineEntry {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
-	out := make([]*wire.QuarantineEntry, 0, len(q.entries))
+	var out []*wire.QuarantineEntry
 	for f, e := range q.entries {
-		out = append(out, &wire.QuarantineEntry{
-			Fingerprint:   f.Bytes(),
-			ExpiresUnixMs: uint64(e.expires.UnixMilli()),
-			// Nodes ignore entries without deaths, so that a cleared one states the crashes that it had.
-			Deaths:         uint32(max(e.crashCount(), len(e.clearedVictims))),
-			Victims:        slices.Clone(e.victims),
-			Cleared:        e.crashCount() == 0,
-			ClearedVictims: slices.Clone(e.clearedVictims),
-		})
+		if selected(f, e) {
+			out = append(out, e.toWire(f))
+		}
 	}
 	slices.SortFunc(out, func(a, b *wire.QuarantineEntry) int {
 		return cmp.Or(cmp.Compare(b.ExpiresUnixMs, a.ExpiresUnixMs), slices.Compare(a.Fingerprint, b.Fingerprint))
@@ -239,6 +345,20 @@
 	return out[:min(limit, len(out))]
 }
 
+func (e *entry) toWire(f Fingerprint) *wire.QuarantineEntry {
+	return &wire.QuarantineEntry{
+		Fingerprint:   f.Bytes(),
+		ExpiresUnixMs: uint64(e.expires.UnixMilli()),
+		// Nodes ignore entries without deaths, so that a cleared one states the crashes that it had.
+		Deaths:         uint32(max(e.crashCount(), len(e.clearedVictims))),
+		Victims:        slices.Clone(e.victims),
+		Cleared:        e.crashCount() == 0,
+		ClearedVictims: slices.Clone(e.clearedVictims),
+		Trials:         e.trials,
+		ClearedTrials:  e.clearedTrials,
+	}
+}
+
 // Counts returns the number of fingerprints in the table and the number of those that are refused.
 func (q *Quarantine) Counts(now time.Time) (known, refused int) {
 	q.mu.Lock()
