Leave the service out of the fingerprint of a request that crashes backend servers

Cause: the fingerprint of the quarantine included the service to which the route leads at the time. Evidence: backend_died shows another fingerprint for the same path after each move.

It still tells apart equal paths of two hosts, which were taken for one if they led to one service. Claims on idempotency keys keep the former digest, which is stored; TestFingerprintsAndClaimsDifferBetweenAccounts checks it there, and the new one of the quarantine beside it, since the quarantine's has to change.

--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -136,7 +136,7 @@
 			q.bodyRest = body
 		}
 	}
-	fingerprint := q.digest(q.route.Service)
+	fingerprint := q.digest(q.identifyingHost())
 	q.fingerprint = fingerprint.Bytes()
 	if q.caller != "" {
 		q.callerFingerprint = retry.CallerFingerprint(fingerprint, q.caller).Bytes()
@@ -144,6 +144,10 @@
 	return nil
 }
 
+// identifyingHost returns the host of the request, without port, if its route is one of that host. On other routes, a repeat
+// through another node may have that node's address as host.
+func (q *request) identifyingHost() string { return strings.ToLower(q.route.Host) }
+
 // claimFingerprint returns the fingerprint that a claim stores. It includes the service, to which the claim belongs.
 func (q *request) claimFingerprint() []byte { return q.digest(q.route.Service).Bytes() }
 
