Take an answer without a length for broken if a write of the request learnt of the reset

Seen: a backend server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written; clients got the part as a complete answer.

Cause: the kernel reports a reset to the first call on the socket. If that is the write of the upload, the read of the answer finds the end of the connection, as after a clean close.

Change: connections to backend servers remember the error of a write, and a read at the end of the connection fails then. A write that is running is waited for if the socket was reset. EPIPE does not count: it follows a clean close, after which the answer is complete.

TestCloseDuringAnUploadIsComplete guards the other side.

--- a/internal/gate/connections.go
+++ b/internal/gate/connections.go
@@ -108,7 +108,7 @@
 func newTransport(maxHeaderBytes int64) *http.Transport {
 	dialer := netopt.Dialer(backendDialTimeout)
 	return &http.Transport{
-		DialContext:        dialer.DialContext,
+		DialContext:        dialBackendConn(dialer.DialContext),
 		DisableCompression: true,
 		IdleConnTimeout:    backendIdleTimeout,
 
--- a/internal/gate/truncated_test.go
+++ b/internal/gate/truncated_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,3 +131,99 @@
 		}
 	}
 }
+
+// Guards against a response without a length that is reset while the request body is still being written, and looks complete:
+// the write learns of the reset, and the read then finds the end of the connection.
+func TestResetDuringAnUploadIsNotComplete(t *testing.T) {
+	const plays, uploadBytes, pieceBytes = 240, 2 << 20, 16 << 10
+	var running sync.WaitGroup
+	limit := make(chan struct{}, 24)
+	var complete, answered atomic.Int32
+	for i := range plays {
+		limit <- struct{}{}
+		running.Go(func() {
+			defer func() { <-limit }()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer listener.Close()
+			bodyBytes := []int{100, 5000, 70_000}[i%3]
+			go serveTruncated(listener, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+strings.Repeat("x", bodyBytes), true)
+			g := newGate(t, http.NotFoundHandler())
+			g.SetBackend(&Backend{ID: "katalog-1", Service: "katalog", Address: listener.Addr().String()})
+			h := requestHead(1)
+			h.ContentLength, h.Streamed, h.DeadlineMs = uploadBytes, true, 20_000
+			conn := serveAttempt(t, g, h)
+			go func() {
+				piece := make([]byte, pieceBytes)
+				for range uploadBytes / pieceBytes {
+					if conn.Write(&wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: piece}}}) != nil {
+						return
+					}
+					time.Sleep(time.Duration(i%5) * 500 * time.Microsecond)
+				}
+				_ = conn.Write(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}})
+			}()
+			v, whole := answerVerdict(t, conn.Read)
+			if whole {
+				complete.Add(1)
+			}
+			if v != verdict.NotRun {
+				answered.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	if complete.Load() > 0 || answered.Load() != plays {
+		t.Errorf("%d of %d responses were passed on as complete, %d requests may have run", complete.Load(), plays, answered.Load())
+	}
+}
+
+// Guards against a complete response without a length that counts as broken because the request body is still being written.
+func TestCloseDuringAnUploadIsComplete(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		t.Run(fmt.Sprintf("server reads on %t", reads), func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			answered, served := make(chan struct{}), make(chan struct{})
+			t.Cleanup(func() {
+				listener.Close()
+				<-served
+			})
+			go func() {
+				defer close(served)
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole"))
+				_ = conn.(*net.TCPConn).CloseWrite()
+				if !reads {
+					<-answered
+				}
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+			g := newGate(t, http.NotFoundHandler())
+			g.SetBackend(&Backend{ID: "katalog-1", Service: "katalog", Address: listener.Addr().String()})
+			h := requestHead(1)
+			h.ContentLength, h.Streamed = 16<<20, true
+			conn := serveAttempt(t, g, h)
+			go func() {
+				for piece := make([]byte, 16<<10); conn.Write(&wire.Frame{Kind: &wire.Frame_Chunk{Chunk: &wire.Chunk{Data: piece}}}) == nil; {
+				}
+			}()
+			start := time.Now()
+			defer close(answered)
+			if v, complete := answerVerdict(t, conn.Read); !complete || time.Since(start) > time.Second {
+				t.Errorf("verdict %v, complete %t after %v; want a complete response", v, complete, time.Since(start))
+			}
+		})
+	}
+}
