--- a/internal/httpconn/stream.go
+++ b/internal/httpconn/stream.go
@@ -211,3 +211,15 @@
 	s, ok := ctx.Value(streamContextKey{}).(*stream)
 	return !ok || s.conn.mayClose(s)
 }
+
+// ResetOnClose makes the close of the connection of the request with context ctx a reset. Callers of HTTP/1.0 take a clean
+// close for the end of a response without a length.
+func ResetOnClose(ctx context.Context) {
+	s, ok := ctx.Value(streamContextKey{}).(*stream)
+	if !ok {
+		return
+	}
+	if socket, ok := s.conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // fails only if the connection has ended
+	}
+}
