--- a/internal/ingress/http10_test.go
+++ b/internal/ingress/http10_test.go
@@ -25,7 +25,9 @@
 		t.Fatal(err)
 	}
 	server := &http.Server{Handler: p.ingress, ConnContext: httpconn.Context}
-	go func() { _ = server.Serve(httpconn.NewListener(listener.(*net.TCPListener), slog.New(slog.DiscardHandler))) }()
+	go func() {
+		_ = server.Serve(httpconn.NewListener(listener.(*net.TCPListener), slog.New(slog.DiscardHandler)))
+	}()
 	t.Cleanup(func() { _ = server.Close() })
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
