Keep the rest of a long body unchanged while an early answer is relayed

Cause: the ingress forwards the rest of the body while it relays the answer, and net/http discards unread parts of a body before it sends the head of a response. Both read the same body in turn.

Change: the ingress enables full duplex before it sends the head, if it has begun to forward the rest.

--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -344,3 +344,56 @@
 		t.Errorf("without a trial: status %d, Retry-After %q", status, retryAfter)
 	}
 }
+
+// Guards against a backend server that answers before it has read a long body and then gets other bytes in place of the rest: the
+// HTTP server discards unread parts of a body before it sends the head of a response, unless told otherwise.
+func TestEarlyResponseLeavesTheBodyUnchanged(t *testing.T) {
+	const pieces, pieceBytes = 24, 8 << 10
+	for _, chunked := range []bool{true, false} {
+		t.Run(fmt.Sprintf("chunked %t", chunked), func(t *testing.T) {
+			received := make(chan string, 1)
+			p := newRequestPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+					t.Error(err)
+				}
+				_, _ = io.WriteString(w, strings.Repeat("y", 1<<20))
+				body, err := io.ReadAll(r.Body)
+				if err != nil {
+					body = append(body, err.Error()...)
+				}
+				received <- string(body)
+			}), nil)
+			var sent strings.Builder
+			body, writer := io.Pipe()
+			go func() {
+				for i := range pieces {
+					piece := strings.Repeat(string(rune('a'+i)), pieceBytes)
+					sent.WriteString(piece)
+					if _, err := io.WriteString(writer, piece); err != nil {
+						return
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+				_ = writer.Close()
+			}()
+			req, err := http.NewRequest(http.MethodPut, p.caller.URL+"/echo", body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !chunked {
+				req.ContentLength = pieces * pieceBytes
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if n, err := io.Copy(io.Discard, resp.Body); n != 1<<20 || err != nil {
+				t.Errorf("response of %d bytes, error %v", n, err)
+			}
+			if got := <-received; got != sent.String() {
+				t.Errorf("the backend server got %d bytes of %d, or others", len(got), sent.Len())
+			}
+		})
+	}
+}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -51,6 +51,11 @@
 	}
 	in.closeIfDraining(w, q.httpRequest)
 	q.responseStarted = true
+	if q.bodyRestUsed {
+		// Keeps net/http from discarding the part of the body that streamBody still reads. It fails only for writers that never
+		// discard any.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	writeHead(w, resp.head)
 	if resp.retained != nil {
 		_, _ = w.Write(resp.retained.Body)
