Read what a caller still sends before the connection closes after its last answer

Cause: the connection was closed with unread bytes, which the kernel answers with a reset, and it drops what it has not sent yet of the answer.

Change: after the last answer the connection closes its write side and discards what still comes, for at most 5 s and 1 s without bytes; a drain waits for it. Answers that broke off still close the connection at once, and reset it for HTTP/1.0.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -18,6 +18,10 @@
 	// maxBufferedOutput bounds the response bytes that are buffered for one request while an earlier request of the
 	// connection is unanswered. Beyond that, writes of the response block.
 	maxBufferedOutput = 256 << 10
+	// lingerQuiet is the time without bytes from the caller after which a connection that closes after its last response is closed
+	// for good, maxLinger the longest time until then.
+	lingerQuiet = time.Second
+	maxLinger   = 5 * time.Second
 	// maxConcurrentRequests bounds the requests of one connection that are served concurrently.
 	maxConcurrentRequests = 16
 )
@@ -36,7 +40,9 @@
 	changed    *sync.Cond // any of the fields below, or of a stream, has changed
 	readBuffer []byte     // read from the socket and not yet dispatched to a stream
 	err        error      // why reading has ended: closed by the caller or locally
-	closed     bool       // the socket is closed
+	closed     bool       // the socket is closed, or is about to be by readLoop
+	readEnded  bool       // readLoop reads no more
+	lingering  bool       // readLoop discards what the caller still sends before it closes the socket
 	primary    *stream
 	// pending holds the streams that serve a request, in the order of the requests. A stream whose response is
 	// complete stays until the responses before it have been sent.
@@ -62,13 +68,34 @@
 
 // readLoop reads from the socket until the connection ends.
 func (c *conn) readLoop() {
+	chunk := make([]byte, readChunkSize)
+	defer c.linger(chunk)
 	defer c.cancelRequests()
 	defer c.recoverRead()
-	chunk := make([]byte, readChunkSize)
 	for c.readChunk(chunk) {
 	}
 }
 
+// linger reads and discards what the caller still sends, if the connection lingers, and then closes the socket. The kernel resets
+// a connection that is closed with unread bytes, and drops what it has not sent yet of the last response.
+func (c *conn) linger(chunk []byte) {
+	c.mu.Lock()
+	c.readEnded = true
+	lingering := c.lingering
+	c.mu.Unlock()
+	if !lingering {
+		return
+	}
+	defer c.listener.endLinger()
+	for end := time.Now().Add(maxLinger); time.Now().Before(end); {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerQuiet)) // fails only if the socket is closed
+		if _, err := c.Conn.Read(chunk); err != nil {
+			break
+		}
+	}
+	_ = c.Conn.Close() // an error changes nothing: the connection is over either way
+}
+
 // readChunk reads once from the socket, into chunk, and reports whether the connection goes on.
 func (c *conn) readChunk(chunk []byte) bool {
 	n, err := c.Conn.Read(chunk)
@@ -245,11 +272,11 @@
 		c.pending = c.pending[1:]
 		s.active, s.mayWrite = false, false
 		if s.closeAfterResponse {
-			c.closeSocket()
+			c.closeAfterResponse(s)
 		}
 	}
 	if c.primary.closed {
-		c.closeSocket()
+		c.closeAfterResponse(c.primary)
 	}
 	c.primary.restartReadDeadline()
 	c.dispatch()
@@ -267,6 +294,23 @@
 	return true
 }
 
+// closeAfterResponse ends the connection after the response of s, its last one: it closes the write side, and readLoop closes the
+// socket once the caller sends no more. It is called with mu held.
+func (c *conn) closeAfterResponse(s *stream) {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.closed || c.readEnded || s.aborted || !ok || closer.CloseWrite() != nil {
+		c.closeSocket()
+		return
+	}
+	c.closed, c.lingering = true, true
+	if c.err == nil {
+		c.err = net.ErrClosed
+	}
+	c.listener.startLinger()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerQuiet)) // for a read that waits
+	c.changed.Broadcast()
+}
+
 // closeSocket closes the socket. It is called with mu held.
 func (c *conn) closeSocket() {
 	if c.closed {
--- a/internal/httpconn/listener.go
+++ b/internal/httpconn/listener.go
@@ -51,6 +51,7 @@
 	closeErr    error         // error of closing tcp; valid once acceptDone is closed
 	// PipelinedRequests counts the requests that started while an earlier request of their connection was unanswered.
 	PipelinedRequests atomic.Int64
+	lingering         atomic.Int64 // connections that have sent their last response and are not closed yet
 	mu                sync.Mutex
 	activeConns       map[net.Conn]struct{}
 	pendingStreams    []*stream // additional streams of connections, to be returned by Accept
@@ -202,6 +203,17 @@
 	delete(l.activeConns, c)
 }
 
+func (l *Listener) startLinger() { l.lingering.Add(1) }
+
+func (l *Listener) endLinger() { l.lingering.Add(-1) }
+
+// WaitLingering waits until the connections that have sent their last response are closed, or ctx ends. A process that ends
+// before may reset them while they still send it.
+func (l *Listener) WaitLingering(ctx context.Context) {
+	for l.lingering.Load() > 0 && sleep.For(ctx, idlePollInterval) {
+	}
+}
+
 // WaitIdle waits until no connection has been active for idlePeriod. It returns earlier when limit has passed or ctx
 // ends.
 func (l *Listener) WaitIdle(ctx context.Context, limit time.Duration) {
--- a/internal/httpconn/pipeline_test.go
+++ b/internal/httpconn/pipeline_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -278,3 +279,46 @@
 		t.Errorf("AwaitEarlierResponses for a request without a stream: %v", err)
 	}
 }
+
+// Guards against a last response that is cut off by a reset because the caller has sent another request behind it, and against
+// connections that are not closed in the end.
+func TestLastResponseIsNotResetByLaterBytes(t *testing.T) {
+	const responseBytes = 8 << 20
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewListener(tcp.(*net.TCPListener), slog.New(slog.DiscardHandler))
+	server := &http.Server{ConnState: l.TrackState, ConnContext: Context, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Length", strconv.Itoa(responseBytes))
+		_, _ = w.Write(make([]byte, responseBytes))
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for i := range 8 {
+		caller, err := net.Dial("tcp", tcp.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer caller.Close()
+		_ = caller.SetDeadline(time.Now().Add(10 * time.Second))
+		go func() {
+			_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n")
+			_, _ = caller.Write(make([]byte, 300_000))
+		}()
+		time.Sleep(time.Duration(i) * 10 * time.Millisecond) // the server waits for the caller to read
+		resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, resp.Body); n != responseBytes || err != nil {
+			t.Errorf("%d bytes of %d, error %v", n, responseBytes, err)
+		}
+	}
+	start := time.Now()
+	l.WaitLingering(t.Context())
+	if took := time.Since(start); took > maxLinger || l.lingering.Load() != 0 {
+		t.Errorf("%d connections linger after %v", l.lingering.Load(), took)
+	}
+}
--- a/internal/httpconn/readahead_test.go
+++ b/internal/httpconn/readahead_test.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	accepted = newConn(raw, nil).primary
+	accepted = newConn(raw, &Listener{}).primary
 	t.Cleanup(func() { _ = caller.Close(); _ = accepted.Close() })
 	return caller, accepted
 }
--- a/internal/httpconn/stream.go
+++ b/internal/httpconn/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"time"
 )
@@ -21,6 +22,7 @@
 	responseDone       bool // the server has written the response or closed the stream
 	closeAfterResponse bool // the connection closes after its response
 	closed             bool
+	aborted            bool   // its response has broken off
 	cancel             func() // cancels the context that Context returned
 
 	deadline      time.Time
@@ -100,7 +102,7 @@
 	}
 	unanswered := s.mayWrite && !s.responseDone
 	if unanswered || s == c.primary && len(c.pending) == 0 {
-		c.closeSocket()
+		c.closeAfterResponse(s)
 	}
 	c.changed.Broadcast()
 	return nil
@@ -212,14 +214,17 @@
 	return !ok || s.conn.mayClose(s)
 }
 
-// ResetOnClose makes the close of the connection of the request with context ctx a reset. Callers of HTTP/1.0 take a clean
-// close for the end of a response without a length.
-func ResetOnClose(ctx context.Context) {
-	s, ok := ctx.Value(streamContextKey{}).(*stream)
+// AbortResponse makes the close of the connection show that the response to a request has broken off. Callers of HTTP/1.0 take a
+// clean close for the end of a response without a length, so that the connection is reset.
+func AbortResponse(r *http.Request) {
+	s, ok := r.Context().Value(streamContextKey{}).(*stream)
 	if !ok {
 		return
 	}
-	if socket, ok := s.conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+	s.conn.mu.Lock()
+	s.aborted = true
+	s.conn.mu.Unlock()
+	if socket, ok := s.conn.Conn.(interface{ SetLinger(seconds int) error }); ok && !r.ProtoAtLeast(1, 1) {
 		_ = socket.SetLinger(0) // fails only if the connection has ended
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -286,9 +286,7 @@
 func (in *Ingress) writeFailure(w http.ResponseWriter, r *http.Request, err error) {
 	if errors.Is(err, http.ErrAbortHandler) {
 		in.Counters.Aborted.Add(1)
-		if !r.ProtoAtLeast(1, 1) {
-			httpconn.ResetOnClose(r.Context())
-		}
+		httpconn.AbortResponse(r)
 		panic(http.ErrAbortHandler)
 	}
 	in.Counters.Failed.Add(1)
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -75,6 +75,7 @@
 			n.ingress.LimitDeadlines(deadline.Add(-withdrawLeadTime))
 		}
 		_ = n.servers[0].Shutdown(ctx)
+		n.ingressListener.WaitLingering(ctx)
 	}
 	n.ingress.Wait()
 }
