Test the size of a listed fleet with a node that writes its address later

Cause: the ID of the node was its random address, from which the time is derived at which it may write its address to the store. In about one of 15 runs it wrote it and read the list again within the second that the test waits, and counted itself, as it should.

Change: the test draws an ID with a later time. Its expectations are as before.

--- a/internal/node/counted_test.go
+++ b/internal/node/counted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"slices"
 	"testing"
@@ -42,6 +43,7 @@
 			}
 			s := settings.LoopbackDefaults()
 			s.Peer.Listen = address
+			s.NodeID = lateWriterID()
 			s.RateLimit = settings.RateLimit{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20}
 			n, err := New(Options{Settings: s, Store: store})
 			if err != nil {
@@ -65,6 +67,16 @@
 	}
 }
 
+// lateWriterID returns the ID of a node that writes its address to the store only after ratelimit.ParticipationDelay/2.
+func lateWriterID() string {
+	for i := 0; ; i++ {
+		n := &Node{settings: settings.Settings{NodeID: fmt.Sprint("node-", i)}}
+		if n.bootstrapDelay() > max(ratelimit.ParticipationDelay/2, bootstrapWindow*3/4) {
+			return n.settings.NodeID
+		}
+	}
+}
+
 // Guards against a list in the store that shrinks while all nodes restart, so that those that start later count too few nodes
 // or are refused a part in the rate limits; and against a change of deployments without them.
 func TestStartingNodeKeepsTheList(t *testing.T) {
