Name the wait before a write of the quarantine by what it tells

Cause: the variable was called written although nothing has been written yet. Change: a rename. Result: the tests of the quarantine in internal/node pass.

--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -281,9 +281,9 @@
 		return
 	}
 	n.background(func() {
-		written := sleep.For(n.ctx, quarantineWriteDelay)
+		waited := sleep.For(n.ctx, quarantineWriteDelay)
 		n.quarantineWritePending.Store(false)
-		if written && (n.quarantineEnded.Swap(false) || len(n.quarantine.RefusedEntries(time.Now())) > 0) {
+		if waited && (n.quarantineEnded.Swap(false) || len(n.quarantine.RefusedEntries(time.Now())) > 0) {
 			n.storeQuarantine()
 		}
 	})
