Check the number of trials of an entry before computing the next delay

Cause: the delay of the next trial was computed in a loop over the number of trials, which an entry of another node or of the record states. With the largest number the loop held the lock of the quarantine for 1.6 s, for each request with that fingerprint. Found by reading the change.

Change: the limit of trials is checked first. The result is the same.

Result: TestManyTrialsOfAnotherNode failed before (1.56 s, allowed 0.1 s) and passes; all tests of internal/retry and the quarantine tests of internal/node pass.

--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -129,12 +129,15 @@
 
 // trialDelay returns the time from the last crash or trial to the next trial, or false if no trial may follow.
 func (e *entry) trialDelay() (time.Duration, bool) {
-	delay := firstTrialDelay
 	used := e.trials - min(e.trials, e.clearedTrials)
+	if used >= maxTrials {
+		return 0, false
+	}
+	delay := firstTrialDelay
 	for range used {
 		delay *= trialDelayFactor
 	}
-	return delay, used < maxTrials
+	return delay, true
 }
 
 // crashCount returns the number of distinct crashes since the latest response to the request: one that only ran at the
--- a/internal/retry/quarantine_cleared_test.go
+++ b/internal/retry/quarantine_cleared_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
+
+	"dandelionspoke/internal/wire"
 )
 
 // Guards against quarantining a frequent request that only ran at the same time as one that crashes backend
@@ -86,3 +89,17 @@
 		t.Errorf("fingerprints %x, of two callers %x and %x", f, a, b)
 	}
 }
+
+// Guards against an entry of another node with a huge number of trials that holds the table for seconds.
+func TestManyTrialsOfAnotherNode(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := FingerprintOf("GET", "/crash", nil)
+	q := NewQuarantine(2, time.Minute)
+	q.Merge([]*wire.QuarantineEntry{{
+		Fingerprint: f.Bytes(), ExpiresUnixMs: uint64(now.Add(time.Minute).UnixMilli()), Deaths: 2, Victims: []uint64{1, 2}, Trials: math.MaxUint32,
+	}}, now)
+	start := time.Now()
+	if _, ok := q.TrialWait([]Fingerprint{f}, now); ok || time.Since(start) > 100*time.Millisecond {
+		t.Errorf("trial %t after %v; want none at once", ok, time.Since(start))
+	}
+}
