Check the deadline of a request at the write of its first byte

Cause: the gate checked the deadline when a request got its slot. If the process was paused after that, while a connection was dialed or before the transport wrote, the request was sent when the process went on: the timer of its context was late, and the transport does not look at it again. The node had 8 requests in flight at the pause, as many as it has slots.

Change: the write of the first byte asks a guard, which compares the deadline with the steady clock and the time of day, and which the end of the attempt revokes. A request that is stopped there has not run. The check at the slot uses both clocks too.

Ruled out: data read after the 250 ms for which requests are refused after a pause; all refusals came within 1 ms.

Result: the new test fails without the change in its cases "paused" and "suspended".

--- a/internal/gate/conn.go
+++ b/internal/gate/conn.go
@@ -30,6 +30,7 @@
 	net.Conn
 
 	mu       sync.Mutex
+	guard    *sendGuard // of the request whose first byte the next write sends; nil if it has been asked
 	writing  int
 	idle     chan struct{} // closed when writing falls to 0; nil while no read waits for that
 	writeErr error         // first error of a write; nil for one after a clean close of the other direction
@@ -46,11 +47,26 @@
 	}
 }
 
+// guardNextWrite makes the next write ask guard first.
+func (c *backendConn) guardNextWrite(guard *sendGuard) {
+	c.mu.Lock()
+	c.guard = guard
+	c.mu.Unlock()
+}
+
 // Write implements net.Conn.
 func (c *backendConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.writing++
+	guard := c.guard
+	c.guard = nil
 	c.mu.Unlock()
+	if guard != nil {
+		if err := guard.begin(time.Now()); err != nil {
+			c.endWrite(err)
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Write(p)
 	c.endWrite(err)
 	return n, err
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -9,7 +9,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"dandelionspoke/internal/verdict"
@@ -29,10 +28,9 @@
 // forward sends the request to the backend server and streams the response to the ingress. The slot must be held until
 // forward returns; by then the response has ended or the connection is closed.
 func (c *call) forward(ctx context.Context, backend *Backend, body io.ReadCloser) error {
-	var mayBeSent atomic.Bool
+	guard := newSendGuard(ctx)
 	trace := &httptrace.ClientTrace{
-		// From here on bytes may reach the backend server.
-		GotConn: func(httptrace.GotConnInfo) { mayBeSent.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*backendConn).guardNextWrite(guard) },
 	}
 	req, err := c.backendRequest(httptrace.WithClientTrace(ctx, trace), backend, body)
 	if err != nil {
@@ -60,10 +58,11 @@
 	c.reserved = false
 	resp, err := conn.transport.RoundTrip(req)
 	if err != nil {
-		if !mayBeSent.Load() {
+		mayBeSent := guard.revoke()
+		if !mayBeSent {
 			c.gate.cancelSend(sentAt)
 		}
-		return c.roundTripError(ctx, backend, err, mayBeSent.Load())
+		return c.roundTripError(ctx, backend, err, mayBeSent)
 	}
 	defer resp.Body.Close()
 	c.backendStatus = resp.StatusCode
@@ -156,8 +155,8 @@
 // reached the backend server.
 func (c *call) roundTripError(ctx context.Context, backend *Backend, err error, mayBeSent bool) error {
 	if !mayBeSent {
-		if ctx.Err() != nil {
-			return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "ended before a connection to the backend server was ready")
+		if ctx.Err() != nil || errors.Is(err, errExpired) {
+			return verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "ended before it was sent to the backend server")
 		}
 		return verdict.New(verdict.NotRun, verdict.BackendDown, "%v", err)
 	}
--- a/internal/gate/pause.go
+++ b/internal/gate/pause.go
@@ -49,3 +49,8 @@
 func elapsedBetween(from, to time.Time) time.Duration {
 	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
 }
+
+// hasPassed reports whether a deadline has passed on the steady clock or on the time of day, for the same reason.
+func hasPassed(deadline, now time.Time) bool {
+	return !now.Before(deadline) || !now.Round(0).Before(deadline.Round(0))
+}
--- a/internal/gate/pause_test.go
+++ b/internal/gate/pause_test.go
@@ -1,11 +1,13 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/steadytest"
 	"dandelionspoke/internal/verdict"
 	"dandelionspoke/internal/wire"
@@ -70,3 +72,47 @@
 		t.Errorf("after the hold: verdict %v, complete %t", v, complete)
 	}
 }
+
+// pausedContext is the context of a request after a pause of the process: its deadline has passed, and its timer is late.
+type pausedContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c pausedContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// Guards against a node that is paused after it has admitted a request, and sends it after its deadline.
+func TestRequestsAdmittedBeforeAPauseAreNotSent(t *testing.T) {
+	var runs atomic.Int32
+	g := newGate(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	tests := []struct {
+		name     string
+		deadline time.Time
+		want     verdict.Verdict
+	}{
+		{"in time, on a new connection", time.Now().Add(time.Minute), verdict.Ran},
+		{"in time", time.Now().Add(time.Minute), verdict.Ran},
+		{"paused", time.Now().Add(-time.Second), verdict.NotRun},
+		{"suspended", steadytest.StepTimeOfDay(time.Now().Add(time.Minute), -2*time.Minute), verdict.NotRun},
+	}
+	for i, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			client, server := peer.Pipe(&peer.Remote{Instance: 1})
+			defer client.Close()
+			defer server.Close()
+			go func() {
+				for _, err := client.Read(); err == nil; _, err = client.Read() {
+				}
+			}()
+			c := &call{gate: g, conn: server, head: requestHead(uint64(i)), body: newRequestBody(), recorder: newResponseRecorder(false, 0)}
+			before := runs.Load()
+			got := verdict.Ran
+			if err := c.forward(pausedContext{context.Background(), test.deadline}, g.Backend(), c.body); err != nil {
+				got = verdict.Of(err)
+			}
+			if ran := runs.Load() > before; got != test.want || ran != (test.want == verdict.Ran) {
+				t.Errorf("verdict %v, ran %t, want %v", got, ran, test.want)
+			}
+		})
+	}
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -124,7 +124,7 @@
 	}
 	c.ticket, c.holdsSlot = ticket, true
 	admittedAt := time.Now()
-	if !admittedAt.Before(deadline) {
+	if hasPassed(deadline, admittedAt) {
 		// The process may have been paused while the request waited, and the timer of ctx is late.
 		c.releaseSlot(0)
 		c.releaseSend()
