Ask draining endpoints for their state again

Cause: a gate whose backend server has a closed port states that it drains. An endpoint that drains gets neither requests nor probes, so that no later report could contradict the statement. If the backend server was back before its announcement ended after 5 s, the endpoint stayed in the list and was never asked again.

Change: endpoints that state that they drain are probed each 500 ms, within the limits of probes. If a service has no other endpoint, the statement counts for 1 s and the next request is sent.

Ruled out: the evacuation, which all nodes knew to have ended within 2 ms; the ejection, which ended after 2 s.

--- a/internal/balance/control_test.go
+++ b/internal/balance/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -149,6 +150,7 @@
 			pp.ObserveRequests(n)
 			fresh := svc.Endpoints[rng.IntN(len(svc.Endpoints))]
 			ObserveReport(fresh.Stats, now, &wire.Load{})
+			svc.Endpoints[0].Stats.Draining.Store(n%2 == 0 && fresh != svc.Endpoints[0])
 			for _, e := range pp.Plan(now, rng, svc, nil) {
 				if e == fresh {
 					t.Fatal("an endpoint with a fresh report was probed")
@@ -190,6 +192,53 @@
 	}
 }
 
+// Guards against an endpoint that is never used again because its last report states that it drains, and no request or probe
+// brings another report.
+func TestDrainingEndpointsAreProbed(t *testing.T) {
+	var b bundle.Bundle
+	b.SetDefaults()
+	svc := newService(4, 0, 4)
+	draining := svc.Endpoints[1]
+	pp := NewProbePlanner(testNow, b.Policy, 100)
+	var probed []time.Duration
+	for at := time.Duration(0); at < 5*time.Second; at += 50 * time.Millisecond {
+		now := testNow + int64(at)
+		draining.Stats.Draining.Store(true)
+		pp.ObserveRequests(3)
+		if slices.Contains(pp.Plan(now, newRNG(uint64(at)), svc, nil), draining) {
+			probed = append(probed, at)
+		}
+	}
+	if len(probed) < 5 || len(probed) > 10 {
+		t.Errorf("probed at %v, want about every %v", probed, drainingProbeInterval)
+	}
+}
+
+// Guards against a service without endpoints for longer than a report counts, because all of them once stated that they drain.
+func TestDrainingEndpointsAreTriedIfThereIsNoOther(t *testing.T) {
+	svc, picker := newService(2), newPicker(t, Dandelionspoke)
+	for _, e := range svc.Endpoints {
+		ObserveReport(e.Stats, testNow, &wire.Load{Draining: true})
+	}
+	svc.Endpoints[1].Stats.Suspect.Store(true)
+	for _, test := range []struct {
+		age  time.Duration
+		want int
+	}{{drainingReportValid / 2, None}, {drainingReportValid, 0}} {
+		now := testNow + int64(test.age)
+		ExpireDraining(now, svc)
+		if got := picker.Pick(now, newRNG(1), svc, 0, false); got != test.want {
+			t.Errorf("after %v: endpoint %d, want %d", test.age, got, test.want)
+		}
+	}
+	ObserveReport(svc.Endpoints[0].Stats, testNow, &wire.Load{Draining: true})
+	svc.Endpoints[1].Stats.Suspect.Store(false)
+	ExpireDraining(testNow+int64(time.Minute), svc)
+	if !svc.Endpoints[0].Stats.Draining.Load() {
+		t.Error("a draining endpoint gets requests although there is another one")
+	}
+}
+
 func newEndpoints(count, perDomain int) []*table.Endpoint {
 	var all []*table.Endpoint
 	for i := range count {
--- a/internal/balance/probe.go
+++ b/internal/balance/probe.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,12 @@
 	maxFreshReportAge = 25 * time.Millisecond
 	// minProbeInterval is the minimum time between two probes of one endpoint.
 	minProbeInterval = 25 * time.Millisecond
+	// drainingProbeInterval is the time between two probes of an endpoint whose last report states that it accepts no
+	// requests. Without a probe no later report would arrive.
+	drainingProbeInterval = 500 * time.Millisecond
+	// drainingReportValid is the age up to which a report that an endpoint drains is taken for current if there is no other
+	// endpoint.
+	drainingReportValid = time.Second
 	// probeBurstWindow is the time over which unused budget accumulates.
 	probeBurstWindow = 100 * time.Millisecond
 	// probesPerRequest limits the probes to a share of this node's requests. With two messages each,
@@ -134,6 +141,20 @@
 // Counts returns the messages and bytes planned so far.
 func (pp *ProbePlanner) Counts() ProbeCounts { return pp.counts }
 
+// ExpireDraining makes the endpoints of svc whose report is older than drainingReportValid accept requests again, if it has no
+// live endpoint. The next request to each shows whether it still drains. Probes alone could take long to show it, since they are
+// limited to a share of the requests.
+func ExpireDraining(now int64, svc *table.Service) {
+	if slices.ContainsFunc(svc.Endpoints, func(e *table.Endpoint) bool { return isLive(e.Stats) }) {
+		return
+	}
+	for _, e := range svc.Endpoints {
+		if now-e.Stats.ReportedAt.Load() >= int64(drainingReportValid) {
+			e.Stats.Draining.Store(false)
+		}
+	}
+}
+
 // ObserveRequests adds n requests that this node has sent since the last call. Probes are limited to
 // a share of them, so that an idle node does not probe.
 func (pp *ProbePlanner) ObserveRequests(n int) {
@@ -143,8 +164,13 @@
 // Plan appends to out the endpoints of svc to probe at now, and charges them to the budget. The
 // caller plans the services to which it sent requests in the last second, in random order, and sends
 // one Probe to each endpoint returned. Plan starts at a random position, so that no endpoint is starved
-// when the budget is short.
+// when the budget is short; draining endpoints come first, since they are probed rarely.
 func (pp *ProbePlanner) Plan(now int64, rng *rand.Rand, svc *table.Service, out []*table.Endpoint) []*table.Endpoint {
+	out = pp.planWhere(needsDrainingProbe, now, rng, svc, out)
+	return pp.planWhere(needsProbe, now, rng, svc, out)
+}
+
+func (pp *ProbePlanner) planWhere(needed func(int64, *table.Stats) bool, now int64, rng *rand.Rand, svc *table.Service, out []*table.Endpoint) []*table.Endpoint {
 	n := len(svc.Endpoints)
 	if n == 0 {
 		return out
@@ -156,7 +182,7 @@
 		}
 		e := svc.Endpoints[(offset+k)%n]
 		crossRegion := e.Locality == table.OtherRegion
-		if !needsProbe(now, e.Stats) || !pp.allows(now, crossRegion) {
+		if !needed(now, e.Stats) || !pp.allows(now, crossRegion) {
 			continue
 		}
 		pp.charge(crossRegion)
@@ -166,6 +192,12 @@
 	return out
 }
 
+// needsDrainingProbe reports whether the endpoint gets no requests because its last report states that it drains, and is due
+// for a probe that shows whether it still does.
+func needsDrainingProbe(now int64, s *table.Stats) bool {
+	return s.Draining.Load() && !s.Suspect.Load() && now-s.ProbedAt.Load() >= int64(drainingProbeInterval)
+}
+
 // needsProbe reports whether the endpoint gets ordinary requests and has neither a fresh report nor a recent probe.
 func needsProbe(now int64, s *table.Stats) bool {
 	if !isLive(s) || isEjected(s) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -66,14 +66,18 @@
 // onTick runs in the engine loop on each tick.
 func (n *Node) onTick(now time.Time, snapshot *table.Snapshot) {
 	n.gate.Tick(now)
-	n.ejectOutliers(now, snapshot)
+	n.updateEndpoints(now, snapshot)
 }
 
-func (n *Node) ejectOutliers(now time.Time, snapshot *table.Snapshot) {
+// updateEndpoints ends statements that endpoints drain, and ejects outliers.
+func (n *Node) updateEndpoints(now time.Time, snapshot *table.Snapshot) {
 	if snapshot == nil || snapshot.Bundle == nil {
 		return
 	}
 	for _, svc := range snapshot.Services {
+		for view := range svc.WithViews() {
+			balance.ExpireDraining(steady.Nanos(now), view)
+		}
 		for _, e := range balance.EjectService(steady.Nanos(now), svc, snapshot.Bundle.Policy) {
 			n.logger.Info("endpoint ejection changed", "event", "ejection", "service", svc.Name,
 				"endpoint", e.Endpoint.ID, "reason", e.Reason, "until", steady.Time(e.Until))
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -193,6 +193,40 @@
 	return resp.StatusCode, string(body)
 }
 
+// Guards against a backend server that gets no requests any more after a crash, because its node has stated meanwhile that it
+// accepts none. It is back before its announcement ends, so that its endpoint stays in the list.
+func TestBackendServerIsUsedAgainAfterACrash(t *testing.T) {
+	for _, size := range []int{1, 3} {
+		t.Run(fmt.Sprint(size, " nodes"), func(t *testing.T) {
+			f := newFleet(t, size)
+			f.waitReady()
+			load := func() {
+				var callers sync.WaitGroup
+				for i := range 16 * size {
+					callers.Go(func() { f.get(f.nodes[i%size], "/preview") })
+				}
+				callers.Wait()
+			}
+			load()
+			f.backends[0].Crash()
+			f.waitFor(4*time.Second, "refused as down", func() bool {
+				load()
+				return f.nodes[0].Dump().(node.Dump).GateLoad.Draining
+			})
+			load() // until all nodes have been refused
+			if err := f.backends[0].Restart(); err != nil {
+				t.Fatal(err)
+			}
+			before := f.nodes[0].Metrics()["gate_ran"]
+			took := f.waitFor(3*time.Second, "requests at the restarted server", func() bool {
+				load()
+				return f.nodes[0].Metrics()["gate_ran"] > before
+			})
+			t.Logf("used again after %v", took)
+		})
+	}
+}
+
 // Guards against a fleet that cannot serve requests through every node, or that does not distribute them.
 func TestFleetServesThroughEveryNode(t *testing.T) {
 	f := newFleet(t, 3)
