Check and adopt a listing of the evacuations in one step

Cause: a node read the list of a store restored from a copy while it knew no evacuation, and adopted it after a message of another node had named one. The check for lost evacuations was made against the set known before the message, and the wait of a starting node for other nodes had ended because of it. The list has the higher generation, so that it ended the evacuation here and, by gossip, at all nodes.

Change: the engine checks the listing against the set that it knows and adopts it in one step. If evacuations are lost, nothing changes; store readers write them again and list once more.

TestReaderLearnsOfALostEvacuationAfterItsList plays the order of events without chance.

--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -64,13 +64,19 @@
 	})
 }
 
-// SetEvacuations merges the set of evacuated failure domains that was read from the store, and sends it to other nodes if it
-// has changed.
-func (e *Engine) SetEvacuations(set evacuation.Set) {
+// ObserveEvacuations merges a listing of the evacuations in the store, and sends the resulting set to other nodes if it has
+// changed. A listing that lacks evacuations because the store was restored from a copy changes nothing; their domains are
+// returned.
+func (e *Engine) ObserveEvacuations(listing evacuation.Listing) (lost []string) {
 	e.update(func(now time.Time) {
-		e.node.SetEvacuations(now, set)
+		known, _ := e.node.Evacuations()
+		if lost = evacuation.Lost(known, listing); len(lost) > 0 {
+			return
+		}
+		e.node.SetEvacuations(now, evacuation.Observe(known, listing))
 		e.publish(now)
 	})
+	return lost
 }
 
 // Evacuations returns the newest set of evacuated failure domains that this node knows.
--- a/internal/evacuation/reader.go
+++ b/internal/evacuation/reader.go
@@ -28,8 +28,9 @@
 	Interval time.Duration
 	// Known returns the newest set that the node knows, from the store or other nodes.
 	Known func() Set
-	// Adopt receives the set after each successful list, also if it has not changed. Calls do not overlap.
-	Adopt func(Set)
+	// Adopt merges a listing into the set that the node knows, in one step with the check that the listing lacks nothing after a
+	// restore of the store. It returns the domains that it lacks; the set does not change then. Calls do not overlap.
+	Adopt func(Listing) (lost []string)
 	// Preferred reports whether a node of the domain is known. If too many evacuations are listed, these are kept first.
 	Preferred func(domain string) bool
 	Log       *slog.Logger
@@ -101,27 +102,43 @@
 	r.Log.Info("evacuations are read again", "event", "evacuations_read")
 }
 
-// refresh lists the store and passes the resulting set to Adopt. Evacuations that a restored store has lost are written
-// again first; until that has succeeded, the set does not change.
+// maxRestoreRounds limits the lists of one refresh. The first one shows what a restored store has lost, and another one what has
+// been written again; a message of another node may meanwhile name one more.
+const maxRestoreRounds = 3
+
+// errStillLost is the error of a refresh after which a restored store still lacks evacuations.
+var errStillLost = errors.New("evacuation: the restored store lacks evacuations that were written again")
+
+// refresh lists the store and adopts the listing. Evacuations that a restored store has lost are written again first; until that
+// has succeeded, the set does not change.
 func (r *Reader) refresh(ctx context.Context) error {
-	listing, err := r.list(ctx)
-	if err == nil {
+	err := r.readAndRestore(ctx)
+	r.before = r.Known()
+	return err
+}
+
+func (r *Reader) readAndRestore(ctx context.Context) error {
+	for range maxRestoreRounds {
+		listing, err := r.list(ctx)
+		if err != nil {
+			return err
+		}
 		before := r.before
 		if known := r.Known(); known.Generation < listing.Generation {
 			before = Merge(before, known)
 		}
-		if lost := Lost(before, listing); len(lost) > 0 {
-			if err = r.restore(ctx, lost); err != nil {
-				return err
-			}
-			listing, err = r.list(ctx)
+		lost := Lost(before, listing)
+		if len(lost) == 0 {
+			lost = r.Adopt(listing)
+		}
+		if len(lost) == 0 {
+			return nil
+		}
+		if err := r.restore(ctx, lost); err != nil {
+			return err
 		}
 	}
-	if err == nil {
-		r.Adopt(Observe(r.Known(), listing))
-	}
-	r.before = r.Known()
-	return err
+	return errStillLost
 }
 
 // restore writes the evacuations of domains again.
--- a/internal/evacuation/reader_test.go
+++ b/internal/evacuation/reader_test.go
@@ -22,6 +22,7 @@
 	generation  uint64
 	silentWatch bool
 	putFails    bool
+	listed      func() // called with mu held after each list
 }
 
 func (s *generationStore) ListAt(ctx context.Context, prefix string) ([]objectstore.Object, objectstore.Position, error) {
@@ -29,6 +30,9 @@
 	defer s.mu.Unlock()
 	objects, position, err := s.Store.ListAt(ctx, prefix)
 	position.Generation = s.generation
+	if s.listed != nil {
+		s.listed()
+	}
 	return objects, position, err
 }
 
@@ -78,10 +82,29 @@
 	return h.set
 }
 
-func (h *holder) adopt(s Set) {
+func (h *holder) adopt(l Listing) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.set = Merge(h.set, s)
+	if lost := Lost(h.set, l); len(lost) > 0 {
+		return lost
+	}
+	h.set = Merge(h.set, Observe(h.set, l))
+	return nil
+}
+
+// Guards against a listing of a restored store that is taken before a message of another node names an evacuation, and ends it
+// because it is adopted afterwards.
+func TestReaderLearnsOfALostEvacuationAfterItsList(t *testing.T) {
+	h := &holder{}
+	store := &generationStore{Store: objectstoretest.New(), generation: 1}
+	store.listed = func() { h.adopt(Listing{Generation: 0, Revision: 9, Domains: []string{"oslo-a"}}) }
+	r := &Reader{Store: store, Known: h.known, Adopt: h.adopt, Log: slog.New(slog.DiscardHandler)}
+	if err := r.refresh(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if got := h.known(); got.Generation != 1 || !got.Contains("oslo-a") {
+		t.Errorf("after the list: %+v", got)
+	}
 }
 
 // playReader runs play beside a reader that lists every 2 s. The channels of the store must belong to the bubble.
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -98,22 +98,22 @@
 	}
 }
 
-// refreshEvacuations merges the set in the store.
+// refreshEvacuations merges the evacuations in the store. If it lacks some after a restore, the store readers write them again.
 func (n *Node) refreshEvacuations(ctx context.Context) error {
 	listing, _, err := evacuation.List(ctx, n.store, n.isKnownDomain)
 	if err == nil {
-		n.adoptEvacuations(evacuation.Observe(n.engine.Evacuations(), listing))
+		n.adoptEvacuations(listing)
 	}
 	return err
 }
 
-// adoptEvacuations merges a set that was read from the store. A store that was restored from a copy may lack evacuations
-// which other nodes have yet to write again, so that a starting node then waits up to restoreSourceWait for one of them.
-func (n *Node) adoptEvacuations(set evacuation.Set) {
+// adoptEvacuations merges a listing of the store, and returns the domains that it lacks after a restore from a copy; it then
+// changes nothing. A starting node that knows no evacuations waits up to restoreSourceWait for a node that does.
+func (n *Node) adoptEvacuations(listing evacuation.Listing) (lost []string) {
 	if !n.evacuationsKnown() && n.storeWasRestored() && n.uptime() < restoreSourceWait {
-		return
+		return nil
 	}
-	n.engine.SetEvacuations(set)
+	return n.engine.ObserveEvacuations(listing)
 }
 
 // storeWasRestored reports whether the store states that it has ever been restored from a copy.
