Store claims again after a restore also if a claim notices it first

Cause: a process stores its claims again when it notices that the generation of the store has risen. The notice was reported once, to the first caller. If an operation of a shard came before the periodic check, only that shard was restored at once, and the others 5 s later, after the hold of unknown keys had ended, so that another owner found the keys free.

Change: the periodic check compares the time of the latest notice with that of the notice it has acted on.

Ruled out: the hold of unknown keys, which ends 5 s after the store was reached, as designed; pauses of the store, which only made the second round later.

--- a/internal/claim/layout.go
+++ b/internal/claim/layout.go
@@ -37,7 +37,7 @@
 // check returns errLayoutMismatch if the store has another number of shards. If it has none, check stores
 // shards as the number. After the first success it does not access the store again, unless the store is restored.
 func (l *layout) check(ctx context.Context, shards int, generation *storeGeneration) error {
-	current, _, _ := generation.observe(time.Now())
+	current, _ := generation.observe(time.Now())
 	isVerified := func() bool { return l.verified.Load() && l.verifiedIn.Load() == current }
 	if isVerified() {
 		return nil
--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -26,24 +26,23 @@
 	return &storeGeneration{stater: stater}
 }
 
-// observe reads the generation that the store's responses have stated, and reports whether it has risen since the last
-// call. fresh is false if the latest response is older than maxGenerationAge.
-func (g *storeGeneration) observe(now time.Time) (current uint64, risen, fresh bool) {
+// observe reads the generation that the store's responses have stated. fresh is false if the latest response is older than
+// maxGenerationAge.
+func (g *storeGeneration) observe(now time.Time) (current uint64, fresh bool) {
 	if g.stater == nil {
-		return 0, false, true
+		return 0, true
 	}
 	stated, known, at := g.stater.Generation()
 	if !known {
-		return 0, false, true
+		return 0, true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	risen = g.known && stated > g.current
-	if risen {
+	if g.known && stated > g.current {
 		g.noticedAt, g.reachedAt = now, time.Time{}
 	}
 	g.current, g.known = max(g.current, stated), true
-	return g.current, risen, now.Sub(at) <= maxGenerationAge
+	return g.current, now.Sub(at) <= maxGenerationAge
 }
 
 // noticed returns the time at which the store was found to have been restored; zero for never.
@@ -89,14 +88,14 @@
 	if s.table == nil {
 		return false
 	}
-	current, _, fresh := s.claimer.shared.generation.observe(now)
+	current, fresh := s.claimer.shared.generation.observe(now)
 	return fresh && current == s.restore.generation
 }
 
 // noteRead records that the table has been read or written. previous is the table that was cached before; it is kept if the
 // store was restored in between.
 func (s *shard) noteRead(now time.Time, previous *table) {
-	current, _, _ := s.claimer.shared.generation.observe(now)
+	current, _ := s.claimer.shared.generation.observe(now)
 	r := &s.restore
 	if n := len(s.base.Writers); n > 0 && !slices.Contains(r.ownWrites, s.base.Writers[n-1]) {
 		r.foreignAt = now
@@ -212,11 +211,19 @@
 // Observe notices a restore of the store, of which any response of the store may have told. It then stores the claims that
 // this process remembers again, in the background, and returns true.
 func (s *ClaimerSet) Observe(now time.Time) bool {
-	if _, risen, _ := s.shared.generation.observe(now); !risen {
-		return false
+	s.shared.generation.observe(now)
+	// An operation of a shard may have noticed the restore before.
+	noticed := s.shared.generation.noticed()
+	s.mu.Lock()
+	isNew := noticed.After(s.verifiedRestore)
+	if isNew {
+		s.verifiedRestore = noticed
+	}
+	s.mu.Unlock()
+	if isNew {
+		s.Verify()
 	}
-	s.Verify()
-	return true
+	return isNew
 }
 
 // Verify reads the shards of which this process knows claims and stores those that the store has lost, in the background.
--- a/internal/claim/restore_test.go
+++ b/internal/claim/restore_test.go
@@ -93,6 +93,33 @@
 	})
 }
 
+// Guards against claims that are not stored again because a claim of another shard is the first to notice the restore.
+func TestRestoreNoticedByAClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectstoretest.New()
+		net := newNetwork(store, 2, 2, 64, 0)
+		defer net.close()
+		owner := net.claimers[0].For("ordre")
+		copied := store.Copy()
+		for i := range 20 {
+			acquireAndComplete(t, owner, fmt.Sprint("lost-", i), "gone")
+		}
+		net.claimers[0].Observe(time.Now())
+		store.Restore(copied)
+		if _, err := owner.Acquire(t.Context(), "next", []byte("digest"), []byte("first")); err != nil {
+			t.Fatal(err)
+		}
+		if !net.claimers[0].Observe(time.Now()) || net.claimers[0].Observe(time.Now()) {
+			t.Error("the owner does not verify its claims exactly once")
+		}
+		synctest.Wait()
+		time.Sleep(unverifiedHold)
+		for i := range 20 {
+			wantHeld(t, net.claimers[1].For("ordre"), fmt.Sprint("lost-", i), verdict.Ran)
+		}
+	})
+}
+
 // Guards against new keys that are held long after a restore because no key of their shard was claimed before.
 func TestHoldEndsForAllShardsTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/claim/services.go
+++ b/internal/claim/services.go
@@ -1,6 +1,9 @@
 package claim
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // ClaimerSet holds one Claimer for each service. They share one bound on cached tables and one write limiter.
 // It is meant for an ingress, which claims keys of every service that it has a route to. It is safe for
@@ -13,6 +16,8 @@
 	mu        sync.Mutex
 	closed    bool
 	byService map[string]*Claimer
+	// verifiedRestore is the notice of the latest restore of the store that Observe has reported.
+	verifiedRestore time.Time
 }
 
 // NewClaimerSet returns an empty set; For adds the claimers. config.Service is ignored.
