--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# Builds the stand-ins that the scripts of review/11 and later start. Run it in the root of the repository, after the build of
-# the deploy file.
+# Builds the stand-ins that the scripts of review/11 to review/15 start: the platform, its store, the endpoints and the clients. Run
+# it in the root of the repository, after the build line of deploy/system.toml.
 set -e
-cd "$(dirname "$0")/.."
-go build -o target/review3-standin ./review/standin3
+cd "$(dirname "$0")/standin3"
+go build -o ../../target/review3-standin .
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -18,6 +19,7 @@
 	revision int64
 	objects  map[string]map[string]*object // by kind and name
 	history  []event
+	silent   bool // calls get no answer
 }
 
 type object struct {
@@ -86,7 +88,27 @@
 	s.changed = make(chan struct{})
 }
 
+// setSilent makes the store answer no calls, nor those that wait, until it is set back.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isSilent() {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http notices a closed connection only after the body
+		<-r.Context().Done()
+		return
+	}
 	path, found := strings.CutPrefix(r.URL.Path, "/objects/")
 	if !found {
 		http.NotFound(w, r)
@@ -158,6 +180,10 @@
 			reply(w, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
 			return
 		}
+		if s.isSilent() {
+			<-r.Context().Done()
+			return
+		}
 		select {
 		case <-changed:
 		case <-timeout:
