--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -66,10 +66,19 @@
 	return d
 }
 
-func freePort(ip string) string {
-	l := listen(ip)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// freePorts returns different free ports of an address, as ip:port, which are free for UDP too.
+func freePorts(ip string, count int) (addresses []string) {
+	for len(addresses) < count {
+		l := listen(ip)
+		defer func() { _ = l.Close() }() // at the return, so that no port is drawn twice
+		udp, err := net.ListenPacket("udp", l.Addr().String())
+		if err != nil {
+			continue
+		}
+		_ = udp.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
 }
 
 // add prepares a machine. start starts it.
@@ -77,7 +86,8 @@
 	n := len(d.machines) + 1
 	ip := fmt.Sprintf("%s.%d", d.network, 10+n)
 	m := &machine{d: d, name: fmt.Sprintf("sidecar-%s-%d", zone, n), zone: zone, region: region, service: service, ip: ip}
-	m.outbound, m.control, m.ready, m.peer, m.admin = freePort(ip), freePort(ip), freePort(ip), freePort(ip), freePort(ip)
+	ports := freePorts(ip, 5)
+	m.outbound, m.control, m.ready, m.peer, m.admin = ports[0], ports[1], ports[2], ports[3], ports[4]
 	m.endpoint = startEndpoint(fmt.Sprintf("i-%08x", rand.Uint32()), service, zone, ip, m.control, d.record)
 	m.settings = filepath.Join(d.dir, m.name+".toml")
 	d.machines = append(d.machines, m)
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -69,6 +69,7 @@
 func fatal(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "the case could not run: "+format+"\n", args...)
 	if d := current.Swap(nil); d != nil {
+		d.record.write("the case could not run: "+format, args...)
 		d.close()
 	}
 	os.Exit(2)
