Announce a backend server from before the start only if it has proved that it lives

Cause: two heartbeats 0.75 to 2.25 s apart counted as a sign of life. Heartbeats that are all delayed by the same time keep their interval.

Change: each process of a node chooses a random loopback address for later heartbeats and names it in its responses. A heartbeat that arrives there was sent after the start, and announces its server without a wait for the departures. Servers that ignore the address are confirmed by two heartbeats later than 12 s after the start, or sooner if a node that knew the predecessor has stated the departures; members state that only if they know it.

TestLateHeartbeatsAfterAForgottenDeparture with two heartbeats at their interval failed before (announced 3.5 s after the start) and passes. TestDepartureOutlivesRestarts announced the successor by two heartbeats at the usual address, which prove nothing if they are late; it now uses the offered address, with the same bounds.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -25,8 +25,8 @@
 	CallerProtocol ingress.Protocol
 	// BackendProtocol is the protocol between the gate and the backend server.
 	BackendProtocol gate.Protocol
-	// Announcements returns the handler for announce.listen.
-	Announcements func(*announce.Registry) http.Handler
+	// Announcements returns the handler for an address at which backend servers announce themselves.
+	Announcements func(*announce.Registry, announce.Channel) http.Handler
 	// Health returns the handler for health.listen; ready reports whether the node accepts new requests.
 	Health func(ready func() bool) http.Handler
 	Store  objectstore.Store
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -62,6 +62,8 @@
 	// Sequence orders the heartbeats of one incarnation.
 	Sequence uint64
 	Draining bool
+	// SentAfterStart is set if the heartbeat was sent after the start of this process of the node; see Channel.
+	SentAfterStart bool
 	// SlowStart is the remaining slow start at the time of receipt; 0 means that the backend server is warm, nil that the
 	// heartbeat does not state it.
 	SlowStart *time.Duration
@@ -92,8 +94,8 @@
 	Stale Outcome = "stale"
 	// Held means that the heartbeat is applied when EndRestore is called, unless its process has left.
 	Held Outcome = "held"
-	// Unconfirmed means that the heartbeat was ignored because its process may have left before the node started. A further
-	// heartbeat confirms the process.
+	// Unconfirmed means that the heartbeat was ignored because its process may have left before the node started. Later
+	// heartbeats confirm the process; see confirmation.
 	Unconfirmed Outcome = "unconfirmed"
 )
 
@@ -192,9 +194,9 @@
 
 // StartRestore makes the registry hold heartbeats of active servers until EndRestore is called: the node has started at the
 // given time, and a delayed heartbeat may come from a process whose departure an earlier process of the node has
-// acknowledged. A process from before the start must also be confirmed by a second heartbeat, before it is announced or, if
-// its first one arrives within firstHeartbeatTime, until EndProvisional is called. Heartbeats without an incarnation are neither held
-// nor confirmed, since nothing tells a delayed one.
+// acknowledged. A process from before the start must also be confirmed, before it is announced or, if its first heartbeat
+// arrives within firstHeartbeatTime, until EndProvisional is called. Heartbeats that were sent after the start confirm their process and
+// are not held. Those without an incarnation are neither held nor confirmed, since nothing tells a delayed one.
 func (r *Registry) StartRestore(nodeStart time.Time) {
 	r.changeMu.Lock()
 	defer r.changeMu.Unlock()
@@ -258,7 +260,7 @@
 // server drains, have returned.
 func (r *Registry) HandleHeartbeat(heartbeat Heartbeat, now time.Time) Outcome {
 	r.changeMu.Lock()
-	if r.restoring && !heartbeat.Draining && heartbeat.Incarnation != 0 {
+	if r.restoring && !heartbeat.Draining && !heartbeat.SentAfterStart && heartbeat.Incarnation != 0 {
 		defer r.changeMu.Unlock()
 		return r.hold(heartbeat, now)
 	}
@@ -294,7 +296,9 @@
 	if outcome == Stale {
 		return outcome
 	}
-	r.confirmation.observe(heartbeat, received)
+	if r.confirmation.observe(heartbeat, received); heartbeat.SentAfterStart {
+		r.held = nil // it is older, or of a process that this one has replaced
+	}
 	if !r.isAnnounced(heartbeat) && !r.confirmation.permits(heartbeat, received) {
 		return Unconfirmed
 	}
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -142,11 +142,12 @@
 		draining bool
 	}
 	ms := time.Millisecond
-	tests := map[string]struct {
+	type test struct {
 		beats []beat
 		at    time.Duration
 		want  string
-	}{
+	}
+	tests := map[string]test{
 		"live, right away":                        {[]beat{{300 * ms, before, 7, false}}, 310 * ms, "a"},
 		"live, right away, second":                {[]beat{{300 * ms, before, 7, false}, {1800 * ms, before, 8, false}}, 2800 * ms, "a"},
 		"live, quick retries":                     {[]beat{{300 * ms, before, 7, false}, {500 * ms, before, 8, false}, {2000 * ms, before, 9, false}}, 2800 * ms, "a"},
@@ -163,10 +164,32 @@
 		"draining":                                {[]beat{{4000 * ms, before, 7, true}}, 4000 * ms, "a draining"},
 		"late, then draining, then late":          {[]beat{{300 * ms, before, 6, false}, {700 * ms, before, 9, true}, {2100 * ms, before, 8, false}}, 3000 * ms, "a draining"},
 	}
-	for name, test := range tests {
+	// No node has stated the departures, so that heartbeats which were all delayed arrive like those of a live server.
+	regular := func(from time.Duration, count int) (beats []beat) {
+		for i := range count {
+			beats = append(beats, beat{from + time.Duration(i)*1500*ms, before, uint64(7 + i), false})
+		}
+		return beats
+	}
+	unstated := map[string]test{
+		"live, right away":                  {regular(300*ms, 1), 310 * ms, "a"},
+		"all delayed, two":                  {regular(3400*ms, 2), 9000 * ms, ""},
+		"all delayed, six":                  {regular(3400*ms, 6), 12000 * ms, ""},
+		"all delayed, from right away":      {regular(300*ms, 8), 11900 * ms, ""},
+		"later than the longest delay, one": {regular(12500*ms, 1), 13000 * ms, ""},
+		"later than the longest delay, two": {regular(12500*ms, 2), 14000 * ms, "a"},
+		"live, without the offered address": {regular(300*ms, 10), 13900 * ms, "a"},
+		"delayed and processed after a pause of the node": {
+			[]beat{{20000 * ms, before, 7, false}, {20010 * ms, before, 8, false}, {20020 * ms, before, 9, false}}, 21000 * ms, "",
+		},
+	}
+	run := func(name string, test test, stated bool) {
 		t.Run(name, func(t *testing.T) {
 			r := &Registry{}
 			r.StartRestore(start)
+			if stated {
+				r.SetDeparturesStated()
+			}
 			r.EndRestore(start.Add(100*ms), true)
 			provisional := true
 			endProvisional := func(now time.Duration) {
@@ -185,4 +208,67 @@
 			}
 		})
 	}
+	for name, test := range tests {
+		run(name, test, true)
+	}
+	for name, test := range unstated {
+		run("departures not stated: "+name, test, false)
+	}
+}
+
+// Guards against a live server that waits for the departures although its heartbeat was sent after the start of the node, and
+// against such a heartbeat that overrules a departure or a drain.
+func TestHeartbeatsSentAfterTheStart(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const before = 900_000
+	sentAfter := func(sequence uint64) Heartbeat {
+		h := heartbeat("a", before, sequence, false)
+		h.SentAfterStart = true
+		return h
+	}
+	delayed := func(sequence uint64) Heartbeat { return heartbeat("a", before, sequence, false) }
+	tests := map[string]struct {
+		steps func(r *Registry, at time.Time)
+		want  string
+	}{
+		"while the departures are unknown": {func(r *Registry, at time.Time) { r.HandleHeartbeat(sentAfter(7), at) }, "a"},
+		"after a held one": {func(r *Registry, at time.Time) {
+			r.HandleHeartbeat(delayed(6), at)
+			r.HandleHeartbeat(sentAfter(7), at)
+			r.EndRestore(at, true)
+		}, "a"},
+		"then at the usual address again": {func(r *Registry, at time.Time) {
+			r.HandleHeartbeat(sentAfter(7), at)
+			r.HandleHeartbeat(delayed(8), at)
+			r.EndProvisional()
+		}, "a"},
+		"withdrawn for its silence, then at the usual address": {func(r *Registry, at time.Time) {
+			r.HandleHeartbeat(sentAfter(7), at)
+			r.Expire(at.Add(2 * TTL))
+			r.EndRestore(at, false)
+			r.HandleHeartbeat(delayed(8), at.Add(2*TTL))
+		}, "a"},
+		"of a process that has left": {func(r *Registry, at time.Time) {
+			r.AddDepartures([]Departure{{ID: "a", Incarnation: before}})
+			r.HandleHeartbeat(sentAfter(7), at)
+		}, ""},
+		"departure stated later": {func(r *Registry, at time.Time) {
+			r.HandleHeartbeat(sentAfter(7), at)
+			r.AddDepartures([]Departure{{ID: "a", Incarnation: before}})
+		}, ""},
+		"after a drain": {func(r *Registry, at time.Time) {
+			r.HandleHeartbeat(heartbeat("a", before, 8, true), at)
+			r.HandleHeartbeat(sentAfter(9), at)
+		}, "a draining"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &Registry{}
+			r.StartRestore(start)
+			test.steps(r, start.Add(1600*time.Millisecond))
+			if got := currentID(r); got != test.want {
+				t.Errorf("announced %q, want %q", got, test.want)
+			}
+		})
+	}
 }
--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -162,6 +164,7 @@
 	n.restoreDepartures(restored)
 	if known {
 		n.departures.peerKnown.Store(true)
+		n.registry.SetDeparturesStated()
 	}
 }
 
@@ -200,8 +203,29 @@
 	n.endEvacuationWait()
 	known := n.departuresKnown()
 	n.logger.Info("heartbeats are applied", "event", "departures_restored", "after", n.uptime(), "known", known)
-	n.engine.AddDepartures(nil, true)
 	n.registry.EndRestore(time.Now(), known)
+	// The store may lack a departure. Once no delayed heartbeat can contradict it, a later process need not know it.
+	if n.departures.peerKnown.Load() || sleep.For(n.ctx, announce.UndelayedAfter-n.uptime()) {
+		n.engine.AddDepartures(nil, true)
+	}
+}
+
+// listenForHeartbeats starts a listener at a loopback address that no earlier process of the node has had, and returns the
+// address. A heartbeat that arrives there was sent by a process that has had a response of this one. If it fails, it returns an
+// empty address, and backend servers continue to send their heartbeats to announce.listen.
+func (n *Node) listenForHeartbeats(ctx context.Context) string {
+	// The kernel may choose the same port after each start, so that the host must differ too.
+	host := netip.AddrFrom4([4]byte{127, byte(rand.IntN(256)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))})
+	l, err := listen(ctx, "heartbeats", netip.AddrPortFrom(host, 0).String())
+	if err != nil {
+		n.logger.Warn("no address for later heartbeats", "event", "heartbeat_listener_failed", "error", err)
+		return ""
+	}
+	n.addresses.Heartbeats = l.Addr().String()
+	n.serveOn(l, "heartbeats", n.newHTTPServer(n.adapter.Announcements(n.registry, announce.Channel{
+		LaterAddress: n.addresses.Heartbeats, SentAfterStart: true,
+	})))
+	return n.addresses.Heartbeats
 }
 
 // endProvisional withdraws a backend server that was announced by a heartbeat right after the start, and sent no further one.
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
+	"dandelionspoke/internal/adapter"
 	"dandelionspoke/internal/announce"
 	"dandelionspoke/internal/objectstoretest"
 	"dandelionspoke/internal/settings"
@@ -87,10 +91,21 @@
 }
 
 func (f *departureFleet) send(i int, incarnation int64, sequence uint64, draining bool) announce.Outcome {
-	return f.nodes[i].registry.HandleHeartbeat(announce.Heartbeat{
+	return f.nodes[i].registry.HandleHeartbeat(testHeartbeat(incarnation, sequence, draining), time.Now())
+}
+
+// heartbeatAtOffer sends a heartbeat of a backend server that uses the address which the node has offered.
+func (f *departureFleet) heartbeatAtOffer(i int, incarnation int64, sequence uint64) {
+	h := testHeartbeat(incarnation, sequence, false)
+	h.SentAfterStart = true
+	f.nodes[i].registry.HandleHeartbeat(h, time.Now())
+}
+
+func testHeartbeat(incarnation int64, sequence uint64, draining bool) announce.Heartbeat {
+	return announce.Heartbeat{
 		Announcement: announce.Announcement{ID: "katalog-1", Service: "katalog", Address: "127.0.0.1:1"},
 		Incarnation:  incarnation, Sequence: sequence, Draining: draining,
-	}, time.Now())
+	}
 }
 
 // Guards against a delayed heartbeat that announces a backend server again after its departure has been acknowledged and
@@ -165,7 +180,8 @@
 				if time.Since(restarted) > 2*time.Second+test.wantSuccessor {
 					t.Fatal("a new process of the server is not announced")
 				}
-				f.heartbeat(0, born+1, sequence)
+				// It started before the node, so that only heartbeats at the offered address show soon that it lives.
+				f.heartbeatAtOffer(0, born+1, sequence)
 				time.Sleep(20 * time.Millisecond)
 			}
 		})
@@ -190,6 +206,9 @@
 		"right away, of a drain":    {drains: true, arrivals: []time.Duration{300 * time.Millisecond}},
 		"in a bunch":                {arrivals: []time.Duration{2 * time.Second, 2050 * time.Millisecond, 2100 * time.Millisecond}},
 		"some right away, one late": {arrivals: []time.Duration{300 * time.Millisecond, 400 * time.Millisecond, 3500 * time.Millisecond}},
+		"two, at their interval":    {arrivals: atInterval(2*time.Second, 2)},
+		"six, at their interval":    {arrivals: atInterval(2*time.Second, 6)},
+		"six, from right away":      {arrivals: atInterval(300*time.Millisecond, 6)},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -214,7 +233,7 @@
 				f.start(i)
 			}
 			started := f.nodes[0].createdAt
-			for sequence := uint64(2); time.Since(started) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+			for sequence := uint64(2); len(arrivals) > 0 || time.Since(started) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
 				if len(arrivals) > 0 && time.Since(started) >= arrivals[0] {
 					f.heartbeat(0, born, sequence)
 					sequence++
@@ -227,3 +246,71 @@
 		})
 	}
 }
+
+// atInterval returns the arrivals of heartbeats at the interval of a live server.
+func atInterval(first time.Duration, count int) (arrivals []time.Duration) {
+	for i := range count {
+		arrivals = append(arrivals, first+time.Duration(i)*1500*time.Millisecond)
+	}
+	return arrivals
+}
+
+// Guards against live servers that wait for the store after a restart of all nodes, although a heartbeat at the address that the
+// node has offered shows that they live.
+func TestOfferedAddressNeedsNoStore(t *testing.T) {
+	const born = 1000
+	f := newDepartureFleet(t, 2)
+	f.store.SetDown(true)
+	for i := range f.nodes {
+		f.kill(i)
+	}
+	for i := range f.nodes {
+		f.start(i)
+	}
+	f.heartbeat(0, born, 7)
+	f.heartbeatAtOffer(0, born, 8)
+	if id := f.current(0); id != "katalog-1" {
+		t.Errorf("announced %q after a heartbeat at the offered address", id)
+	}
+}
+
+// Guards against a node that offers an address which an earlier process of it may have offered, at which delayed heartbeats
+// arrive.
+func TestOfferedAddressIsNew(t *testing.T) {
+	const name, runs = "test-heartbeats", 8
+	channels := make(chan announce.Channel, 2*runs)
+	adapter.Register(name, func(settings.Settings, func() string, *slog.Logger) (*adapter.Adapter, error) {
+		return &adapter.Adapter{Announcements: func(_ *announce.Registry, c announce.Channel) http.Handler {
+			channels <- c
+			return http.NotFoundHandler()
+		}}, nil
+	})
+	offered := map[string]bool{}
+	for range runs {
+		s := settings.LoopbackDefaults()
+		s.FailureDomain, s.Adapter = "local-a", name
+		n, err := New(Options{Settings: s})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		later, usual := <-channels, <-channels
+		address := n.Addrs().Heartbeats
+		if !later.SentAfterStart || usual.SentAfterStart || later.LaterAddress != address || usual.LaterAddress != address {
+			t.Errorf("channels %+v and %+v, offered %q", later, usual, address)
+		}
+		if response, err := http.Get("http://" + address); err != nil {
+			t.Error(err)
+		} else if _ = response.Body.Close(); response.StatusCode != http.StatusNotFound {
+			t.Errorf("status %d at the offered address", response.StatusCode)
+		}
+		_ = n.Close()
+		host, _, _ := net.SplitHostPort(address)
+		if offered[host] {
+			t.Errorf("host %s offered twice", host)
+		}
+		offered[host] = true
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 type Addresses struct {
 	Ingress, Peer, UDP, Admin, Announce string
 	Health, Metrics                     string // empty if the listener is not configured
+	Heartbeats                          string // named to backend servers for later heartbeats; empty without an adapter for them
 }
 
 // Node is one process of the system. Its methods are safe for concurrent use.
@@ -290,7 +291,7 @@
 	}
 	announcements := n.registry.Handler()
 	if n.adapter.Announcements != nil {
-		announcements = n.adapter.Announcements(n.registry)
+		announcements = n.adapter.Announcements(n.registry, announce.Channel{LaterAddress: n.listenForHeartbeats(ctx)})
 	}
 	listeners := []struct {
 		name, listen string
@@ -306,15 +307,18 @@
 		if l.listen == "" {
 			continue
 		}
-		timeout := n.settings.Ingress.HeaderTimeout
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: timeout, ReadTimeout: timeout}
-		if err := n.serveHTTP(ctx, l.name, l.listen, l.bound, server); err != nil {
+		if err := n.serveHTTP(ctx, l.name, l.listen, l.bound, n.newHTTPServer(l.handler)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func (n *Node) newHTTPServer(handler http.Handler) *http.Server {
+	timeout := n.settings.Ingress.HeaderTimeout
+	return &http.Server{Handler: handler, ReadHeaderTimeout: timeout, ReadTimeout: timeout}
+}
+
 // healthHandler returns the adapter's health handler, if any. Otherwise it returns one that responds on any path, with
 // 200 while the node accepts new requests and 503 at other times.
 func (n *Node) healthHandler() http.Handler {
