Deliver the complete answers behind a slower one before a drain ends

If the earlier request was done in time, its answer closed the connection, and those behind it were lost as well.

Causes: the node closed connections at the end of the drain while answers waited for their turn. And after http.Server.Shutdown, net/http adds "Connection: close" to each response, also in front of requests that have started.

Change: httpconn.Listener has a Shutdown of its own, after which the ingress alone decides which response closes. 250 ms before the end of the drain, requests that delay complete answers are given up, 100 ms before it all without an answer. Their callers get 502 (node-ends, may have run).

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -54,6 +54,8 @@
 	bodyRemaining int64
 	// passthrough is set when request boundaries are unknown. All bytes then go to the primary stream.
 	passthrough bool
+	// undelimited is set if bytes were passed through since the server last waited for a request.
+	undelimited bool
 	// closing is set when the connection is to close. No more requests are then accepted.
 	closing bool
 }
@@ -62,6 +64,7 @@
 	c := &conn{Conn: socket, listener: l}
 	c.changed = sync.NewCond(&c.mu)
 	c.primary = &stream{conn: c}
+	l.addConn(c)
 	go c.readLoop()
 	return c
 }
@@ -69,6 +72,7 @@
 // readLoop reads from the socket until the connection ends.
 func (c *conn) readLoop() {
 	chunk := make([]byte, readChunkSize)
+	defer c.listener.removeConn(c)
 	defer c.linger(chunk)
 	defer c.cancelRequests()
 	defer c.recoverRead()
@@ -167,6 +171,7 @@
 
 // deliver moves the first n bytes of readBuffer to the primary stream.
 func (c *conn) deliver(n int) {
+	c.undelimited = c.passthrough
 	c.primary.input = append(c.primary.input, c.readBuffer[:n]...)
 	c.consume(n)
 }
@@ -236,6 +241,9 @@
 func (c *conn) finishResponse(s *stream, closeAfter bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s == c.primary {
+		c.undelimited = false
+	}
 	if !s.active || s.responseDone {
 		return
 	}
@@ -294,6 +302,25 @@
 	return true
 }
 
+// closeIfIdle closes the connection if it has no request, and reports whether it is closed or about to be.
+func (c *conn) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && len(c.pending) == 0 && c.partialHead == nil && !c.undelimited && len(c.readBuffer) == 0 {
+		c.closing = true
+		c.closeAfterResponse(c.primary)
+	}
+	return c.closed
+}
+
+// delaysAnswers reports whether responses to later requests wait for that of s.
+func (c *conn) delaysAnswers(s *stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.Index(c.pending, s)
+	return i >= 0 && slices.ContainsFunc(c.pending[i+1:], func(later *stream) bool { return later.responseDone || len(later.output) > 0 })
+}
+
 // closeAfterResponse ends the connection after the response of s, its last one: it closes the write side, and readLoop closes the
 // socket once the caller sends no more. It is called with mu held.
 func (c *conn) closeAfterResponse(s *stream) {
--- a/internal/httpconn/listener.go
+++ b/internal/httpconn/listener.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,8 +40,8 @@
 )
 
 // Listener accepts the connections in the kernel's accept queue before it closes, because closing the socket at once
-// resets them. It also tracks the connections that have an open request or have not sent a request yet: call
-// http.Server.Shutdown only after these have finished, because it drops requests whose header arrives after the call.
+// resets them. Use Shutdown in place of http.Server.Shutdown, after which each response closes its connection, also in front of
+// pipelined requests that have started.
 type Listener struct {
 	tcp         *net.TCPListener
 	logger      *slog.Logger
@@ -53,9 +55,10 @@
 	PipelinedRequests atomic.Int64
 	lingering         atomic.Int64 // connections that have sent their last response and are not closed yet
 	mu                sync.Mutex
-	activeConns       map[net.Conn]struct{}
-	pendingStreams    []*stream // additional streams of connections, to be returned by Accept
-	streamsClosed     bool      // no more streams are accepted
+	activeConns       map[net.Conn]struct{} // that have an open request or have not sent a request yet
+	conns             map[*conn]struct{}    // whose sockets are read
+	pendingStreams    []*stream             // additional streams of connections, to be returned by Accept
+	streamsClosed     bool                  // no more streams are accepted
 }
 
 // acceptQueue is the access to the kernel's queue of connections of a listener; tests replace it.
@@ -203,6 +206,42 @@
 	delete(l.activeConns, c)
 }
 
+func (l *Listener) addConn(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns == nil {
+		l.conns = map[*conn]struct{}{}
+	}
+	l.conns[c] = struct{}{}
+}
+
+func (l *Listener) removeConn(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// Shutdown closes the connections without a request, and the others once their requests have been answered. It returns when all
+// have sent their last response and are closed, or ctx ends. Call Close and WaitIdle before, so that callers can leave.
+func (l *Listener) Shutdown(ctx context.Context) {
+	for l.closeIdleConns() > 0 && sleep.For(ctx, idlePollInterval) {
+	}
+	l.WaitLingering(ctx)
+}
+
+// closeIdleConns closes the connections without a request and returns the number of the others.
+func (l *Listener) closeIdleConns() (busy int) {
+	l.mu.Lock()
+	conns := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	for _, c := range conns {
+		if !c.closeIfIdle() {
+			busy++
+		}
+	}
+	return busy
+}
+
 func (l *Listener) startLinger() { l.lingering.Add(1) }
 
 func (l *Listener) endLinger() { l.lingering.Add(-1) }
--- a/internal/httpconn/pipeline_test.go
+++ b/internal/httpconn/pipeline_test.go
@@ -186,6 +186,68 @@
 	}
 }
 
+// Guards against a shutdown that ends a connection while later requests on it have started, waits for connections without a request,
+// or drops a request of which only a part has arrived.
+func TestShutdownWaitsForStartedRequests(t *testing.T) {
+	release := make(chan struct{})
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		if MayClose(r.Context()) {
+			w.Header().Set("Connection", "close")
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	}
+	tests := map[string]struct {
+		before, after string // sent before and after the start of the shutdown
+		want          []string
+		waits         bool // the shutdown does not end before the release of /slow
+	}{
+		"no request yet":      {"", "", nil, false},
+		"idle after requests": {getRequest("/1"), "", []string{"/1"}, false},
+		"pipelined":           {getRequest("/slow") + getRequest("/2") + getRequest("/3"), "", []string{"/slow", "/2", "/3"}, true},
+		"pipelined later":     {getRequest("/slow"), getRequest("/2"), []string{"/slow", "/2"}, true},
+		"part of a head":      {getRequest("/slow") + getRequest("/2")[:8], getRequest("/2")[8:], []string{"/slow", "/2"}, true},
+		"in chunks":           {"POST /slow HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na", "\r\n0\r\n\r\n", []string{"/slow"}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			release = make(chan struct{})
+			caller, l := dialTestServer(t, handler)
+			if _, err := io.WriteString(caller, test.before); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			ended := make(chan struct{})
+			go func() { defer close(ended); l.Shutdown(t.Context()) }()
+			bodies := make(chan []string, 1)
+			go func() { bodies <- readBodies(caller, len(test.want)+1); caller.Close() }()
+			time.Sleep(50 * time.Millisecond)
+			if _, err := io.WriteString(caller, test.after); err != nil && test.waits {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			select {
+			case <-ended:
+				if test.waits {
+					t.Error("the shutdown ended before the requests")
+				}
+			default:
+			}
+			close(release)
+			if diff := cmp.Diff(test.want, <-bodies); diff != "" {
+				t.Error(diff)
+			}
+			select {
+			case <-ended:
+			case <-time.After(3 * time.Second):
+				t.Error("the shutdown does not end")
+			}
+		})
+	}
+}
+
 // Guards against an idle timeout that closes the connection while a request of another stream is running, and against
 // one that no longer applies afterwards.
 func TestIdleTimeoutStartsAtLastResponse(t *testing.T) {
--- a/internal/httpconn/stream.go
+++ b/internal/httpconn/stream.go
@@ -214,6 +214,12 @@
 	return !ok || s.conn.mayClose(s)
 }
 
+// DelaysAnswers reports whether responses to later requests of its connection wait for that to the request with context ctx.
+func DelaysAnswers(ctx context.Context) bool {
+	s, ok := ctx.Value(streamContextKey{}).(*stream)
+	return ok && s.conn.delaysAnswers(s)
+}
+
 // AbortResponse makes the close of the connection show that the response to a request has broken off. Callers of HTTP/1.0 take a
 // clean close for the end of a response without a length, so that the connection is reset.
 func AbortResponse(r *http.Request) {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -234,6 +234,10 @@
 		return nil, refusal
 	}
 	if ctx.Err() != nil {
+		if errors.Is(context.Cause(ctx), errNodeEnds) {
+			resp.observation.end(balance.Canceled, nil)
+			return nil, verdict.New(verdict.MayHaveRun, verdict.NodeEnds, "no answer before the end of the drain")
+		}
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			// Missed deadlines are the only sign of an endpoint that hangs.
 			resp.observation.end(balance.Failed, nil)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -110,6 +110,8 @@
 	inFlight        sync.WaitGroup
 	// pendingAttempts holds the attempts without a response yet: *wire.AttemptQuery to *table.Endpoint.
 	pendingAttempts sync.Map
+	// unanswered holds the requests that run and have no response yet: *request to its context.CancelCauseFunc.
+	unanswered sync.Map
 	// closing is set when no more attempts may start.
 	closing atomic.Bool
 	// latestDeadline is the latest deadline of new requests while the node is about to end; nil at other times.
--- a/internal/ingress/pending.go
+++ b/internal/ingress/pending.go
@@ -44,6 +44,28 @@
 	notified.Wait()
 }
 
+// errNodeEnds is the cause of the end of attempts that GiveUp has canceled.
+var errNodeEnds = errors.New("ingress: the node ends")
+
+// trackUnanswered makes GiveUp call giveUp for the request until done is called.
+func (in *Ingress) trackUnanswered(q *request, giveUp context.CancelCauseFunc) (done func()) {
+	in.unanswered.Store(q, giveUp)
+	return func() { in.unanswered.Delete(q) }
+}
+
+// GiveUp cancels the attempts of the requests without a response whose contexts selected accepts, and returns their number. Their
+// callers are told that the request may have run. A node calls it shortly before it closes the connections of its callers.
+func (in *Ingress) GiveUp(selected func(ctx context.Context) bool) (count int) {
+	in.unanswered.Range(func(key, value any) bool {
+		if selected(key.(*request).httpRequest.Context()) {
+			value.(context.CancelCauseFunc)(errNodeEnds)
+			count++
+		}
+		return true
+	})
+	return count
+}
+
 // queryAttempt asks the gate for the outcome of an attempt whose connection broke, until the attempt has ended.
 func (in *Ingress) queryAttempt(ctx context.Context, ep *table.Endpoint, query *wire.AttemptQuery) *wire.AttemptFate {
 	unknown := &wire.AttemptFate{Verdict: wire.Verdict_MAY_HAVE_RUN}
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -13,7 +13,9 @@
 
 // run sends the request to endpoints until one responds or no additional attempt is permitted.
 func (in *Ingress) run(ctx context.Context, q *request) (*response, error) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline.Add(verdictGrace))
+	ctx, giveUp := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer in.trackUnanswered(q, giveUp)()
+	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(verdictGrace))
 	stop := context.AfterFunc(q.httpRequest.Context(), cancel)
 	if in.OnRequest != nil {
 		in.OnRequest(q.serviceName)
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionspoke/internal/httpconn"
 	"dandelionspoke/internal/sleep"
 )
 
@@ -30,7 +31,7 @@
 	n.engine.SetLeaving()
 	n.gate.SetDraining(true)
 	sleep.For(ctx, leavingAnnounceDelay)
-	defer n.withdrawBeforeDeadline(ctx)()
+	defer n.answerBeforeDeadline(ctx)()
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
@@ -47,22 +48,46 @@
 	return errors.CombineErrors(err, n.Close())
 }
 
-// withdrawLeadTime is the time before the deadline of a drain at which requests that still wait for a slot are
-// withdrawn. It leaves time for the refusals to reach the callers.
-const withdrawLeadTime = 400 * time.Millisecond
+const (
+	// withdrawLeadTime is the time before the deadline of a drain at which requests that still wait for a slot are
+	// withdrawn. It leaves time for the refusals to reach the callers.
+	withdrawLeadTime = 400 * time.Millisecond
+	// pipelineLeadTime is the time before the deadline of a drain at which requests that delay complete responses of their
+	// connection are given up. It leaves time for these responses to reach the callers.
+	pipelineLeadTime = 250 * time.Millisecond
+	// giveUpLeadTime is the time before the deadline of a drain at which all requests without a response are given up.
+	giveUpLeadTime = 100 * time.Millisecond
+)
 
-// withdrawBeforeDeadline schedules the withdrawal of requests that have not started, withdrawLeadTime before the
-// deadline of ctx. stop cancels it.
-func (n *Node) withdrawBeforeDeadline(ctx context.Context) (stop func()) {
+// answerBeforeDeadline schedules the failure responses to requests that do not end before the deadline of ctx: first to those
+// that have not started, last to all without a response. stop cancels it.
+func (n *Node) answerBeforeDeadline(ctx context.Context) (stop func()) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return func() {}
 	}
-	timer := time.AfterFunc(time.Until(deadline)-withdrawLeadTime, func() {
-		n.logger.Info("waiting requests withdrawn", "event", "drain_withdraws", "node", n.settings.NodeID)
-		n.ingress.Withdraw(ctx)
-	})
-	return func() { timer.Stop() }
+	timers := []*time.Timer{
+		time.AfterFunc(time.Until(deadline)-withdrawLeadTime, func() {
+			n.logger.Info("waiting requests withdrawn", "event", "drain_withdraws", "node", n.settings.NodeID)
+			n.ingress.Withdraw(ctx)
+		}),
+		time.AfterFunc(time.Until(deadline)-pipelineLeadTime, func() { n.giveUpRequests(httpconn.DelaysAnswers) }),
+		time.AfterFunc(time.Until(deadline)-giveUpLeadTime, func() {
+			n.giveUpRequests(func(context.Context) bool { return true })
+		}),
+	}
+	return func() {
+		for _, timer := range timers {
+			timer.Stop()
+		}
+	}
+}
+
+// giveUpRequests answers the requests of callers which selected accepts and which have no response yet, as the node is about to end.
+func (n *Node) giveUpRequests(selected func(ctx context.Context) bool) {
+	if count := n.ingress.GiveUp(selected); count > 0 {
+		n.logger.Info("requests given up", "event", "drain_gives_up", "node", n.settings.NodeID, "requests", count)
+	}
 }
 
 // shutdownIngress closes the ingress listener and waits until its requests have been answered. Once callers have had the time
@@ -74,8 +99,7 @@
 		if deadline, ok := ctx.Deadline(); ok {
 			n.ingress.LimitDeadlines(deadline.Add(-withdrawLeadTime))
 		}
-		_ = n.servers[0].Shutdown(ctx)
-		n.ingressListener.WaitLingering(ctx)
+		n.ingressListener.Shutdown(ctx)
 	}
 	n.ingress.Wait()
 }
--- a/internal/node/late_request_test.go
+++ b/internal/node/late_request_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -74,3 +75,77 @@
 	}
 	<-drained
 }
+
+// Guards against complete responses that are lost behind a slower one in a drain: because the slower request outlasts the drain, or
+// because its response closes the connection although later requests have started.
+func TestPipelinedResponsesLeaveBeforeADrainEnds(t *testing.T) {
+	const drainTime, short, outlasting = 3 * time.Second, "20ms", "4s"
+	// A request that is sent afterDrain must end within the drain.
+	tests := map[string]struct {
+		afterDrain time.Duration // when the requests are sent, after the start of the drain
+		works      []string      // service times
+		replyBytes int
+	}{
+		"first one outlasts the drain":       {-50 * time.Millisecond, []string{outlasting, short, short, short, short, short, short, short}, 200},
+		"long responses":                     {-50 * time.Millisecond, []string{outlasting, short, short, short, short, short, short, short}, 30000},
+		"one in the middle outlasts it too":  {-50 * time.Millisecond, []string{outlasting, short, short, short, outlasting, short, short, short}, 30000},
+		"last one outlasts it":               {-50 * time.Millisecond, []string{short, short, short, outlasting}, 200},
+		"alone":                              {-50 * time.Millisecond, []string{outlasting}, 200},
+		"first one ends late in the drain":   {-50 * time.Millisecond, []string{"2300ms", short, short, short, short, short, short, short}, 30000},
+		"sent in the drain, first ends late": {100 * time.Millisecond, []string{"2s", short, short, short, short, short, short, short}, 200},
+		"sent in the drain, first outlasts":  {100 * time.Millisecond, []string{outlasting, short, short, short}, 200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 2)
+			f.waitReady()
+			conn, err := net.Dial("tcp", f.nodes[0].Addrs().Ingress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), drainTime)
+			defer cancel()
+			drained := make(chan error, 1)
+			drain := func() { go func() { drained <- f.nodes[0].Drain(ctx) }() }
+			if test.afterDrain >= 0 {
+				drain()
+				time.Sleep(test.afterDrain)
+			}
+			var requests strings.Builder
+			for i, work := range test.works {
+				fmt.Fprintf(&requests, "GET /preview HTTP/1.1\r\nHost: a\r\n%s: %d\r\n%s: %s\r\n%s: %d\r\n\r\n", backendtest.RequestIDHeader, i,
+					backendtest.WorkHeader, work, backendtest.ReplyBytesHeader, test.replyBytes)
+			}
+			if _, err := io.WriteString(conn, requests.String()); err != nil {
+				t.Fatal(err)
+			}
+			if test.afterDrain < 0 {
+				time.Sleep(-test.afterDrain)
+				drain()
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(2 * drainTime))
+			reader := bufio.NewReader(conn)
+			for i, work := range test.works {
+				resp, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					t.Fatalf("request %d of %s: no response: %v", i, work, err)
+				}
+				n, err := io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				answered := resp.StatusCode == http.StatusOK && err == nil && n == int64(test.replyBytes)
+				givenUp := resp.StatusCode == http.StatusBadGateway && resp.Header.Get(verdict.Header) == verdict.MayHaveRun.String()
+				if work == outlasting && !givenUp || work != outlasting && !answered {
+					t.Errorf("request %d of %s: status %d, %d bytes, verdict %q, error %v", i, work, resp.StatusCode, n, resp.Header.Get(verdict.Header), err)
+				}
+				// A response that was complete before the drain does not close the connection; the drain closes it later.
+				last := i == len(test.works)-1
+				if resp.Close && !last || !resp.Close && last && test.afterDrain >= 0 {
+					t.Errorf("request %d of %d: the response closes the connection: %t", i, len(test.works), resp.Close)
+				}
+			}
+			<-drained
+		})
+	}
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -94,6 +94,8 @@
 	NoAllowedRegion Reason = "no-allowed-region"
 	// InternalError means that the handling of the request at a node ended with a panic.
 	InternalError Reason = "internal-error"
+	// NodeEnds means that the node ended before the request, in a drain.
+	NodeEnds Reason = "node-ends"
 )
 
 // Header names of failure responses.
@@ -155,7 +157,7 @@
 		return http.StatusGatewayTimeout
 	case InternalError:
 		return http.StatusInternalServerError
-	case PeerBroken, BackendBroken:
+	case PeerBroken, BackendBroken, NodeEnds:
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
