Announce the close of a connection in answers before the end of an upload

Change: the ingress sets "Connection: close" while the body has not been read to its end.

TestEarlyResponseClosesTheConnection failed before ("the response closes the connection: false") and passes.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -216,6 +216,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			q.bodyRestRead.Store(true)
 			_ = conn.Write(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Trailers: gate.HeadersToWire(q.httpRequest.Trailer)}}})
 			return
 		}
--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -345,6 +345,46 @@
 	}
 }
 
+// Guards against a connection that ends without notice after a response which came before a long body was in: a caller that kept it
+// would lose its next request.
+func TestEarlyResponseClosesTheConnection(t *testing.T) {
+	const bodyBytes = 1 << 20
+	for _, early := range []bool{true, false} {
+		p := newRequestPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+				t.Error(err)
+			}
+			if !early {
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+			_, _ = io.WriteString(w, "done")
+			_ = http.NewResponseController(w).Flush()
+			_, _ = io.Copy(io.Discard, r.Body)
+		}), nil)
+		body, writer := io.Pipe()
+		go func() {
+			defer writer.Close()
+			_, _ = io.WriteString(writer, strings.Repeat("x", bodyBytes/2))
+			time.Sleep(200 * time.Millisecond)
+			_, _ = io.WriteString(writer, strings.Repeat("x", bodyBytes/2)) // fails if the connection has closed
+		}()
+		req, err := http.NewRequest(http.MethodPut, p.caller.URL+"/echo", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.ContentLength = bodyBytes
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body) // the body may end early with the upload
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || resp.Close != early {
+			t.Errorf("early %t: status %d, the response closes the connection: %t", early, resp.StatusCode, resp.Close)
+		}
+	}
+}
+
 // Guards against a backend server that answers before it has read a long body and then gets other bytes in place of the rest: the
 // HTTP server discards unread parts of a body before it sends the head of a response, unless told otherwise.
 func TestEarlyResponseLeavesTheBodyUnchanged(t *testing.T) {
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -9,6 +9,7 @@
 	"dandelionspoke/internal/balance"
 	"dandelionspoke/internal/bundle"
 	"dandelionspoke/internal/gate"
+	"dandelionspoke/internal/httpconn"
 	"dandelionspoke/internal/peer"
 	"dandelionspoke/internal/table"
 	"dandelionspoke/internal/wire"
@@ -55,6 +56,10 @@
 		// Keeps net/http from discarding the part of the body that streamBody still reads. It fails only for writers that never
 		// discard any.
 		_ = http.NewResponseController(w).EnableFullDuplex()
+		if !q.bodyRestRead.Load() && httpconn.MayClose(q.httpRequest.Context()) {
+			// net/http closes the connection if much of the body is unread at the end of the response.
+			w.Header().Set("Connection", "close")
+		}
 	}
 	writeHead(w, resp.head)
 	if resp.retained != nil {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
@@ -55,6 +56,7 @@
 	bodyPrefix   []byte
 	bodyRest     io.Reader
 	bodyRestUsed bool // an attempt has started to read bodyRest
+	bodyRestRead atomic.Bool
 	fingerprint  []byte
 	// callerFingerprint is the fingerprint of the caller's requests; nil when the caller is not known.
 	callerFingerprint []byte
