Look for unknown nodes in the objects of all failure domains

Cause: join ends once any other node is known, and a store reader looked for unknown nodes in its own domain's object only. The log has member_found for the neighbour at the return of the store, and no joined.

TestPartsOfAFleetMergeAfterAStoreOutage failed before for three of eight draws ("knows 4 of 6 nodes") and passes.

--- a/internal/node/join_groups_test.go
+++ b/internal/node/join_groups_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,10 +20,18 @@
 func (emptyListStore) List(context.Context, string) ([]objectstore.Object, error) { return nil, nil }
 
 func startNode(t *testing.T, store objectstore.Store, seeds []string) *node.Node {
+	t.Helper()
+	return startNodeIn(t, "", store, seeds)
+}
+
+func startNodeIn(t *testing.T, domain string, store objectstore.Store, seeds []string) *node.Node {
 	t.Helper()
 	s := settings.LoopbackDefaults()
 	s.Bundle.Unsigned = true
 	s.Seeds = seeds
+	if domain != "" {
+		s.FailureDomain = domain
+	}
 	n, err := node.New(node.Options{Settings: s, Store: store})
 	if err != nil {
 		t.Fatal(err)
@@ -70,3 +81,31 @@
 	nodes = append(nodes, start(seeds...))
 	waitForMembers(t, nodes, 10*time.Second)
 }
+
+// Guards against a fleet that stays in parts after a store outage at the start of all nodes: once a node knows one other, it no
+// longer looks for those of other failure domains. The parts are drawn, and with them who learns of whom first.
+func TestPartsOfAFleetMergeAfterAStoreOutage(t *testing.T) {
+	domains := []string{"local-a", "local-b", "local-c"}
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, seed))
+			store := objectstoretest.New()
+			store.SetDown(true)
+			var nodes []*node.Node
+			parts := make([][]string, 2+rng.IntN(2)) // addresses
+			for i := range 2 * len(domains) {
+				domain, part := domains[i%len(domains)], rng.IntN(len(parts))
+				if seed == 0 {
+					part = i % len(domains) % len(parts) // one for each domain, or two domains together
+				}
+				n := startNodeIn(t, domain, store, slices.Clone(parts[part]))
+				parts[part] = append(parts[part], n.Addrs().Peer)
+				nodes = append(nodes, n)
+			}
+			time.Sleep(time.Second)
+			store.SetDown(false)
+			waitForMembers(t, nodes, 10*time.Second)
+		})
+	}
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -16,8 +16,10 @@
 	// may form groups that do not know of each other, and most of these merge within seconds.
 	minMembersCheckInterval = membersWriteInterval
 	maxMembersCheckInterval = 30 * time.Second
-	// maxUnknownJoinAttempts limits the unknown addresses that one check of the domain's object contacts.
+	// maxUnknownJoinAttempts limits the unknown addresses that one check of the domain's object, or of all others, contacts.
 	maxUnknownJoinAttempts = 8
+	// domainListBytesPerSecond limits the average rate at which a store reader reads the objects of all domains.
+	domainListBytesPerSecond = 2000
 )
 
 // writeStatus periodically writes the domain's rollout progress to the store while this node is a store reader.
@@ -41,6 +43,7 @@
 	var restoredAt time.Time // when a restore of the store was noticed; zero for never
 	generation := n.restored.generation.Load()
 	interval, nextCheck := minMembersCheckInterval, time.Now()
+	var nextSearch time.Time // in the objects of the other domains
 	for ctx.Err() == nil {
 		if current := n.restored.generation.Load(); current != generation {
 			generation, restoredAt = current, time.Now()
@@ -51,11 +54,15 @@
 			addresses, err := n.mergeDomainMembers(ctx, restored)
 			if err != nil {
 				n.logger.Info("failed to write members", "event", "store_write_failed", "error", err)
+				interval = minMembersCheckInterval // nodes may have formed groups during an outage
 			} else {
 				written = addresses
 			}
 			nextCheck = time.Now().Add(interval)
 			interval = min(2*interval, maxMembersCheckInterval)
+			if err == nil && !time.Now().Before(nextSearch) {
+				nextSearch = time.Now().Add(max(interval/2, n.searchOtherDomains(ctx)))
+			}
 		}
 		if !sleep.For(ctx, membersWriteInterval) {
 			return
@@ -69,7 +76,7 @@
 func (n *Node) mergeDomainMembers(ctx context.Context, restored bool) ([]string, error) {
 	var addresses []string
 	err := n.updateDomainMembers(ctx, func(m *domainMembers) {
-		n.joinUnknownMember(m.PeerAddresses)
+		n.joinUnknownMember(m.PeerAddresses, n.memberAddresses(false), maxUnknownJoinAttempts)
 		addresses = n.domainAddresses()
 		m.PeerAddresses = n.withListedAddresses(addresses, m.PeerAddresses)
 		if restored {
@@ -96,25 +103,55 @@
 	return all[:min(len(all), maxDomainAddresses)]
 }
 
-// joinUnknownMember joins through the first responding stored address that belongs to no known member. One exchange
-// transfers all members of its group.
-func (n *Node) joinUnknownMember(stored []string) {
+// searchOtherDomains joins an unknown node of each other failure domain that the store lists. Nodes that know others join no
+// further ones, so that parts of a fleet without a common domain would not find each other. It returns the time until the
+// search may be repeated.
+func (n *Node) searchOtherDomains(ctx context.Context) (wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	objects, err := n.store.List(ctx, membersPrefix)
+	cancel()
+	if err != nil {
+		n.logger.Info("failed to read members", "event", "store_read_failed", "error", err)
+		return 0
+	}
+	attempts, size := maxUnknownJoinAttempts, 0
+	for _, o := range objects {
+		size += len(o.Value)
+		d, ok := n.decodeMembers(o.Key, o.Value)
+		if ok && d.FailureDomain != n.settings.FailureDomain {
+			shuffle(d.PeerAddresses)
+			// DEAD members are pinged, and need no join.
+			attempts -= n.joinUnknownMember(d.PeerAddresses, n.memberAddresses(true), attempts)
+		}
+	}
+	return time.Duration(size) * time.Second / domainListBytesPerSecond
+}
+
+// memberAddresses returns the peer addresses of this node and of all members, or of those that are not DEAD.
+func (n *Node) memberAddresses(dead bool) map[string]bool {
 	known := map[string]bool{n.settings.Peer.Advertise: true}
 	for _, m := range n.engine.Records() {
-		known[m.PeerAddr] = known[m.PeerAddr] || m.State != wire.MemberState_DEAD
+		known[m.PeerAddr] = known[m.PeerAddr] || dead || m.State != wire.MemberState_DEAD
 	}
-	attempts := 0
+	return known
+}
+
+// joinUnknownMember joins through the first responding stored address that is not known. One exchange transfers all members of
+// its group. It returns the number of addresses contacted, at most limit.
+func (n *Node) joinUnknownMember(stored []string, known map[string]bool, limit int) (attempts int) {
 	for _, addr := range stored {
 		if known[addr] {
 			continue
 		}
-		if attempts++; attempts > maxUnknownJoinAttempts {
-			return
+		if attempts == limit {
+			return attempts
 		}
+		attempts++
 		err := n.trySync(addr, n.engine.SyncRequest())
 		n.logger.Info("unknown member found in the store", "event", "member_found", "address", addr, "error", err)
 		if err == nil {
-			return
+			return attempts
 		}
 	}
+	return attempts
 }
