Send pipelined reads in the soak and check the members at its end

The soak had no pipelined callers, so that it could not show responses which a planned stop drops behind a slower one, and no check that all nodes know all. Three callers send groups of five reads, the first of which takes up to 1.5 s, over connections that they use until they end. A read that ran and got no response, while nothing but a planned stop happened, fails the run.

--- a/cmd/dandelionspoke/soak_test.go
+++ b/cmd/dandelionspoke/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -12,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"dandelionspoke/internal/admin"
 )
 
 const (
@@ -23,6 +26,7 @@
 	soakRecoveryTimeout = 15 * time.Second
 	// soakRequestTimeout is the timeout of a caller. It is longer than the timeout of the routes.
 	soakRequestTimeout = 12 * time.Second
+	terminateNode      = "terminate node" // a fault
 )
 
 // soakSeeds returns the seeds in the environment variable SOAK_SEEDS=FIRST-LAST, or a short default for CI. Each seed
@@ -78,6 +82,7 @@
 	responses         map[string]int // by account and status
 	wrongResponses    []string
 	completeResponses int
+	unansweredReads   []unansweredRead // of pipelined callers
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
@@ -129,6 +134,9 @@
 	for _, c := range soakCallers {
 		callers.Go(func() { s.runCaller(c) })
 	}
+	for i := range pipelinedCallers {
+		callers.Go(func() { s.runPipelinedCaller(i) })
+	}
 	var operatorDone atomic.Bool
 	faults := make(chan func())
 	for range soakConcurrentFaults {
@@ -147,12 +155,15 @@
 	history := s.runOperator()
 	operatorDone.Store(true)
 	injectors.Wait()
+	faultsEnded := time.Now()
 	s.checkRecovery()
+	s.checkMembers()
 	s.checkReturn(history)
 	s.checkRestartKeepsKeyWithdrawn()
 	s.stopped.Store(true)
 	callers.Wait()
 	s.check(history)
+	s.checkPipelined(s.arrivals(), faultsEnded)
 }
 
 // nextFault returns the next fault. All random numbers are drawn here, so that a seed always gives the same series.
@@ -164,7 +175,7 @@
 		run  func()
 	}{
 		{"kill node", func() { s.replaceNode(i, syscall.SIGKILL) }},
-		{"terminate node", func() { s.replaceNode(i, syscall.SIGTERM) }},
+		{terminateNode, func() { s.replaceNode(i, syscall.SIGTERM) }},
 		{"pause node", func() { s.pause(s.nodes[i], duration) }},
 		{"pause backend server", func() { s.pause(s.backends[i], duration) }},
 		{"kill backend server", func() { s.replaceBackend(i, duration) }},
@@ -221,6 +232,37 @@
 	s.mu.Unlock()
 }
 
+// checkMembers waits after the last fault until every node knows all others.
+func (s *soak) checkMembers() {
+	deadline := time.Now().Add(soakRecoveryTimeout)
+	for i := range soakNodes {
+		for live := 0; live != soakNodes; time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				s.t.Errorf("node %d knows %d of %d nodes %s after the last fault", i, live, soakNodes, soakRecoveryTimeout)
+				break
+			}
+			live = s.liveMembers(i)
+		}
+	}
+}
+
+// liveMembers returns the number of live nodes that a node knows, or 0 if it does not respond.
+func (s *soak) liveMembers(i int) int {
+	s.mu.Lock()
+	address := s.nodes[i].fields["admin"]
+	s.mu.Unlock()
+	resp, err := http.Get("http://" + address + "/v1/health")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var health admin.Health
+	if json.NewDecoder(resp.Body).Decode(&health) != nil {
+		return 0
+	}
+	return health.LiveMembers
+}
+
 // checkRecovery waits after the last fault until every node responds with 200.
 func (s *soak) checkRecovery() {
 	deadline := time.Now().Add(soakRecoveryTimeout)
--- /dev/null
+++ b/cmd/dandelionspoke/soakpipelined_test.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"dandelionspoke/internal/backendtest"
+	"dandelionspoke/internal/verdict"
+)
+
+const (
+	pipelinedCallers = 3
+	// pipelinedReads is the number of reads that are sent without waiting for a response.
+	pipelinedReads = 5
+	// pipelinedFirstWork is the longest service time of the first of them, in milliseconds.
+	pipelinedFirstWork = 1500
+	// plannedStopLead is the time before a request in which no other fault may have happened if a planned stop is to answer it.
+	plannedStopLead = 3 * time.Second
+)
+
+// unansweredRead is a read whose connection ended without a response to it.
+type unansweredRead struct {
+	id          string
+	node        int
+	sent, ended time.Time
+}
+
+// runPipelinedCaller sends reads in groups over connections that it uses until they end.
+func (s *soak) runPipelinedCaller(number int) {
+	for n := number; !s.stopped.Load(); n++ {
+		conn, err := net.Dial("tcp", s.ingressAddr(n))
+		if err != nil {
+			time.Sleep(retryPause)
+			continue
+		}
+		reader := bufio.NewReader(conn)
+		for group := 0; !s.stopped.Load() && s.sendPipelined(conn, reader, n%soakNodes, fmt.Sprintf("piped%d-%d.%d", number, n, group)); group++ {
+		}
+		_ = conn.Close()
+	}
+}
+
+// sendPipelined sends a group of reads, of which the first one takes longest, and reports whether the connection can be used further.
+func (s *soak) sendPipelined(conn net.Conn, reader *bufio.Reader, node int, group string) bool {
+	var text []byte
+	ids, sentAt := make([]string, pipelinedReads), time.Now()
+	s.mu.Lock()
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%s.%d", group, i)
+		s.sent[ids[i]] = sentRequest{soakCaller{name: "piped"}, sentAt, false}
+		work := 5 * time.Millisecond
+		if i == 0 {
+			work = time.Duration(time.Now().UnixNano()%pipelinedFirstWork) * time.Millisecond
+		}
+		text = fmt.Appendf(text, "GET /katalog/open/%s HTTP/1.1\r\nHost: a\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n\r\n", ids[i], backendtest.RequestIDHeader, ids[i],
+			backendtest.ReplyBytesHeader, soakResponseBytes, backendtest.WorkHeader, work)
+	}
+	s.mu.Unlock()
+	_ = conn.SetDeadline(sentAt.Add(soakRequestTimeout))
+	if _, err := conn.Write(text); err != nil {
+		return false
+	}
+	for i, id := range ids {
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			s.mu.Lock()
+			for _, lost := range ids[i:] {
+				s.unansweredReads = append(s.unansweredReads, unansweredRead{lost, node, sentAt, time.Now()})
+			}
+			s.mu.Unlock()
+			return false
+		}
+		s.readResponse(resp, soakCaller{name: "piped"}, id)
+		if resp.Header.Get(verdict.Header) == verdict.NotRun.String() {
+			s.mu.Lock()
+			s.notRunIDs = append(s.notRunIDs, id)
+			s.mu.Unlock()
+		}
+		if resp.Close {
+			return false // the reads behind it count as not read
+		}
+	}
+	return true
+}
+
+// checkPipelined reports reads that ran and got no response although only a planned stop of their node happened meanwhile.
+func (s *soak) checkPipelined(arrivals []backendtest.Arrival, faultsEnded time.Time) {
+	ran := map[string]bool{}
+	for _, a := range arrivals {
+		ran[a.ID] = true
+	}
+	judged := 0
+	for _, read := range s.unansweredReads {
+		planned := read.ended.Before(faultsEnded) && slices.ContainsFunc(s.faults, func(f *soakFault) bool {
+			return f.name == terminateNode && f.node == read.node && f.start.Before(read.ended) && f.end.After(read.sent)
+		})
+		disturbed := slices.ContainsFunc(s.faults, func(f *soakFault) bool {
+			harmless := f.name == "reload node" || f.name == terminateNode && f.node == read.node
+			return !harmless && f.start.Before(read.ended) && f.end.After(read.sent.Add(-plannedStopLead))
+		})
+		if planned && !disturbed {
+			judged++
+			if ran[read.id] {
+				s.errorf("read %s ran and got no response in a planned stop of node %d: sent %s, ended %s", read.id, read.node, clock(read.sent), clock(read.ended))
+			}
+		}
+	}
+	s.t.Logf("pipelined reads without a response %d, in undisturbed planned stops %d", len(s.unansweredReads), judged)
+}
