Let backend servers leave a body unread for as long as they like

Cause: TCP_USER_TIMEOUT of 2 s on the gate's connections. The kernel counts the time in which the receive window is full, although the peer acknowledges each window probe; the log says "read: connection timed out".

Change: connections to a backend server on the same host have no such limit, since the kernel reports the end of a local peer at once. Those to other hosts, to other nodes and to the store keep it.

--- a/internal/gate/connections.go
+++ b/internal/gate/connections.go
@@ -106,9 +106,8 @@
 
 // newTransport returns a transport for one connection.
 func newTransport(maxHeaderBytes int64) *http.Transport {
-	dialer := netopt.Dialer(backendDialTimeout)
 	return &http.Transport{
-		DialContext:        dialBackendConn(dialer.DialContext),
+		DialContext:        dialBackendConn(netopt.DialServer(backendDialTimeout)),
 		DisableCompression: true,
 		IdleConnTimeout:    backendIdleTimeout,
 
--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -60,6 +60,7 @@
 		Routes: []bundle.Route{
 			{Name: "read", Service: "katalog", PathPrefix: "/", MaxBodyBytes: 1 << 20, Timeout: bundle.Duration(2 * time.Second)},
 			{Name: "order", Service: "katalog", PathPrefix: "/order", Methods: []string{"POST"}, Idempotent: &notIdempotent, Timeout: bundle.Duration(3 * time.Second)},
+			{Name: "upload", Service: "katalog", PathPrefix: "/upload", MaxBodyBytes: 4 << 20, Timeout: bundle.Duration(8 * time.Second)},
 		},
 	}
 	b.SetDefaults()
@@ -345,6 +346,35 @@
 	}
 }
 
+// Guards against a request that is broken off because its backend server leaves a long body unread for some seconds.
+func TestLateReaderOfALongBody(t *testing.T) {
+	const unreadTime = 4 * time.Second
+	t.Parallel()
+	p := newRequestPath(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(unreadTime)
+		n, err := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n, err)
+	}), nil)
+	for _, bodyBytes := range []int{300_000, 2 << 20} {
+		t.Run(fmt.Sprint(bodyBytes), func(t *testing.T) {
+			t.Parallel()
+			req, err := http.NewRequest(http.MethodPut, p.caller.URL+"/upload", strings.NewReader(strings.Repeat("x", bodyBytes)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			if want := fmt.Sprint(bodyBytes, nil); resp.StatusCode != http.StatusOK || string(body) != want || err != nil {
+				t.Errorf("status %d, body %q, error %v; want %q", resp.StatusCode, body, err, want)
+			}
+		})
+	}
+}
+
 // Guards against a connection that ends without notice after a response which came before a long body was in: a caller that kept it
 // would lose its next request.
 func TestEarlyResponseClosesTheConnection(t *testing.T) {
