Refuse requests at a draining gate that may outlast its node

The second node passed them on to the first, which ended while the endpoint was at work.

Cause: the gate of a draining node accepts requests of other nodes during the notice, whatever time they may take; only the ingress has a limit on deadlines.

Change: the gate knows the end of the drain and refuses requests with a later deadline as not run, if they are not idempotent and the ingress can still choose another gate.

--- a/internal/gate/drain_queue_test.go
+++ b/internal/gate/drain_queue_test.go
@@ -75,3 +75,38 @@
 		})
 	}
 }
+
+// Guards against requests that a draining node accepts from other nodes and breaks off at its end, although another gate could
+// have run them.
+func TestRequestsThatMayOutlastTheNode(t *testing.T) {
+	const remaining = 2 * time.Second // of the node
+	tests := map[string]struct {
+		idempotent bool
+		deadline   time.Duration
+		maxWait    time.Duration // 0 accepts any wait
+		draining   bool
+		want       bool // the request is answered
+	}{
+		"not idempotent, deadline after the end":     {false, 3 * time.Second, time.Millisecond, true, false},
+		"not idempotent, deadline before the end":    {false, time.Second, time.Millisecond, true, true},
+		"not idempotent, no other gate":              {false, 3 * time.Second, 0, true, true},
+		"idempotent":                                 {true, 3 * time.Second, time.Millisecond, true, true},
+		"not idempotent, deadline after, node stays": {false, 3 * time.Second, time.Millisecond, false, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newGate(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			if test.draining {
+				g.SetEnd(time.Now().Add(remaining))
+			}
+			h := requestHead(1)
+			h.Idempotent, h.DeadlineMs, h.MaxWaitUs = test.idempotent, uint32(test.deadline.Milliseconds()), uint32(test.maxWait.Microseconds())
+			conn := serveAttempt(t, g, h)
+			_ = conn.Write(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{}}})
+			v, complete := answerVerdict(t, conn.Read)
+			if complete != test.want || !test.want && v != verdict.NotRun {
+				t.Errorf("answered %t with verdict %s, want %t", complete, v, test.want)
+			}
+		})
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -86,6 +86,8 @@
 	waiters  map[admission.Ticket]chan admission.Decision
 	backend  *Backend
 	draining bool
+	// endsAt is the time at which a draining node ends; nil if it does not drain or has no deadline. Not guarded by mu.
+	endsAt atomic.Pointer[time.Time]
 	// backendDraining is set while the backend server drains and the node itself does not. No waiting request is sent to it
 	// after drainCutoff.
 	backendDraining      bool
@@ -198,6 +200,10 @@
 	g.mu.Unlock()
 }
 
+// SetEnd makes the gate refuse requests that may run longer than the node, which ends at the given time, if their backend server
+// cannot run them again and the ingress can choose another gate. The others may still be answered in time.
+func (g *Gate) SetEnd(at time.Time) { g.endsAt.Store(&at) }
+
 // SetBackendDraining makes the gate refuse new requests while the backend server drains. Waiting requests are refused too,
 // unless they are expected to start within drainQueueTime and do, so that they can be sent to other endpoints.
 func (g *Gate) SetBackendDraining(draining bool) {
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -87,6 +87,9 @@
 	if err == nil {
 		err = c.checkRequest()
 	}
+	if err == nil {
+		err = c.checkEnd(deadline)
+	}
 	if err != nil {
 		c.finishRefused(err)
 		return
@@ -187,6 +190,16 @@
 	return nil
 }
 
+// checkEnd refuses a request that may be broken off when the node ends; see SetEnd. An ingress that has no other gate to choose accepts
+// any wait.
+func (c *call) checkEnd(deadline time.Time) error {
+	end := c.gate.endsAt.Load()
+	if end == nil || c.head.Idempotent || c.head.MaxWaitUs == 0 || !deadline.After(*end) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.Draining, "the node ends before the deadline of the request")
+}
+
 // releaseTrial lets the next trial run, if the attempt is one.
 func (c *call) releaseTrial() {
 	if c.holdsTrial {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -26,6 +26,9 @@
 	}
 	n.draining.Store(true)
 	n.ingress.SetDraining(true)
+	if deadline, ok := ctx.Deadline(); ok {
+		n.gate.SetEnd(deadline.Add(-withdrawLeadTime))
+	}
 	n.logger.Info("drain started", "event", "drain_started", "node", n.settings.NodeID, "notice", n.settings.DrainNotice)
 	sleep.For(ctx, n.settings.DrainNotice)
 	n.engine.SetLeaving()
