--- a/cmd/dandelionspoke/soakpipelined_test.go
+++ b/cmd/dandelionspoke/soakpipelined_test.go
@@ -67,11 +67,7 @@
 	for i, id := range ids {
 		resp, err := http.ReadResponse(reader, nil)
 		if err != nil {
-			s.mu.Lock()
-			for _, lost := range ids[i:] {
-				s.unansweredReads = append(s.unansweredReads, unansweredRead{lost, node, sentAt, time.Now()})
-			}
-			s.mu.Unlock()
+			s.recordUnanswered(ids[i:], node, sentAt)
 			return false
 		}
 		s.readResponse(resp, soakCaller{name: "piped"}, id)
@@ -79,14 +75,24 @@
 			s.mu.Lock()
 			s.notRunIDs = append(s.notRunIDs, id)
 			s.mu.Unlock()
+			time.Sleep(retryPause)
 		}
 		if resp.Close {
-			return false // the reads behind it count as not read
+			s.recordUnanswered(ids[i+1:], node, sentAt) // the caller takes them for not read
+			return false
 		}
 	}
 	return true
 }
 
+func (s *soak) recordUnanswered(ids []string, node int, sentAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		s.unansweredReads = append(s.unansweredReads, unansweredRead{id, node, sentAt, time.Now()})
+	}
+}
+
 // checkPipelined reports reads that ran and got no response although only a planned stop of their node happened meanwhile.
 func (s *soak) checkPipelined(arrivals []backendtest.Arrival, faultsEnded time.Time) {
 	ran := map[string]bool{}
