Stop each node in turn at the end of a soak, with pipelined callers

Each node is now terminated in turn after the last fault, and some groups take longer than a drain waits for its callers to leave. Also: a delayed heartbeat of a later process is kept when an earlier process proves that it lives, and the search of other domains waits for the interval that applies.

--- a/cmd/dandelionspoke/soak_test.go
+++ b/cmd/dandelionspoke/soak_test.go
@@ -155,15 +155,16 @@
 	history := s.runOperator()
 	operatorDone.Store(true)
 	injectors.Wait()
-	faultsEnded := time.Now()
 	s.checkRecovery()
 	s.checkMembers()
+	s.stopNodesInTurn()
+	stopsEnded := time.Now()
 	s.checkReturn(history)
 	s.checkRestartKeepsKeyWithdrawn()
 	s.stopped.Store(true)
 	callers.Wait()
 	s.check(history)
-	s.checkPipelined(s.arrivals(), faultsEnded)
+	s.checkPipelined(s.arrivals(), stopsEnded)
 }
 
 // nextFault returns the next fault. All random numbers are drawn here, so that a seed always gives the same series.
--- a/cmd/dandelionspoke/soakpipelined_test.go
+++ b/cmd/dandelionspoke/soakpipelined_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"dandelionspoke/internal/backendtest"
@@ -16,10 +18,13 @@
 	pipelinedCallers = 3
 	// pipelinedReads is the number of reads that are sent without waiting for a response.
 	pipelinedReads = 5
-	// pipelinedFirstWork is the longest service time of the first of them, in milliseconds.
-	pipelinedFirstWork = 1500
-	// plannedStopLead is the time before a request in which no other fault may have happened if a planned stop is to answer it.
-	plannedStopLead = 3 * time.Second
+	// pipelinedFirstWork is the longest service time of the first of them, but for one in pipelinedLongEvery groups. That one takes
+	// longer than a drain waits for its callers to leave, a quarter of the drain time.
+	pipelinedFirstWork = 1500 * time.Millisecond
+	pipelinedLongWork  = 6500 * time.Millisecond
+	pipelinedLongEvery = 4
+	// settleTime is the time after a fault in which its effects may end reads.
+	settleTime = time.Second
 )
 
 // unansweredRead is a read whose connection ended without a response to it.
@@ -48,13 +53,17 @@
 func (s *soak) sendPipelined(conn net.Conn, reader *bufio.Reader, node int, group string) bool {
 	var text []byte
 	ids, sentAt := make([]string, pipelinedReads), time.Now()
+	firstWork := rand.N(pipelinedFirstWork)
+	if rand.IntN(pipelinedLongEvery) == 0 {
+		firstWork = pipelinedLongWork
+	}
 	s.mu.Lock()
 	for i := range ids {
 		ids[i] = fmt.Sprintf("%s.%d", group, i)
 		s.sent[ids[i]] = sentRequest{soakCaller{name: "piped"}, sentAt, false}
 		work := 5 * time.Millisecond
 		if i == 0 {
-			work = time.Duration(time.Now().UnixNano()%pipelinedFirstWork) * time.Millisecond
+			work = firstWork
 		}
 		text = fmt.Appendf(text, "GET /katalog/open/%s HTTP/1.1\r\nHost: a\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n\r\n", ids[i], backendtest.RequestIDHeader, ids[i],
 			backendtest.ReplyBytesHeader, soakResponseBytes, backendtest.WorkHeader, work)
@@ -93,20 +102,31 @@
 	}
 }
 
+// stopNodesInTurn terminates and restarts each node while no other fault happens.
+func (s *soak) stopNodesInTurn() {
+	time.Sleep(settleTime)
+	for i := range soakNodes {
+		end := s.beginFault(terminateNode, i)
+		s.replaceNode(i, syscall.SIGTERM)
+		end()
+		time.Sleep(settleTime)
+	}
+}
+
 // checkPipelined reports reads that ran and got no response although only a planned stop of their node happened meanwhile.
-func (s *soak) checkPipelined(arrivals []backendtest.Arrival, faultsEnded time.Time) {
+func (s *soak) checkPipelined(arrivals []backendtest.Arrival, stopsEnded time.Time) {
 	ran := map[string]bool{}
 	for _, a := range arrivals {
 		ran[a.ID] = true
 	}
 	judged := 0
 	for _, read := range s.unansweredReads {
-		planned := read.ended.Before(faultsEnded) && slices.ContainsFunc(s.faults, func(f *soakFault) bool {
+		planned := read.ended.Before(stopsEnded) && slices.ContainsFunc(s.faults, func(f *soakFault) bool {
 			return f.name == terminateNode && f.node == read.node && f.start.Before(read.ended) && f.end.After(read.sent)
 		})
 		disturbed := slices.ContainsFunc(s.faults, func(f *soakFault) bool {
 			harmless := f.name == "reload node" || f.name == terminateNode && f.node == read.node
-			return !harmless && f.start.Before(read.ended) && f.end.After(read.sent.Add(-plannedStopLead))
+			return !harmless && f.start.Before(read.ended) && f.end.After(read.sent.Add(-settleTime))
 		})
 		if planned && !disturbed {
 			judged++
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -296,8 +296,9 @@
 	if outcome == Stale {
 		return outcome
 	}
-	if r.confirmation.observe(heartbeat, received); heartbeat.SentAfterStart {
-		r.held = nil // it is older, or of a process that this one has replaced
+	r.confirmation.observe(heartbeat, received)
+	if heartbeat.SentAfterStart && r.held != nil && r.held.Incarnation <= heartbeat.Incarnation {
+		r.held = nil // it was sent earlier
 	}
 	if !r.isAnnounced(heartbeat) && !r.confirmation.permits(heartbeat, received) {
 		return Unconfirmed
--- a/internal/announce/confirm.go
+++ b/internal/announce/confirm.go
@@ -14,9 +14,9 @@
 	minConfirmationTime = 750 * time.Millisecond
 	// maxHeartbeatGap is the longest time between two consecutive heartbeats of a live process.
 	maxHeartbeatGap = 2250 * time.Millisecond
-	// maxHeartbeatDelay is the longest time by which heartbeats are delayed. Those that arrive later than that after the start of
+	// MaxHeartbeatDelay is the longest time by which heartbeats are delayed. Those that arrive later than that after the start of
 	// the node were sent after it.
-	maxHeartbeatDelay = 12 * time.Second
+	MaxHeartbeatDelay = 12 * time.Second
 )
 
 // Channel describes an address at which the node accepts heartbeats.
@@ -31,7 +31,7 @@
 // confirmation tracks whether the process that sends heartbeats is alive. A node that has just started cannot know all
 // departures that its predecessor acknowledged: the store may have been away, and all nodes that knew of them may have ended.
 // A heartbeat that was sent before the departure proves nothing then. A process is confirmed by a heartbeat that was sent after the
-// start of the node, by two consecutive ones later than maxHeartbeatDelay after the start, or by two consecutive ones at any time if
+// start of the node, by two consecutive ones later than MaxHeartbeatDelay after the start, or by two consecutive ones at any time if
 // a node that knew the predecessor has stated the departures.
 type confirmation struct {
 	nodeStart time.Time // zero if no process needs a confirmation
@@ -77,7 +77,7 @@
 	if c.since.IsZero() {
 		c.since = received
 	}
-	if c.undelayedSince.IsZero() && received.Sub(c.nodeStart) > maxHeartbeatDelay {
+	if c.undelayedSince.IsZero() && received.Sub(c.nodeStart) > MaxHeartbeatDelay {
 		c.undelayedSince = received
 	}
 	c.repeated = c.repeated || received.Sub(c.since) >= minConfirmationTime
@@ -105,9 +105,6 @@
 	r.confirmation.departuresStated = true
 }
 
-// UndelayedAfter is the age of a node from which no heartbeat that arrives was sent to an earlier process of the node.
-const UndelayedAfter = maxHeartbeatDelay
-
 // EndProvisional withdraws the announced backend server if it has not been confirmed, and reports whether it did. A later
 // heartbeat that confirms the server announces it again.
 func (r *Registry) EndProvisional() bool {
--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -205,7 +205,7 @@
 	n.logger.Info("heartbeats are applied", "event", "departures_restored", "after", n.uptime(), "known", known)
 	n.registry.EndRestore(time.Now(), known)
 	// The store may lack a departure. Once no delayed heartbeat can contradict it, a later process need not know it.
-	if n.departures.peerKnown.Load() || sleep.For(n.ctx, announce.UndelayedAfter-n.uptime()) {
+	if n.departures.peerKnown.Load() || sleep.For(n.ctx, announce.MaxHeartbeatDelay-n.uptime()) {
 		n.engine.AddDepartures(nil, true)
 	}
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -58,11 +58,11 @@
 			} else {
 				written = addresses
 			}
-			nextCheck = time.Now().Add(interval)
-			interval = min(2*interval, maxMembersCheckInterval)
 			if err == nil && !time.Now().Before(nextSearch) {
-				nextSearch = time.Now().Add(max(interval/2, n.searchOtherDomains(ctx)))
+				nextSearch = time.Now().Add(max(interval, n.searchOtherDomains(ctx)))
 			}
+			nextCheck = time.Now().Add(interval)
+			interval = min(2*interval, maxMembersCheckInterval)
 		}
 		if !sleep.For(ctx, membersWriteInterval) {
 			return
