--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -277,7 +277,8 @@
 // Guards against a node that offers an address which an earlier process of it may have offered, at which delayed heartbeats
 // arrive.
 func TestOfferedAddressIsNew(t *testing.T) {
-	const name, runs = "test-heartbeats", 8
+	const runs = 8
+	name := fmt.Sprint("test-heartbeats-", time.Now().UnixNano()) // a name can be registered once in a process
 	channels := make(chan announce.Channel, 2*runs)
 	adapter.Register(name, func(settings.Settings, func() string, *slog.Logger) (*adapter.Adapter, error) {
 		return &adapter.Adapter{Announcements: func(_ *announce.Registry, c announce.Channel) http.Handler {
